Frame: build, checks, shared types, record codec, settings, metrics

Cause: an empty repository. The shared shapes (sections of the blackboard, records of the log, peer protocol, error kinds) come first, so that the parts can be built side by side.

--- /dev/null
+++ b/src/blackboard/index.ts
@@ -0,0 +1,2 @@
+export {Blackboard, type SectionListener} from './Blackboard.js';
+export type * from './Sections.js';
--- /dev/null
+++ b/src/log/LogWriter.ts
@@ -0,0 +1,100 @@
+/** Writes records so that repeated appends are harmless and verdicts come from reading back. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {ServingError} from '../errors/index.js';
+import type {LogAccess} from './LogClient.js';
+import {encodeRecord, type LogBody, type LogStream, type PlacedRecord} from './LogRecord.js';
+
+/** Options of a `LogWriter`. */
+export interface LogWriterOptions {
+  readonly stream: LogStream;
+  readonly log: LogAccess;
+  /** Incarnation of this process; unique among all that ever wrote to the stream. */
+  readonly writer: string;
+  /** Time after which a proposal that was not read back is given up. */
+  readonly timeoutMs: number;
+  readonly retryDelayMs?: number;
+}
+
+const DEFAULT_RETRY_DELAY_MS = 100;
+
+interface PendingProposal {
+  readonly sequence: number;
+  readonly resolve: (placed: PlacedRecord) => void;
+}
+
+/**
+ * Proposes records one at a time. Since the next record goes out only after the last one was read back or given up,
+ * a writer's sequence numbers stand in the log in order, and readers may drop any that doesn't exceed the last.
+ */
+export class LogWriter {
+  private readonly options: LogWriterOptions;
+  private nextSequence = 1;
+  private pending: PendingProposal | undefined;
+  private queue: Promise<unknown> = Promise.resolve();
+
+  constructor(options: LogWriterOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Appends a record and waits until it was read back.
+   * @param body - What the record says.
+   * @returns The record with its offset; whether it holds is the fold's to say.
+   * @throws ServingError of kind `log-unavailable` where it wasn't read back in time; it may stand in the log all the same.
+   */
+  propose(body: LogBody): Promise<PlacedRecord> {
+    const proposal = this.queue.then(() => this.proposeNext(body));
+    this.queue = proposal.catch(() => undefined);
+    return proposal;
+  }
+
+  /** Tells the writer of a record that was read; called by the tailer for each one, after its fold. */
+  observe(placed: PlacedRecord): void {
+    const {pending} = this;
+    if (!pending || placed.record.writer !== this.options.writer) return;
+    if (placed.record.sequence === pending.sequence) pending.resolve(placed);
+  }
+
+  private async proposeNext(body: LogBody): Promise<PlacedRecord> {
+    const {stream, writer, timeoutMs} = this.options;
+    const sequence = this.nextSequence++;
+    const payload = encodeRecord({writer, sequence, body});
+    const giveUp = new AbortController();
+    const readBack = new Promise<PlacedRecord>(resolve => {
+      this.pending = {sequence, resolve};
+    });
+    try {
+      void this.appendUntilStopped(payload, giveUp.signal);
+      return await Promise.race([readBack, this.failAfter(timeoutMs, stream, giveUp.signal)]);
+    } finally {
+      giveUp.abort();
+      this.pending = undefined;
+    }
+  }
+
+  private async appendUntilStopped(payload: string, signal: AbortSignal): Promise<void> {
+    const {stream, log, retryDelayMs} = this.options;
+    while (!signal.aborted) {
+      try {
+        await log.append(stream, [payload]);
+        return;
+      } catch {
+        await sleep(retryDelayMs ?? DEFAULT_RETRY_DELAY_MS, undefined, {signal}).catch(
+          () => undefined,
+        );
+      }
+    }
+  }
+
+  private async failAfter(
+    timeoutMs: number,
+    stream: LogStream,
+    signal: AbortSignal,
+  ): Promise<never> {
+    await sleep(timeoutMs, undefined, {signal});
+    throw new ServingError(
+      'log-unavailable',
+      `record of stream ${stream} was not read back within ${timeoutMs} ms`,
+    );
+  }
+}
--- /dev/null
+++ b/src/logging/index.ts
@@ -0,0 +1,7 @@
+export {
+  createLogger,
+  silentLogger,
+  type LogFields,
+  type Logger,
+  type LoggerOptions,
+} from './Logger.js';
--- /dev/null
+++ b/src/settings/SettingsCommand.ts
@@ -0,0 +1,76 @@
+/** Turns setting definitions into a cmd-ts command, and runs a binary's command line. */
+import {command, option, optional, run, string, type subcommands} from 'cmd-ts';
+import {ServingError, toServingError} from '../errors/index.js';
+import {
+  parseSetting,
+  type SettingDefinition,
+  type SettingDefinitions,
+} from './SettingDefinition.js';
+
+const EXIT_FAILED = 1;
+const EXIT_BAD_SETTINGS = 2;
+
+/** What a command is called and what it does with its settings. */
+export interface SettingsCommandOptions<Values> {
+  readonly name: string;
+  readonly description: string;
+  readonly settings: SettingDefinitions<Values>;
+  /** Throws a ServingError of kind `invalid-settings` where settings contradict each other. */
+  readonly check?: (values: Values) => void;
+  readonly run: (values: Values) => Promise<void>;
+}
+
+/** Something that `runCommandLine` can run. */
+export type RunnableCommand = ReturnType<typeof command> | ReturnType<typeof subcommands>;
+
+/** Builds a cmd-ts command whose options are the settings. */
+export function createSettingsCommand<Values extends object>(
+  options: SettingsCommandOptions<Values>,
+): RunnableCommand {
+  const entries = Object.entries(options.settings) as Array<[string, SettingDefinition<unknown>]>;
+  const args = Object.fromEntries(
+    entries.map(([name, definition]) => [name, createOption(definition)]),
+  );
+  return command({
+    name: options.name,
+    description: options.description,
+    args,
+    handler: async texts => {
+      const values = Object.fromEntries(
+        entries.map(([name, definition]) => [name, parseSetting(definition, texts[name])]),
+      ) as Values;
+      options.check?.(values);
+      await options.run(values);
+    },
+  }) as unknown as RunnableCommand;
+}
+
+/**
+ * Runs a command line; on an error prints one line and exits with 2 for bad settings, else 1.
+ * @param runnable - The command or commands.
+ * @param args - Arguments after the binary's name.
+ */
+export async function runCommandLine(
+  runnable: RunnableCommand,
+  args: readonly string[],
+): Promise<void> {
+  try {
+    await run(runnable as ReturnType<typeof command>, [...args]);
+  } catch (error) {
+    const servingError = toServingError(error);
+    process.stderr.write(`${servingError.message}\n`);
+    const isSettings = error instanceof ServingError && error.kind === 'invalid-settings';
+    process.exitCode = isSettings ? EXIT_BAD_SETTINGS : EXIT_FAILED;
+  }
+}
+
+function createOption(definition: SettingDefinition<unknown>) {
+  const fallback =
+    definition.defaultText === undefined ? '' : ` [default: ${definition.defaultText || 'none'}]`;
+  return option({
+    type: optional(string),
+    long: definition.flag,
+    env: definition.variable,
+    description: definition.description + fallback,
+  });
+}
--- /dev/null
+++ b/tests/log/LogRecord.test.ts
@@ -0,0 +1,29 @@
+/** Tests of the record codec. */
+import t from 'tap';
+import {decodeRecord, encodeRecord, type LogRecord} from '../../src/log/index.js';
+import {assertThrowsKind} from '../support/assertions.js';
+
+const RECORD: LogRecord = {
+  writer: 'entry-1',
+  sequence: 1,
+  body: {kind: 'lease-claim', followsOffset: -1, holder: 'fleet-1', termMs: 3_000},
+};
+
+t.test('decodeRecord', t => {
+  function doTest(name: string, payload: string, expectedKind: string | undefined) {
+    t.test(name, t => {
+      if (expectedKind === undefined) {
+        assertThrowsKind(t, () => decodeRecord(payload), 'invalid-record');
+      } else {
+        t.equal(decodeRecord(payload).body.kind, expectedKind);
+      }
+      t.end();
+    });
+  }
+
+  doTest('reads what encodeRecord wrote', encodeRecord(RECORD), 'lease-claim');
+  doTest('refuses what is not JSON', '{"writer"', undefined);
+  doTest('refuses an unknown kind', '{"writer":"a","sequence":1,"body":{"kind":"x"}}', undefined);
+  doTest('refuses a sequence of zero', encodeRecord({...RECORD, sequence: 0}), undefined);
+  t.end();
+});
