--- a/scripts/ensure-built.mjs
+++ b/scripts/ensure-built.mjs
@@ -8,7 +8,12 @@
 const COMPILER = join(ROOT, 'node_modules', 'typescript', 'bin', 'tsc');
 
 function run(command, args) {
-  execFileSync(command, args, {cwd: ROOT, stdio: ['ignore', 'inherit', 'inherit']});
+  try {
+    execFileSync(command, args, {cwd: ROOT, stdio: ['ignore', 'inherit', 'inherit']});
+  } catch (error) {
+    console.error(`${command} ${args.join(' ')} failed`);
+    process.exit(error.status ?? 1);
+  }
 }
 
 if (!existsSync(COMPILER)) {
@@ -16,4 +21,4 @@
   run('npm', ['ci']);
 }
 console.log('Building ...');
-run(process.execPath, [COMPILER, '-p', 'tsconfig.json']);
+run(process.execPath, [COMPILER, '-p', 'tsconfig.json', '--pretty', 'false']);
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -23,7 +23,7 @@
   });
 }
 
-/** An entry is `test: tests/x/Y.test.ts | case name` on a line of its own; the lines after it explain. */
+/** An entry is `test: tests/x/Y.test.ts | outer name > inner name` on a line of its own; the lines after it explain. */
 function readKnownRed() {
   const path = join(ROOT, 'KNOWN-RED.txt');
   if (!existsSync(path)) return [];
@@ -54,16 +54,33 @@
   });
 }
 
-/** Counts the innermost results: a line followed by a subtest's closing line is not counted twice. */
-function countResults(output) {
-  const lines = output.split('\n').filter(line => /^\s*(not )?ok\b/.test(line));
-  const results = lines.map(line => ({
-    depth: line.match(/^\s*/)[0].length,
-    ok: !/^\s*not ok/.test(line),
-    name: line.replace(/^\s*(not )?ok\s*\d*\s*-?\s*/, '').replace(/\s*[#{].*$/, ''),
-    todo: /# (todo|skip)/i.test(line),
-  }));
-  return results.filter((result, i) => i === 0 || results[i - 1].depth <= result.depth);
+/**
+ * Returns the results of the innermost subtests, each with its path of names.
+ * A subtest that fails without a failed one inside counts too.
+ */
+function readResults(output) {
+  const open = [];
+  const results = [];
+  for (const line of output.split('\n')) {
+    const depth = line.match(/^\s*/)[0].length;
+    const start = line.match(/^\s*# Subtest: (.*)$/);
+    if (start) {
+      if (open.length > 0) open[open.length - 1].hasInner = true;
+      open.push({name: start[1], depth, hasInner: false, hasFailedInner: false});
+      continue;
+    }
+    const top = open[open.length - 1];
+    const end = line.match(/^\s*(not )?ok\b/);
+    if (!end || !top || top.depth !== depth) continue;
+    open.pop();
+    const isOk = end[1] === undefined;
+    if (!top.hasInner || (!isOk && !top.hasFailedInner)) {
+      const name = [...open.map(subtest => subtest.name), top.name].join(' > ');
+      results.push({name, isOk, isSkipped: /# (todo|skip)/i.test(line)});
+    }
+    if (!isOk && open.length > 0) open[open.length - 1].hasFailedInner = true;
+  }
+  return results;
 }
 
 const asked = process.argv.slice(2);
@@ -81,11 +98,11 @@
   for (let path = queue.shift(); path !== undefined; path = queue.shift()) {
     const {output, code} = await runFile(path);
     const source = relative(join(ROOT, 'dist'), path).replace(/\.js$/, '.ts');
-    const results = countResults(output);
-    const bad = results.filter(result => !result.ok);
+    const results = readResults(output);
+    const bad = results.filter(result => !result.isOk);
     const known = bad.filter(result => knownRed.includes(`${source} | ${result.name}`));
     const unexplained = code !== 0 && bad.length === 0 ? 1 : 0;
-    const skipped = results.filter(result => result.todo).length;
+    const skipped = results.filter(result => result.isSkipped).length;
     passed += results.length - bad.length;
     failed += bad.length - known.length + unexplained + skipped;
     passedOver.push(...known.map(result => `${source} | ${result.name}`));
--- a/src/errors/ServingError.ts
+++ b/src/errors/ServingError.ts
@@ -1,9 +1,11 @@
 /** The error class of the project: a message for people and a kind for programs. */
-import ModernError from 'modern-errors';
+import ModernError, {type InstanceOptions} from 'modern-errors';
 import {getAnswerRule, type ErrorKind, type RunState} from './ErrorKind.js';
 
 /** Options of a `ServingError`. */
 export interface ServingErrorOptions {
+  /** Kind from the closed list. */
+  readonly kind: ErrorKind;
   /** Overrides what the kind says about whether the request was executed. */
   readonly run?: RunState;
   /** Overrides the kind's retry hint. */
@@ -12,30 +14,33 @@
   readonly cause?: unknown;
 }
 
-/** Error with one of the closed list of kinds. */
-export class ServingError extends ModernError {
-  readonly kind: ErrorKind;
-  readonly run: RunState;
-  readonly retryAfterMs: number | undefined;
+/** Error with one of the closed list of kinds: `new ServingError('no such path: /x', {kind: 'not-found'})`. */
+export const ServingError = ModernError.subclass('ServingError', {
+  custom: class extends ModernError {
+    readonly kind: ErrorKind;
+    readonly run: RunState;
+    readonly retryAfterMs: number | undefined;
 
-  /**
-   * @param kind - Kind from the closed list.
-   * @param message - Text for people; names the offending value.
-   * @param options - What differs from the kind's rule.
-   */
-  constructor(kind: ErrorKind, message: string, options: ServingErrorOptions = {}) {
-    super(message, {cause: options.cause});
-    const rule = getAnswerRule(kind);
-    this.name = 'ServingError';
-    this.kind = kind;
-    this.run = options.run ?? rule.run;
-    this.retryAfterMs = options.retryAfterMs ?? rule.retryAfterMs;
-  }
-}
+    /**
+     * @param message - Text for people; names the offending value.
+     * @param options - The kind, and what differs from the kind's rule.
+     */
+    constructor(message: string, options?: InstanceOptions & Partial<ServingErrorOptions>) {
+      super(message, options);
+      this.kind = options?.kind ?? 'internal';
+      const rule = getAnswerRule(this.kind);
+      this.run = options?.run ?? rule.run;
+      this.retryAfterMs = options?.retryAfterMs ?? rule.retryAfterMs;
+    }
+  },
+});
+
+/** Instance of `ServingError`. */
+export type ServingError = InstanceType<typeof ServingError>;
 
 /** Returns the error itself where it is a `ServingError`, else one of kind `internal` caused by it. */
 export function toServingError(error: unknown): ServingError {
   if (error instanceof ServingError) return error;
   const message = error instanceof Error ? error.message : String(error);
-  return new ServingError('internal', message, {cause: error});
+  return new ServingError(message, {kind: 'internal', cause: error});
 }
--- a/src/log/LogClient.ts
+++ b/src/log/LogClient.ts
@@ -2,7 +2,7 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 import {ServingError} from '../errors/index.js';
-import type {LogStream} from './LogRecord.js';
+import type {LogStream} from '../records/index.js';
 
 /** Options of a `LogClient`. */
 export interface LogClientOptions {
@@ -112,7 +112,10 @@
       return JSON.parse(text) as unknown;
     } catch (cause) {
       const reason = cause instanceof Error ? cause.message : String(cause);
-      throw new ServingError('log-unavailable', `${method} ${path} failed: ${reason}`, {cause});
+      throw new ServingError(`${method} ${path} failed: ${reason}`, {
+        kind: 'log-unavailable',
+        cause,
+      });
     }
   }
 }
--- a/src/log/LogTailer.ts
+++ b/src/log/LogTailer.ts
@@ -1,7 +1,7 @@
 /** Follows a stream of the log and hands each record to a fold, in order, once. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {LogAccess, StoredRecord} from './LogClient.js';
-import type {LogStream} from './LogRecord.js';
+import type {LogStream} from '../records/index.js';
 
 /** Options of a `LogTailer`. */
 export interface LogTailerOptions {
--- a/src/log/LogWriter.ts
+++ b/src/log/LogWriter.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {ServingError} from '../errors/index.js';
 import type {LogAccess} from './LogClient.js';
-import {encodeRecord, type LogBody, type LogStream, type PlacedRecord} from './LogRecord.js';
+import {encodeRecord, type LogBody, type LogStream, type PlacedRecord} from '../records/index.js';
 
 /** Options of a `LogWriter`. */
 export interface LogWriterOptions {
@@ -92,9 +92,8 @@
     signal: AbortSignal,
   ): Promise<never> {
     await sleep(timeoutMs, undefined, {signal});
-    throw new ServingError(
-      'log-unavailable',
-      `record of stream ${stream} was not read back within ${timeoutMs} ms`,
-    );
+    throw new ServingError(`record of stream ${stream} was not read back within ${timeoutMs} ms`, {
+      kind: 'log-unavailable',
+    });
   }
 }
--- a/src/log/LogRecord.ts
+++ b/src/records/LogRecord.ts
@@ -211,14 +211,15 @@
   try {
     value = JSON.parse(payload);
   } catch (cause) {
-    throw new ServingError('invalid-record', `record is not JSON: ${payload.slice(0, 80)}`, {
+    throw new ServingError(`record is not JSON: ${payload.slice(0, 80)}`, {
+      kind: 'invalid-record',
       cause,
     });
   }
   const parsed = recordSchema.safeParse(value);
   if (!parsed.success) {
     const issue = z.prettifyError(parsed.error).slice(0, 200);
-    throw new ServingError('invalid-record', `record does not fit its schema: ${issue}`);
+    throw new ServingError(`record does not fit its schema: ${issue}`, {kind: 'invalid-record'});
   }
   return parsed.data;
 }
--- /dev/null
+++ b/src/records/index.ts
@@ -0,0 +1,13 @@
+export {
+  LOG_STREAMS,
+  decodeRecord,
+  encodeRecord,
+  type ClaimProposal,
+  type LogBody,
+  type LogBodyOf,
+  type LogRecord,
+  type LogStream,
+  type OutcomeProposal,
+  type PlacedRecord,
+  type StoredAnswer,
+} from './LogRecord.js';
--- a/src/settings/SettingDefinition.ts
+++ b/src/settings/SettingDefinition.ts
@@ -35,14 +35,15 @@
   const {flag, variable, parse, defaultText, isSecret} = definition;
   const given = text ?? defaultText;
   if (given === undefined) {
-    throw new ServingError('invalid-settings', `--${flag} (${variable}) is missing`);
+    throw new ServingError(`--${flag} (${variable}) is missing`, {kind: 'invalid-settings'});
   }
   try {
     return parse(given);
   } catch (cause) {
     const shown = isSecret ? 'the given value' : `"${given}"`;
     const reason = cause instanceof Error ? cause.message : String(cause);
-    throw new ServingError('invalid-settings', `--${flag} (${variable}): ${shown} ${reason}`, {
+    throw new ServingError(`--${flag} (${variable}): ${shown} ${reason}`, {
+      kind: 'invalid-settings',
       cause,
     });
   }
--- a/tests/log/LogRecord.test.ts
+++ b/tests/records/LogRecord.test.ts
@@ -1,6 +1,6 @@
 /** Tests of the record codec. */
 import t from 'tap';
-import {decodeRecord, encodeRecord, type LogRecord} from '../../src/log/index.js';
+import {decodeRecord, encodeRecord, type LogRecord} from '../../src/records/index.js';
 import {assertThrowsKind} from '../support/assertions.js';
 
 const RECORD: LogRecord = {
