--- /dev/null
+++ b/src/engine/EngineClient.ts
@@ -0,0 +1,224 @@
+/** Client of model engines: opens answer streams and reads their tokens. */
+import {createParser} from 'eventsource-parser';
+import {Agent, request, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import type {BackendServer, LoadReport} from '../blackboard/index.js';
+import {ServingError} from '../errors/index.js';
+import {getCompletionPath, type CompletionFormat} from './CompletionBody.js';
+
+/** One try of a completion at one backend server. */
+export interface EngineCall {
+  readonly server: BackendServer;
+  readonly format: CompletionFormat;
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly workspace: string;
+  /** Encoded body that asks for a stream. */
+  readonly body: string;
+  /** Aborting it cancels the try at the engine. */
+  readonly signal: AbortSignal;
+}
+
+/** What an engine counted. */
+export interface EngineUsage {
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+}
+
+/** What an engine's stream tells. */
+export type EngineEvent =
+  | {readonly kind: 'token'; readonly text: string}
+  | {readonly kind: 'finished'; readonly finishReason: string}
+  | {readonly kind: 'usage'; readonly usage: EngineUsage};
+
+const END_OF_STREAM = '[DONE]';
+
+const chunkSchema = z.object({
+  choices: z.array(
+    z.object({
+      delta: z.object({content: z.string().nullish()}).optional(),
+      text: z.string().optional(),
+      finish_reason: z.string().nullish(),
+    }),
+  ),
+  usage: z
+    .object({
+      prompt_tokens: z.number(),
+      prompt_tokens_details: z.object({cached_tokens: z.number()}).nullish(),
+    })
+    .nullish(),
+});
+
+const loadSchema = z.object({
+  runningRequests: z.number(),
+  queuedRequests: z.number(),
+  queuedPrefillTokens: z.number().default(0),
+  prefillTokensPerSecond: z.number().default(0),
+  decodeTokensPerSecond: z.number().default(0),
+  cachedTokens: z.number().default(0),
+  reportedAtMs: z.number(),
+  state: z.enum(['live', 'leaving']).default('live'),
+  leavingAtMs: z.number().optional(),
+});
+
+/** A backend server's own report. */
+export interface ServerReport {
+  readonly load: LoadReport;
+  readonly state: 'live' | 'leaving';
+  readonly leavingAtMs?: number;
+}
+
+/** Options of an `EngineClient`. */
+export interface EngineClientOptions {
+  readonly connectTimeoutMs: number;
+  readonly reportTimeoutMs: number;
+}
+
+/** Talks to backend servers over HTTP. */
+export class EngineClient {
+  private readonly options: EngineClientOptions;
+  private readonly agent: Agent;
+
+  constructor(options: EngineClientOptions) {
+    this.options = options;
+    this.agent = new Agent({
+      connect: {timeout: options.connectTimeoutMs},
+      bodyTimeout: 0,
+      headersTimeout: 0,
+      pipelining: 1,
+    });
+  }
+
+  /**
+   * Runs a try and yields its events until the engine says that the stream ended.
+   * @param call - The try.
+   * @throws ServingError of kind `backend-failed` where the stream breaks or the engine refuses.
+   */
+  async *streamCompletion(call: EngineCall): AsyncGenerator<EngineEvent, void, undefined> {
+    const {body, statusCode} = await this.open(call);
+    if (statusCode !== 200) {
+      const text = await body.text().catch(() => '');
+      throw createStatusError(call.server, statusCode, text);
+    }
+    let hasEnded = false;
+    const pending: EngineEvent[] = [];
+    const parser = createParser({
+      onEvent: ({data}) => {
+        if (data === END_OF_STREAM) hasEnded = true;
+        else pending.push(...readChunk(data));
+      },
+    });
+    const decoder = new TextDecoder();
+    try {
+      for await (const bytes of body) {
+        parser.feed(decoder.decode(bytes as Uint8Array, {stream: true}));
+        yield* pending.splice(0);
+        if (hasEnded) return;
+      }
+    } catch (cause) {
+      throw createBrokenError(call.server, cause);
+    }
+    throw createBrokenError(call.server, new Error('the stream ended early'));
+  }
+
+  /**
+   * Sends a request to a plain service and returns its whole answer.
+   * @param server - The backend server.
+   * @param options - Method, path, headers and body, as undici takes them.
+   */
+  async callPlain(
+    server: BackendServer,
+    options: Omit<Dispatcher.RequestOptions, 'origin'>,
+  ): Promise<PlainAnswer> {
+    const response = await this.agent.request({...options, origin: getOrigin(server)});
+    const body = Buffer.from(await response.body.arrayBuffer());
+    const contentType = response.headers['content-type'];
+    return {
+      status: response.statusCode,
+      contentType: typeof contentType === 'string' ? contentType : 'application/octet-stream',
+      body,
+    };
+  }
+
+  /**
+   * Asks a backend server for its load.
+   * @param server - The backend server.
+   */
+  async getReport(server: BackendServer): Promise<ServerReport> {
+    const response = await request(`${getOrigin(server)}/load`, {
+      dispatcher: this.agent,
+      signal: AbortSignal.timeout(this.options.reportTimeoutMs),
+    });
+    const value = loadSchema.parse(await response.body.json());
+    const {state, leavingAtMs, ...load} = value;
+    return {load, state, leavingAtMs};
+  }
+
+  /** Closes all connections, also those in use. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async open(call: EngineCall): Promise<Dispatcher.ResponseData> {
+    try {
+      return await request(getOrigin(call.server) + getCompletionPath(call.format), {
+        method: 'POST',
+        dispatcher: this.agent,
+        headers: {
+          'content-type': 'application/json',
+          'x-request-id': call.requestId,
+          'x-attempt-id': call.attemptId,
+          'x-workspace': call.workspace,
+        },
+        body: call.body,
+        signal: call.signal,
+      });
+    } catch (cause) {
+      throw createBrokenError(call.server, cause);
+    }
+  }
+}
+
+/** A plain service's answer. */
+export interface PlainAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+}
+
+function getOrigin(server: BackendServer): string {
+  const host = server.address.includes(':') ? `[${server.address}]` : server.address;
+  return `http://${host}:${server.port}`;
+}
+
+function readChunk(data: string): readonly EngineEvent[] {
+  const chunk = chunkSchema.parse(JSON.parse(data));
+  const events: EngineEvent[] = [];
+  for (const choice of chunk.choices) {
+    const text = choice.delta?.content ?? choice.text ?? '';
+    if (text.length > 0) events.push({kind: 'token', text});
+    if (choice.finish_reason) events.push({kind: 'finished', finishReason: choice.finish_reason});
+  }
+  if (chunk.usage) {
+    const promptTokens = chunk.usage.prompt_tokens;
+    const cachedTokens = chunk.usage.prompt_tokens_details?.cached_tokens ?? 0;
+    events.push({kind: 'usage', usage: {promptTokens, cachedTokens}});
+  }
+  return events;
+}
+
+function createStatusError(server: BackendServer, status: number, text: string): ServingError {
+  return new ServingError(
+    `backend server ${server.instanceId} answered ${status}: ${text.slice(0, 200)}`,
+    {kind: 'backend-failed', run: status === 429 || status === 503 ? 'not-run' : 'unknown'},
+  );
+}
+
+function createBrokenError(server: BackendServer, cause: unknown): ServingError {
+  if (cause instanceof ServingError) return cause;
+  const reason = cause instanceof Error ? cause.message : String(cause);
+  return new ServingError(`backend server ${server.instanceId} failed: ${reason}`, {
+    kind: 'backend-failed',
+    cause,
+  });
+}
--- /dev/null
+++ b/src/utils/index.ts
@@ -0,0 +1,1 @@
+export {hashText, rankByRendezvous} from './rendezvous.js';
