Instances carry a peer port beside their port for callers

Cause: the list gave one port an instance, and entries listen on two. Ruled out: one server for both, since callers' networks and the daemons' own are kept apart. Conclusion: the list's port is the callers' one.

--- a/src/blackboard/Sections.ts
+++ b/src/blackboard/Sections.ts
@@ -21,7 +21,10 @@
   readonly role: InstanceRole;
   /** IP number. */
   readonly address: string;
+  /** Port for callers or requests. */
   readonly port: number;
+  /** Port for the system's own daemons; absent for a backend server. */
+  readonly peerPort?: number;
   readonly failureDomain: string;
   readonly machineClass: string;
   readonly market: 'reclaimable' | 'on-demand';
