Fleet stream's fold and the instance list's client

Cause: entries, fleet daemons and the operators' client all read lease, moves, failure domains and quarantines from the fleet stream; each must come to the same state. Choice: one fold made of four parts with one job each; a verdict from a closed list of rejections for the writer that reads its record back. An abort takes effect in the fold and needs no holder.

--- a/src/folds/index.ts
+++ b/src/folds/index.ts
@@ -1,2 +1,7 @@
 export {ConfigurationFold, type ConfigurationVerdict} from './ConfigurationFold.js';
+export {FleetFold} from './FleetFold.js';
+export type {FleetRejection, FleetVerdict} from './FleetVerdict.js';
 export {RepeatFilter, type Fold} from './Fold.js';
+export type {LeaseState} from './LeaseFold.js';
+export {isMoveEnded} from './MoveFold.js';
+export type {Quarantine} from './QuarantineFold.js';
--- /dev/null
+++ b/src/platform/InstanceSchema.ts
@@ -0,0 +1,17 @@
+/** The shape of an instance as the platform's interfaces give it. */
+import {z} from 'zod';
+
+/** Schema of an instance. */
+export const instanceSchema = z.object({
+  instanceId: z.string(),
+  role: z.enum(['entry', 'fleet', 'backend']),
+  address: z.string(),
+  port: z.number().int(),
+  failureDomain: z.string(),
+  machineClass: z.string(),
+  market: z.enum(['reclaimable', 'on-demand']),
+  state: z.enum(['live', 'leaving', 'gone']),
+  leavingAtMs: z.number().optional(),
+  service: z.string().optional(),
+  version: z.string().optional(),
+});
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,1 @@
+export {InstanceListClient, type InstanceListClientOptions} from './InstanceListClient.js';
