--- /dev/null
+++ b/src/controllers/admission/index.ts
@@ -0,0 +1,8 @@
+export {AdmissionQueue, type AdmissionQueueOptions} from './AdmissionQueue.js';
+export type {
+  AdmissionDecision,
+  AdmissionLimits,
+  AdmissionRequest,
+  ClassPriority,
+  WorkspaceLimit,
+} from './AdmissionTypes.js';
--- /dev/null
+++ b/src/controllers/warmth/index.ts
@@ -0,0 +1,1 @@
+export {getWarmthLimit, type WarmthLimitView} from './warmthLimit.js';
--- /dev/null
+++ b/src/utils/index.ts
@@ -0,0 +1,8 @@
+export {getRendezvousScore, hashText, rankByRendezvous} from './hashes.js';
+export {
+  BLOCK_TOKENS,
+  hashBlocks,
+  renderChatPrompt,
+  splitTokens,
+  type PromptMessage,
+} from './promptBlocks.js';
--- /dev/null
+++ b/tests/utils/promptBlocks.test.ts
@@ -0,0 +1,20 @@
+/** Tests of the hash chain over prompt blocks. */
+import t from 'tap';
+import {BLOCK_TOKENS, hashBlocks, splitTokens} from '../../src/utils/index.js';
+
+const WORDS = Array.from({length: 40}, (unused, index) => `w${index}`);
+
+t.test('hashBlocks', t => {
+  const hashes = hashBlocks(WORDS);
+  t.equal(hashes.length, Math.floor(WORDS.length / BLOCK_TOKENS));
+  t.same(hashBlocks([...WORDS.slice(0, 32), 'x']), hashes, 'the rest of a block has no part in it');
+  t.not(hashBlocks(['x', ...WORDS.slice(1)])[1], hashes[1], 'a hash stands for all before it');
+  t.not(hashBlocks(WORDS, 'v2')[0], hashes[0], 'the seed tells caches apart');
+  t.end();
+});
+
+t.test('splitTokens', t => {
+  t.same(splitTokens(' a  b\nc '), ['a', 'b', 'c']);
+  t.same(splitTokens(''), []);
+  t.end();
+});
