--- a/src/controllers/warmth/warmthLimit.ts
+++ b/src/controllers/warmth/warmthLimit.ts
@@ -39,5 +39,5 @@
     .filter(({state}) => state === 'alive' || state === 'suspect')
     .map(({instanceId}) => instanceId);
   if (!candidates.includes(ownInstanceId)) candidates.push(ownInstanceId);
-  return rankByRendezvous(server.instanceId, candidates).indexOf(ownInstanceId);
+  return rankByRendezvous(server.instanceId, candidates, id => id).indexOf(ownInstanceId);
 }
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,4 +1,3 @@
-export {getRendezvousScore, hashText, rankByRendezvous} from './hashes.js';
 export {
   BLOCK_TOKENS,
   hashBlocks,
@@ -6,3 +5,4 @@
   splitTokens,
   type PromptMessage,
 } from './promptBlocks.js';
+export {hashText, rankByRendezvous} from './rendezvous.js';
--- a/src/utils/promptBlocks.ts
+++ b/src/utils/promptBlocks.ts
@@ -1,9 +1,12 @@
 /** Tokens of a prompt and the hash chain of its blocks, as routing and the stand-in engine compute them. */
-import {hashText} from './hashes.js';
+import {hashText} from './rendezvous.js';
 
 /** Tokens of one block of an engine's prefix cache. */
 export const BLOCK_TOKENS = 16;
 
+const ANSWER_ROLE = 'assistant';
+const HEXADECIMAL = 16;
+
 /** A message of a chat, as far as its tokens go. */
 export interface PromptMessage {
   readonly role: string;
@@ -19,11 +22,15 @@
 }
 
 /**
- * Returns the prompt of a chat: each message on lines of its own, its role first.
+ * Returns the prompt of a chat: each message after its role, and the role of the answer at the end.
+ *
+ * An answer resumed by a last assistant message therefore extends the prompt that it answers.
  * @param messages - Messages in order.
  */
 export function renderChatPrompt(messages: readonly PromptMessage[]): string {
-  return messages.map(({role, content}) => `<|${role}|>\n${content}\n`).join('');
+  const parts = messages.map(({role, content}) => `${role} ${content}`);
+  if (messages.at(-1)?.role !== ANSWER_ROLE) parts.push(ANSWER_ROLE);
+  return parts.join(' ');
 }
 
 /**
@@ -33,9 +40,10 @@
  */
 export function hashBlocks(tokens: readonly string[], seed = ''): readonly string[] {
   const hashes: string[] = [];
-  let previous = hashText(seed);
+  let previous = hashText(seed).toString(HEXADECIMAL);
   for (let end = BLOCK_TOKENS; end <= tokens.length; end += BLOCK_TOKENS) {
-    previous = hashText(`${previous} ${tokens.slice(end - BLOCK_TOKENS, end).join(' ')}`);
+    const block = tokens.slice(end - BLOCK_TOKENS, end).join(' ');
+    previous = hashText(`${previous} ${block}`).toString(HEXADECIMAL);
     hashes.push(previous);
   }
   return hashes;
--- a/tests/utils/promptBlocks.test.ts
+++ b/tests/utils/promptBlocks.test.ts
@@ -1,6 +1,6 @@
 /** Tests of the hash chain over prompt blocks. */
 import t from 'tap';
-import {BLOCK_TOKENS, hashBlocks, splitTokens} from '../../src/utils/index.js';
+import {BLOCK_TOKENS, hashBlocks, renderChatPrompt, splitTokens} from '../../src/utils/index.js';
 
 const WORDS = Array.from({length: 40}, (unused, index) => `w${index}`);
 
@@ -18,3 +18,12 @@
   t.same(splitTokens(''), []);
   t.end();
 });
+
+t.test('renderChatPrompt', t => {
+  const question = {role: 'user', content: 'where is it'};
+  const prompt = renderChatPrompt([question]);
+  t.equal(prompt, 'user where is it assistant');
+  const resumed = renderChatPrompt([question, {role: 'assistant', content: 'in Tema'}]);
+  t.equal(resumed, `${prompt} in Tema`, 'a resumed answer extends the prompt');
+  t.end();
+});
