--- a/src/records/LogRecord.ts
+++ b/src/records/LogRecord.ts
@@ -195,6 +195,8 @@
 export interface PlacedRecord {
   readonly offset: number;
   readonly record: LogRecord;
+  /** Instant at which the log stored the record, by the log's clock; the same for every reader. */
+  readonly atMs?: number;
 }
 
 /** Encodes a record as the payload of an append. */
