Claims: fold, service with batches, and reading back in virtual time

Cause: a request that isn't idempotent may run at most once across entries. Ruled out: freeing a key after a not-run outcome, since a late repeat could then run after a caller was told it never ran. Timers are an argument (Sleep), so that the service itself runs in virtual time in tests.

--- /dev/null
+++ b/src/claims/index.ts
@@ -0,0 +1,8 @@
+export {
+  CLAIM_FRESH_MS,
+  isClaimFresh,
+  type ClaimAnswer,
+  type ClaimRequest,
+  type ClaimVerdict,
+} from '../controllers/claims/index.js';
+export {ClaimService, type ClaimServiceOptions} from './ClaimService.js';
--- /dev/null
+++ b/src/controllers/claims/index.ts
@@ -0,0 +1,9 @@
+export {
+  CLAIM_FRESH_MS,
+  decideClaim,
+  isClaimFresh,
+  type ClaimAnswer,
+  type ClaimRequest,
+  type ClaimVerdict,
+  type ClaimView,
+} from './decideClaim.js';
--- a/src/log/LogTailer.ts
+++ b/src/log/LogTailer.ts
@@ -1,7 +1,7 @@
 /** Follows a stream of the log and hands each record to a fold, in order, once. */
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {LogAccess, StoredRecord} from './LogClient.js';
 import type {LogStream} from '../records/index.js';
+import {systemSleep, type Sleep} from './Sleep.js';
 
 /** Options of a `LogTailer`. */
 export interface LogTailerOptions {
@@ -14,6 +14,8 @@
   readonly onGap?: (missedFrom: number, earliestOffset: number) => void;
   readonly longPollMs?: number;
   readonly retryDelayMs?: number;
+  /** Waits for a time; the system's timer where absent. */
+  readonly sleep?: Sleep;
 }
 
 const DEFAULT_LONG_POLL_MS = 10_000;
@@ -59,9 +61,8 @@
       try {
         await this.readOnce(signal);
       } catch {
-        await sleep(this.options.retryDelayMs ?? DEFAULT_RETRY_DELAY_MS, undefined, {
-          signal,
-        }).catch(() => undefined);
+        const {retryDelayMs = DEFAULT_RETRY_DELAY_MS, sleep = systemSleep} = this.options;
+        await sleep(retryDelayMs, signal);
       }
     }
   }
--- a/src/log/LogWriter.ts
+++ b/src/log/LogWriter.ts
@@ -1,8 +1,8 @@
 /** Writes records so that repeated appends are harmless and verdicts come from reading back. */
-import {setTimeout as sleep} from 'node:timers/promises';
 import {ServingError} from '../errors/index.js';
 import type {LogAccess} from './LogClient.js';
 import {encodeRecord, type LogBody, type LogStream, type PlacedRecord} from '../records/index.js';
+import {systemSleep, type Sleep} from './Sleep.js';
 
 /** Options of a `LogWriter`. */
 export interface LogWriterOptions {
@@ -13,6 +13,8 @@
   /** Time after which a proposal that was not read back is given up. */
   readonly timeoutMs: number;
   readonly retryDelayMs?: number;
+  /** Waits for a time; the system's timer where absent. */
+  readonly sleep?: Sleep;
 }
 
 const DEFAULT_RETRY_DELAY_MS = 100;
@@ -43,7 +45,17 @@
    * @throws ServingError of kind `log-unavailable` where it wasn't read back in time; it may stand in the log all the same.
    */
   propose(body: LogBody): Promise<PlacedRecord> {
-    const proposal = this.queue.then(() => this.proposeNext(body));
+    return this.proposeAll([body]);
+  }
+
+  /**
+   * Appends records as one batch and waits until the last one was read back.
+   * @param bodies - What the records say; at least one.
+   * @returns The last record with its offset.
+   * @throws ServingError of kind `log-unavailable` where it wasn't read back in time; they may stand in the log all the same.
+   */
+  proposeAll(bodies: readonly LogBody[]): Promise<PlacedRecord> {
+    const proposal = this.queue.then(() => this.proposeNext(bodies));
     this.queue = proposal.catch(() => undefined);
     return proposal;
   }
@@ -55,16 +67,18 @@
     if (placed.record.sequence === pending.sequence) pending.resolve(placed);
   }
 
-  private async proposeNext(body: LogBody): Promise<PlacedRecord> {
+  private async proposeNext(bodies: readonly LogBody[]): Promise<PlacedRecord> {
     const {stream, writer, timeoutMs} = this.options;
-    const sequence = this.nextSequence++;
-    const payload = encodeRecord({writer, sequence, body});
+    const payloads = bodies.map(body =>
+      encodeRecord({writer, sequence: this.nextSequence++, body}),
+    );
+    const sequence = this.nextSequence - 1;
     const giveUp = new AbortController();
     const readBack = new Promise<PlacedRecord>(resolve => {
       this.pending = {sequence, resolve};
     });
     try {
-      void this.appendUntilStopped(payload, giveUp.signal);
+      void this.appendUntilStopped(payloads, giveUp.signal);
       return await Promise.race([readBack, this.failAfter(timeoutMs, stream, giveUp.signal)]);
     } finally {
       giveUp.abort();
@@ -72,16 +86,17 @@
     }
   }
 
-  private async appendUntilStopped(payload: string, signal: AbortSignal): Promise<void> {
-    const {stream, log, retryDelayMs} = this.options;
+  private async appendUntilStopped(
+    payloads: readonly string[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {stream, log, retryDelayMs = DEFAULT_RETRY_DELAY_MS, sleep = systemSleep} = this.options;
     while (!signal.aborted) {
       try {
-        await log.append(stream, [payload]);
+        await log.append(stream, payloads);
         return;
       } catch {
-        await sleep(retryDelayMs ?? DEFAULT_RETRY_DELAY_MS, undefined, {signal}).catch(
-          () => undefined,
-        );
+        await sleep(retryDelayMs, signal);
       }
     }
   }
@@ -91,7 +106,8 @@
     stream: LogStream,
     signal: AbortSignal,
   ): Promise<never> {
-    await sleep(timeoutMs, undefined, {signal});
+    const {sleep = systemSleep} = this.options;
+    await sleep(timeoutMs, signal);
     throw new ServingError(`record of stream ${stream} was not read back within ${timeoutMs} ms`, {
       kind: 'log-unavailable',
     });
--- /dev/null
+++ b/tests/claims/ClaimService.test.ts
@@ -0,0 +1,126 @@
+/** Tests of the claim service over a log in memory, in virtual time. */
+import t from 'tap';
+import {ClaimService, type ClaimRequest} from '../../src/claims/index.js';
+import {FakeLog, type AppendFate} from '../support/FakeLog.js';
+import {VirtualTime} from '../support/VirtualTime.js';
+
+const CLAIM_TIMEOUT_MS = 3_000;
+const ANSWER = {status: 201, contentType: 'application/json', bodyBase64: 'e30='};
+
+function createRequest(attemptId: string, key = 'k', fingerprint = 'f1'): ClaimRequest {
+  return {workspace: 'w', key, attemptId, fingerprint};
+}
+
+function createWorld(chooseFate?: () => AppendFate) {
+  const time = new VirtualTime();
+  const log = new FakeLog({getNowMs: time.getNowMs, sleep: time.sleep, chooseFate});
+  const live = new Set<string>();
+  const createService = (claimant: string) => {
+    live.add(claimant);
+    const service = new ClaimService({
+      log,
+      claimant,
+      getNowMs: time.getNowMs,
+      sleep: time.sleep,
+      isClaimantLive: other => live.has(other),
+      claimTimeoutMs: CLAIM_TIMEOUT_MS,
+    });
+    service.start();
+    return service;
+  };
+  /** Resolves a promise while time passes. */
+  const settle = async <Value>(promise: Promise<Value>, durationMs = 5_000): Promise<Value> => {
+    await time.advance(durationMs);
+    return promise;
+  };
+  return {time, log, live, createService, settle};
+}
+
+t.test('ClaimService', t => {
+  t.test('claim grants a key once among entries and answers repeats alike', async t => {
+    const {createService, settle} = createWorld();
+    const [one, two] = [createService('e1'), createService('e2')];
+    const answers = await settle(
+      Promise.all([one.claim(createRequest('a1')), two.claim(createRequest('a2'))]),
+    );
+    t.same(answers.map(answer => answer.verdict).sort(), ['granted', 'held']);
+    const winner = answers[0].verdict === 'granted' ? one : two;
+    const attemptId = winner === one ? 'a1' : 'a2';
+    const outcome = {workspace: 'w', key: 'k', attemptId, run: 'ran' as const, answer: ANSWER};
+    t.equal(await settle(winner.recordOutcome(outcome)), true);
+    for (const service of [one, two]) {
+      const repeat = await settle(service.claim(createRequest(`again-${service === one}`)));
+      t.same(repeat, {verdict: 'done', answer: ANSWER, isKnownNotRun: false});
+    }
+  });
+
+  t.test('claim tells a reused key from a repeat', async t => {
+    const {createService, settle} = createWorld();
+    const service = createService('e1');
+    await settle(service.claim(createRequest('a1')));
+    const answer = await settle(service.claim(createRequest('a2', 'k', 'f2')));
+    t.equal(answer.verdict, 'fingerprint-mismatch');
+  });
+
+  t.test('claim answers unknown for the key of a dead claimant', async t => {
+    const {createService, settle, live} = createWorld();
+    const [one, two] = [createService('e1'), createService('e2')];
+    await settle(one.claim(createRequest('a1')));
+    live.delete('e1');
+    const answer = await settle(two.claim(createRequest('a2')));
+    t.same(answer, {verdict: 'unknown', isKnownNotRun: false});
+  });
+
+  t.test('claim is refused without a verdict while the log is out', async t => {
+    const {createService, settle, log, time} = createWorld();
+    const service = createService('e1');
+    await time.advance(100);
+    log.setOut(true);
+    const answer = await settle(service.claim(createRequest('a1')));
+    t.same(answer, {verdict: 'unavailable', isKnownNotRun: false});
+  });
+
+  t.test('claim that turns up after its refusal is recorded as not run', async t => {
+    const fates: AppendFate[] = [
+      {delayMs: CLAIM_TIMEOUT_MS + 500, answerDelayMs: 1, isLost: false, isAnswerLost: true},
+    ];
+    const kind = {delayMs: 1, answerDelayMs: 1, isLost: false, isAnswerLost: false};
+    const {createService, settle} = createWorld(() => fates.shift() ?? kind);
+    const [one, two] = [createService('e1'), createService('e2')];
+    const refused = await settle(one.claim(createRequest('a1')));
+    t.equal(refused.verdict, 'unavailable');
+    const repeat = await settle(two.claim(createRequest('a2')));
+    t.same(repeat, {verdict: 'not-run', isKnownNotRun: true});
+  });
+
+  t.test('claim gathers what arrives together in one append', async t => {
+    const {createService, settle, log} = createWorld();
+    const service = createService('e1');
+    const requests = Array.from({length: 50}, (empty, index) =>
+      createRequest(`a${index}`, `k${index}`),
+    );
+    const answers = await settle(Promise.all(requests.map(request => service.claim(request))));
+    t.ok(answers.every(answer => answer.verdict === 'granted'));
+    t.equal(log.getAppendCount(), 1);
+  });
+
+  t.test('recordOutcome keeps trying through an outage', async t => {
+    const {createService, settle, log} = createWorld();
+    const [one, two] = [createService('e1'), createService('e2')];
+    await settle(one.claim(createRequest('a1')));
+    log.setOut(true);
+    const outcome = {
+      workspace: 'w',
+      key: 'k',
+      attemptId: 'a1',
+      run: 'ran' as const,
+      answer: ANSWER,
+    };
+    t.equal(await settle(one.recordOutcome(outcome), 60_000), false);
+    log.setOut(false);
+    const repeat = await settle(two.claim(createRequest('a2')), 10_000);
+    t.equal(repeat.verdict, 'held', 'the outcome was not read yet');
+    t.equal((await settle(two.claim(createRequest('a3')))).verdict, 'done');
+  });
+  t.end();
+});
--- /dev/null
+++ b/tests/support/VirtualTime.ts
@@ -0,0 +1,61 @@
+/** A clock that moves only when all work that is due has been done, for tests of behaviour over time. */
+import type {Sleep} from '../../src/log/index.js';
+
+interface Timer {
+  readonly dueAtMs: number;
+  readonly order: number;
+  readonly fire: () => void;
+}
+
+/** Virtual clock with timers; actors may be frozen, whose timers then fire only after they are woken. */
+export class VirtualTime {
+  private nowMs = 0;
+  private nextOrder = 0;
+  private timers: Timer[] = [];
+
+  readonly getNowMs = (): number => this.nowMs;
+
+  readonly sleep: Sleep = (durationMs, signal) =>
+    new Promise(resolve => {
+      if (signal?.aborted) return resolve();
+      const finish = () => {
+        this.timers = this.timers.filter(other => other !== timer);
+        signal?.removeEventListener('abort', finish);
+        resolve();
+      };
+      const dueAtMs = this.nowMs + Math.max(durationMs, 0);
+      const timer = {dueAtMs, order: this.nextOrder++, fire: finish};
+      this.timers.push(timer);
+      signal?.addEventListener('abort', finish);
+    });
+
+  /**
+   * Lets time pass, timer by timer.
+   * @param durationMs - How much time passes.
+   */
+  async advance(durationMs: number): Promise<void> {
+    const endMs = this.nowMs + durationMs;
+    for (;;) {
+      await settle();
+      const next = this.getNextTimer();
+      if (!next || next.dueAtMs > endMs) break;
+      this.nowMs = Math.max(this.nowMs, next.dueAtMs);
+      next.fire();
+    }
+    this.nowMs = endMs;
+  }
+
+  private getNextTimer(): Timer | undefined {
+    let first: Timer | undefined;
+    for (const timer of this.timers) {
+      if (!first || timer.dueAtMs < first.dueAtMs) first = timer;
+      else if (timer.dueAtMs === first.dueAtMs && timer.order < first.order) first = timer;
+    }
+    return first;
+  }
+}
+
+/** Lets promises that are ready run to their next wait. */
+function settle(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
