Entry, thin: callers' server, completions, plain services with claims, address look-up

Cause: no process answered callers. Streams are resumed elsewhere from the passed tokens; calls that aren't idempotent are claimed in the log first. Ruled out: buffering whole answers before the first byte.

--- /dev/null
+++ b/src/bin/buckthorn-entry.ts
@@ -0,0 +1,32 @@
+#!/usr/bin/env node
+/** The entry daemon's binary. */
+import {
+  ENTRY_SETTINGS,
+  EntryDaemon,
+  checkEntrySettings,
+  type EntrySettings,
+} from '../entry/index.js';
+import {createLogger} from '../logging/index.js';
+import {createSettingsCommand, runCommandLine} from '../settings/index.js';
+import {waitForStopSignal} from '../utils/index.js';
+
+async function runEntry(settings: EntrySettings): Promise<void> {
+  const {instanceId, logLevel} = settings;
+  const logger = createLogger({name: 'buckthorn-entry', instanceId, level: logLevel});
+  const daemon = new EntryDaemon({settings, logger});
+  await daemon.start();
+  process.stdout.write(`${JSON.stringify({ready: true, instanceId, port: daemon.getPort()})}\n`);
+  await waitForStopSignal();
+  await daemon.stop();
+}
+
+await runCommandLine(
+  createSettingsCommand({
+    name: 'buckthorn-entry',
+    description: "Serves callers' requests on one entry instance",
+    settings: ENTRY_SETTINGS,
+    check: checkEntrySettings,
+    run: runEntry,
+  }),
+  process.argv.slice(2),
+);
--- /dev/null
+++ b/src/entry/EntrySettings.ts
@@ -0,0 +1,176 @@
+/** Settings of the entry daemon. */
+import {ServingError} from '../errors/index.js';
+import {
+  parseHttpUrl,
+  parseIpNumber,
+  parseList,
+  parsePort,
+  parseText,
+  parseWholeNumber,
+  type SettingDefinition,
+  type SettingDefinitions,
+} from '../settings/index.js';
+
+/** Settings that an entry is started with. */
+export interface EntrySettings {
+  readonly instanceId: string;
+  readonly failureDomain: string;
+  readonly address: string;
+  readonly port: number;
+  readonly peerPort: number;
+  readonly logUrl: string;
+  readonly listUrl: string;
+  readonly deploymentKeys: readonly string[];
+  readonly statsdAddress: string | undefined;
+  readonly statsdPort: number;
+  readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+  readonly listIntervalMs: number;
+  readonly reportIntervalMs: number;
+  readonly drainTimeoutMs: number;
+  readonly maxBodyBytes: number;
+  readonly bodyTimeoutMs: number;
+  readonly maxRunningRequests: number;
+  readonly maxQueuedRequests: number;
+}
+
+const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const;
+const MAX_INTERVAL_MS = 60_000;
+const MAX_DRAIN_TIMEOUT_MS = 600_000;
+const MAX_BODY_BYTES = 64_000_000;
+const MAX_REQUESTS = 1_000_000;
+const MIN_KEY_LENGTH = 16;
+
+/** Definitions of the settings, with flags and environment variables. */
+export const ENTRY_SETTINGS: SettingDefinitions<EntrySettings> = {
+  instanceId: define('instance-id', 'Id of this instance, as the platform lists it', parseText),
+  failureDomain: define('failure-domain', 'Failure domain that this instance is in', parseText),
+  address: define(
+    'address',
+    'IP number to listen on and to tell callers',
+    parseIpNumber,
+    '127.0.0.1',
+  ),
+  port: define('port', 'Port for callers; 0 takes a free one', parsePort, '8080'),
+  peerPort: define(
+    'peer-port',
+    "Port for the system's own daemons; 0 takes a free one",
+    parsePort,
+    '8081',
+  ),
+  logUrl: define('log-url', "URL of the platform's log service, with an IP number", parseHttpUrl),
+  listUrl: define(
+    'list-url',
+    "URL of the platform's instance list, with an IP number",
+    parseHttpUrl,
+  ),
+  deploymentKeys: {
+    ...define(
+      'deployment-keys',
+      'Keys of the deployment, separated by commas; two while a key is rotated',
+      parseList(parseDeploymentKey),
+    ),
+    isSecret: true,
+  },
+  statsdAddress: define(
+    'statsd-address',
+    'IP number of a StatsD server for metrics',
+    parseOptionalIp,
+    '',
+  ),
+  statsdPort: define('statsd-port', 'UDP port of the StatsD server', parsePort, '8125'),
+  logLevel: define(
+    'log-level',
+    `Lowest level that is logged: ${LOG_LEVELS.join(', ')}`,
+    parseLogLevel,
+    'info',
+  ),
+  listIntervalMs: define(
+    'list-interval-ms',
+    'Time between reads of the instance list',
+    parseWholeNumber(10, MAX_INTERVAL_MS),
+    '1000',
+  ),
+  reportIntervalMs: define(
+    'report-interval-ms',
+    'Time between load reports asked of a backend server',
+    parseWholeNumber(10, MAX_INTERVAL_MS),
+    '500',
+  ),
+  drainTimeoutMs: define(
+    'drain-timeout-ms',
+    'Longest time that a planned stop waits for open requests',
+    parseWholeNumber(0, MAX_DRAIN_TIMEOUT_MS),
+    '20000',
+  ),
+  maxBodyBytes: define(
+    'max-body-bytes',
+    'Largest body taken from a caller',
+    parseWholeNumber(1, MAX_BODY_BYTES),
+    '4000000',
+  ),
+  bodyTimeoutMs: define(
+    'body-timeout-ms',
+    "Longest time that a caller's body may take",
+    parseWholeNumber(1, MAX_INTERVAL_MS),
+    '10000',
+  ),
+  maxRunningRequests: define(
+    'max-running-requests',
+    'Requests that run at this entry at a time',
+    parseWholeNumber(1, MAX_REQUESTS),
+    '1000',
+  ),
+  maxQueuedRequests: define(
+    'max-queued-requests',
+    'Requests that wait at this entry at a time',
+    parseWholeNumber(0, MAX_REQUESTS),
+    '2000',
+  ),
+};
+
+/**
+ * Checks settings against each other.
+ * @param settings - The settings.
+ * @throws ServingError of kind `invalid-settings`.
+ */
+export function checkEntrySettings(settings: EntrySettings): void {
+  const {port, peerPort, deploymentKeys} = settings;
+  if (port === peerPort && port !== 0) {
+    throw new ServingError(
+      `--port (BUCKTHORN_PORT) and --peer-port (BUCKTHORN_PEER_PORT) are both ${port}`,
+      {kind: 'invalid-settings'},
+    );
+  }
+  if (deploymentKeys.length === 0) {
+    throw new ServingError('--deployment-keys (BUCKTHORN_DEPLOYMENT_KEYS) names no key', {
+      kind: 'invalid-settings',
+    });
+  }
+}
+
+function define<Value>(
+  flag: string,
+  description: string,
+  parse: (text: string) => Value,
+  defaultText?: string,
+): SettingDefinition<Value> {
+  const variable = `BUCKTHORN_${flag.toUpperCase().replaceAll('-', '_')}`;
+  return {flag, variable, description, parse, defaultText};
+}
+
+function parseOptionalIp(text: string): string | undefined {
+  return text === '' ? undefined : parseIpNumber(text);
+}
+
+function parseDeploymentKey(text: string): string {
+  if (text.length < MIN_KEY_LENGTH) {
+    throw new Error(`has a key of fewer than ${MIN_KEY_LENGTH} characters`);
+  }
+  return text;
+}
+
+function parseLogLevel(text: string): EntrySettings['logLevel'] {
+  const level = LOG_LEVELS.find(candidate => candidate === text);
+  if (!level) throw new Error(`is none of ${LOG_LEVELS.join(', ')}`);
+  return level;
+}
--- /dev/null
+++ b/src/entry/ServerWatcher.ts
@@ -0,0 +1,90 @@
+/** Keeps the sections of instances and backend servers up to date. */
+import type {BackendServer, Blackboard, Instance} from '../blackboard/index.js';
+import type {EngineClient, ServerReport} from '../engine/index.js';
+import type {InstanceListClient} from '../platform/index.js';
+
+/** Options of a `ServerWatcher`. */
+export interface ServerWatcherOptions {
+  readonly blackboard: Blackboard;
+  readonly list: Pick<InstanceListClient, 'getInstances'>;
+  readonly engine: Pick<EngineClient, 'getReport'>;
+  readonly listIntervalMs: number;
+  readonly reportIntervalMs: number;
+}
+
+/** Reads the platform's list and the backend servers' own reports at intervals. */
+export class ServerWatcher {
+  private readonly options: ServerWatcherOptions;
+  private readonly reports = new Map<string, ServerReport>();
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  constructor(options: ServerWatcherOptions) {
+    this.options = options;
+  }
+
+  /** Starts to read at intervals; the first read is awaited. */
+  async start(): Promise<void> {
+    const {listIntervalMs, reportIntervalMs} = this.options;
+    await this.readList();
+    this.timers.push(setInterval(() => void this.readList(), listIntervalMs));
+    this.timers.push(setInterval(() => void this.readReports(), reportIntervalMs));
+  }
+
+  /** Stops reading. */
+  stop(): void {
+    for (const timer of this.timers.splice(0)) clearInterval(timer);
+  }
+
+  private async readList(): Promise<void> {
+    const {blackboard, list} = this.options;
+    const section = await list.getInstances().catch(() => undefined);
+    if (!section) return;
+    blackboard.setSection('instances', section);
+    this.forgetMissing(section.instances);
+    this.writeServers();
+  }
+
+  private async readReports(): Promise<void> {
+    const {servers} = this.options.blackboard.getSection('backendServers');
+    await Promise.all(servers.map(server => this.readReport(server)));
+    this.writeServers();
+  }
+
+  private async readReport(server: BackendServer): Promise<void> {
+    const report = await this.options.engine.getReport(server).catch(() => undefined);
+    if (report) this.reports.set(server.instanceId, report);
+  }
+
+  private forgetMissing(instances: readonly Instance[]): void {
+    const listed = new Set(instances.map(({instanceId}) => instanceId));
+    for (const instanceId of this.reports.keys()) {
+      if (!listed.has(instanceId)) this.reports.delete(instanceId);
+    }
+  }
+
+  private writeServers(): void {
+    const {blackboard} = this.options;
+    const {instances} = blackboard.getSection('instances');
+    const servers = instances.flatMap(instance => this.createServer(instance) ?? []);
+    blackboard.setSection('backendServers', {servers});
+  }
+
+  private createServer(instance: Instance): BackendServer | undefined {
+    const {instanceId, service, version, address, port, failureDomain} = instance;
+    if (instance.role !== 'backend' || !service || !version) return undefined;
+    const report = this.reports.get(instanceId);
+    const isLeaving = instance.state === 'live' && report?.state === 'leaving';
+    return {
+      instanceId,
+      service,
+      version,
+      address,
+      port,
+      failureDomain,
+      state: isLeaving ? 'leaving' : instance.state,
+      leavingAtMs: instance.leavingAtMs ?? report?.leavingAtMs,
+      warmth: 'warm',
+      load: report?.load,
+    };
+  }
+}
--- /dev/null
+++ b/src/http/OperatorHandler.ts
@@ -0,0 +1,60 @@
+/** Tells operators and the system's own daemons what an entry knows. */
+import type {ServerResponse} from 'node:http';
+import {sendJson} from './Answers.js';
+import type {HandlerContext} from './RequestContext.js';
+
+/** Answer of `GET /v1/status`. */
+export interface StatusAnswer {
+  readonly instanceId: string;
+  readonly failureDomain: string;
+  readonly configurationRevision: number;
+  readonly isStopping: boolean;
+  readonly members: readonly {readonly instanceId: string; readonly state: string}[];
+  readonly backendServers: readonly {
+    readonly instanceId: string;
+    readonly service: string;
+    readonly version: string;
+    readonly failureDomain: string;
+    readonly state: string;
+    readonly warmth: string;
+  }[];
+}
+
+/** Answers `GET /v1/status` and `GET /v1/stats`. */
+export class OperatorHandler {
+  private readonly context: HandlerContext;
+
+  constructor(context: HandlerContext) {
+    this.context = context;
+  }
+
+  /** Sends what the entry knows. */
+  handleStatus(response: ServerResponse): void {
+    const {blackboard, ownInstanceId, ownFailureDomain, isStopping} = this.context;
+    const {configuration, peers, backendServers} = blackboard.getSections();
+    const answer: StatusAnswer = {
+      instanceId: ownInstanceId,
+      failureDomain: ownFailureDomain,
+      configurationRevision: configuration.revision,
+      isStopping: isStopping(),
+      members: peers.members.map(({instanceId, state}) => ({instanceId, state})),
+      backendServers: backendServers.servers.map(
+        ({instanceId, service, version, failureDomain, state, warmth}) => ({
+          instanceId,
+          service,
+          version,
+          failureDomain,
+          state,
+          warmth,
+        }),
+      ),
+    };
+    sendJson(response, 200, answer);
+  }
+
+  /** Sends counters and histograms. */
+  handleStats(response: ServerResponse): void {
+    const {metrics, ownInstanceId} = this.context;
+    sendJson(response, 200, {instanceId: ownInstanceId, metrics: metrics.getSnapshot()});
+  }
+}
--- /dev/null
+++ b/src/http/RequestContext.ts
@@ -0,0 +1,84 @@
+/** What the handlers of callers' requests share. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Blackboard} from '../blackboard/index.js';
+import type {ClaimService} from '../claims/index.js';
+import type {Configuration, Service, Workspace} from '../configuration/index.js';
+import type {RoutingView} from '../controllers/routing/index.js';
+import type {EngineClient} from '../engine/index.js';
+import {ServingError} from '../errors/index.js';
+import type {Metrics} from '../metrics/index.js';
+import type {AdmissionGate} from './AdmissionGate.js';
+import type {BodyLimits} from './RequestBody.js';
+import type {OpenRequests} from './OpenRequests.js';
+
+/** Parts of the daemon that handlers use. */
+export interface HandlerContext {
+  readonly blackboard: Blackboard;
+  readonly engine: EngineClient;
+  readonly claims: Pick<ClaimService, 'claim' | 'recordOutcome'>;
+  readonly admission: AdmissionGate;
+  readonly openRequests: OpenRequests;
+  readonly metrics: Metrics;
+  readonly bodyLimits: BodyLimits;
+  readonly deploymentKeys: readonly string[];
+  readonly ownInstanceId: string;
+  readonly ownFailureDomain: string;
+  readonly getNowMs: () => number;
+  readonly random: () => number;
+  readonly createId: () => string;
+  readonly isStopping: () => boolean;
+}
+
+/** A caller's request with the workspace it belongs to. */
+export interface CallerRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+  readonly requestId: string;
+  readonly workspace: Workspace;
+  readonly configuration: Configuration;
+  /** Aborted when the caller has gone. */
+  readonly signal: AbortSignal;
+}
+
+/** Returns the view by which requests are routed now. */
+export function getRoutingView(context: HandlerContext, configuration: Configuration): RoutingView {
+  const {blackboard, openRequests, ownInstanceId, ownFailureDomain} = context;
+  const sections = blackboard.getSections();
+  return {
+    configuration,
+    servers: sections.backendServers.servers,
+    failureDomains: sections.failureDomains.domains,
+    moves: sections.moves.moves,
+    incidents: sections.incidents.incidents,
+    entries: sections.peers.members,
+    ownInstanceId,
+    ownFailureDomain,
+    getOpenRequests: instanceId => openRequests.getCount(instanceId),
+    getCachedTokens: () => 0,
+  };
+}
+
+/**
+ * Returns a service that a workspace may use.
+ * @param caller - The request.
+ * @param name - Name of the service.
+ * @param kind - Kind that the call needs.
+ * @throws ServingError of kind `unknown-model` or `not-found`.
+ */
+export function getServiceOrThrow(
+  {configuration, workspace}: CallerRequest,
+  name: string,
+  kind: Service['kind'],
+): Service {
+  const service = configuration.services.find(
+    candidate => candidate.name === name && candidate.kind === kind,
+  );
+  const isAllowed = service?.workspaces?.includes(workspace.name) ?? true;
+  if (!service || !isAllowed) {
+    throw new ServingError(`there is no ${kind} service "${name}"`, {
+      kind: kind === 'model' ? 'unknown-model' : 'not-found',
+    });
+  }
+  return service;
+}
--- /dev/null
+++ b/src/http/StreamWriter.ts
@@ -0,0 +1,74 @@
+/** Writes an answer as server-sent events in the OpenAI-compatible form. */
+import type {CompletionBody} from '../engine/index.js';
+import {createUsage} from './CompletionHandler.js';
+import type {CompletionResult} from './CompletionRun.js';
+import type {CallerRequest} from './RequestContext.js';
+
+/** Options of a `StreamWriter`. */
+export interface StreamWriterOptions {
+  readonly caller: CallerRequest;
+  readonly completion: CompletionBody;
+  readonly createdAtSeconds: number;
+}
+
+/** Sends the head with the first token, so that a refusal before it keeps its own status. */
+export class StreamWriter {
+  private readonly options: StreamWriterOptions;
+  private tokenCount = 0;
+
+  constructor(options: StreamWriterOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Sends a token. Its event id is the number of tokens sent so far, by which a caller resumes.
+   * @param token - Text of the token.
+   */
+  addToken(token: string): void {
+    this.writeHead();
+    this.tokenCount += 1;
+    const {completion} = this.options;
+    const choice =
+      completion.format === 'chat'
+        ? {index: 0, delta: {content: token}, finish_reason: null}
+        : {index: 0, text: token, finish_reason: null};
+    this.writeEvent({choices: [choice]});
+  }
+
+  /**
+   * Ends the stream.
+   * @param result - How the completion ended.
+   */
+  finish(result: CompletionResult): void {
+    this.writeHead();
+    const {completion, caller} = this.options;
+    const empty = completion.format === 'chat' ? {delta: {}} : {text: ''};
+    this.writeEvent({choices: [{index: 0, ...empty, finish_reason: result.finishReason}]});
+    if (completion.body.stream_options?.include_usage) {
+      this.writeEvent({choices: [], usage: createUsage(result)});
+    }
+    caller.response.end('data: [DONE]\n\n');
+  }
+
+  private writeHead(): void {
+    const {response} = this.options.caller;
+    if (response.headersSent) return;
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-cache',
+      'x-accel-buffering': 'no',
+    });
+  }
+
+  private writeEvent(part: object): void {
+    const {caller, completion, createdAtSeconds} = this.options;
+    const chunk = {
+      id: caller.requestId,
+      object: completion.format === 'chat' ? 'chat.completion.chunk' : 'text_completion',
+      created: createdAtSeconds,
+      model: completion.body.model,
+      ...part,
+    };
+    caller.response.write(`id: ${this.tokenCount}\ndata: ${JSON.stringify(chunk)}\n\n`);
+  }
+}
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -6,3 +6,4 @@
   type PromptMessage,
 } from './promptBlocks.js';
 export {hashText, rankByRendezvous} from './rendezvous.js';
+export {waitForStopSignal} from './stopSignal.js';
