--- /dev/null
+++ b/src/bin/buckthorn-fleet.ts
@@ -0,0 +1,27 @@
+#!/usr/bin/env node
+/** The fleet daemon: one on every entry instance; the holder of the lease runs the fleet. */
+import {FleetDaemon, fleetSettings, type FleetSettings} from '../fleet/index.js';
+import {createSettingsCommand, runCommandLine} from '../settings/index.js';
+
+await runCommandLine(
+  createSettingsCommand<FleetSettings>({
+    name: 'buckthorn-fleet',
+    description: 'Runs version moves, failure domains and capacity under one lease',
+    settings: fleetSettings,
+    run: async settings => {
+      const daemon = new FleetDaemon(settings);
+      daemon.start();
+      await waitForStopSignal();
+      await daemon.stop();
+    },
+  }),
+  process.argv.slice(2),
+);
+
+/** Waits until the process is asked to stop; a second signal ends it at once, as usual. */
+function waitForStopSignal(): Promise<void> {
+  return new Promise(resolve => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+}
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,2 @@
+export {FleetDaemon} from './FleetDaemon.js';
+export {fleetSettings, type FleetSettings} from './FleetSettings.js';
