--- a/src/folds/index.ts
+++ b/src/folds/index.ts
@@ -1,3 +1,10 @@
+export {
+  ClaimsFold,
+  DEFAULT_CLAIM_KEEP_MS,
+  type ClaimOutcome,
+  type ClaimsFoldOptions,
+  type KeptClaim,
+} from './ClaimsFold.js';
 export {ConfigurationFold, type ConfigurationVerdict} from './ConfigurationFold.js';
 export {FleetFold} from './FleetFold.js';
 export type {FleetRejection, FleetVerdict} from './FleetVerdict.js';
