Blackboard: evidence about versions

Cause: the holder of the lease judges a new version against the old one under the same load, and entries brake on their own evidence; both read windows of the same shape. Choice: per (service, version, route, class, load band, window) the counts of tries and errors, and the moments of the logarithms of first-token and inter-token times. Histograms were ruled out: three sums suffice for a test on the ratio of latencies, and cost a tenth of the bytes. Failures of one crash count once, as they are not independent; those of leaving servers don't count, as a reclaim says nothing about a version.

--- a/src/blackboard/Blackboard.ts
+++ b/src/blackboard/Blackboard.ts
@@ -16,6 +16,7 @@
   moves: {moves: []},
   incidents: {incidents: []},
   lease: {holder: undefined, fencingToken: 0, termMs: 0, renewalReadAtMs: 0},
+  evidence: {windows: []},
 };
 
 /** Holds one immutable value a section and tells listeners of replacements. */
--- a/src/blackboard/Sections.ts
+++ b/src/blackboard/Sections.ts
@@ -139,6 +139,43 @@
   readonly moves: readonly Move[];
 }
 
+/** How busy a backend server was when a request was sent to it, so that versions are compared under like load. */
+export type LoadBand = 'low' | 'medium' | 'high';
+
+/** Sums of the natural logarithms of durations in milliseconds; enough for their mean and variance. */
+export interface DurationMoments {
+  readonly count: number;
+  readonly sumLogMs: number;
+  readonly sumSquaredLogMs: number;
+}
+
+/** What an entry saw of a version on one route, for one class, under like load, within one window of time. */
+export interface VersionEvidence {
+  readonly service: string;
+  readonly version: string;
+  readonly route: string;
+  readonly requestClass: string;
+  readonly loadBand: LoadBand;
+  /** Start of the window, a multiple of its length by the wall clock. */
+  readonly windowStartMs: number;
+  /** Tries that ended within the window. */
+  readonly requests: number;
+  /**
+   * Tries that failed through the backend server: answers of 5xx, broken or wrong streams, timeouts. The failures of one
+   * crash count once. Tries that a caller cancelled, or whose backend server was leaving, are not counted at all.
+   */
+  readonly errors: number;
+  /** Time to the first token, or to the answer of a plain service. */
+  readonly firstToken: DurationMoments;
+  /** Mean time between tokens of a try. */
+  readonly interToken: DurationMoments;
+}
+
+/** Evidence of the last minutes: an entry's own, or at the lease's holder that of all entries. */
+export interface EvidenceSection {
+  readonly windows: readonly VersionEvidence[];
+}
+
 /** What evidence is about. */
 export type IncidentKind =
   'bad-version' | 'poison-suspect' | 'poison-quarantined' | 'cold-server' | 'leaving-server';
@@ -179,6 +216,7 @@
   readonly moves: MovesSection;
   readonly incidents: IncidentsSection;
   readonly lease: LeaseSection;
+  readonly evidence: EvidenceSection;
 }
 
 /** Name of a section. */
--- a/src/platform/InstanceSchema.ts
+++ b/src/platform/InstanceSchema.ts
@@ -7,6 +7,7 @@
   role: z.enum(['entry', 'fleet', 'backend']),
   address: z.string(),
   port: z.number().int(),
+  peerPort: z.number().int().optional(),
   failureDomain: z.string(),
   machineClass: z.string(),
   market: z.enum(['reclaimable', 'on-demand']),
