--- a/src/blackboard/Sections.ts
+++ b/src/blackboard/Sections.ts
@@ -134,7 +134,7 @@
   readonly reason?: string;
 }
 
-/** Moves under way and the last ended one of each service. */
+/** The newest move of each service, under way or ended, then the earlier ones that are done, newest first. */
 export interface MovesSection {
   readonly moves: readonly Move[];
 }
--- /dev/null
+++ b/src/controllers/moves/index.ts
@@ -0,0 +1,15 @@
+export {
+  EVIDENCE_KEPT_MS,
+  EVIDENCE_WINDOW_MS,
+  EvidenceRecorder,
+  getLoadBand,
+  type TrySample,
+} from './EvidenceRecorder.js';
+export type {Fault} from './EvidenceComparison.js';
+export {getVersionShares} from './VersionShares.js';
+export {
+  decideLocalBrake,
+  getShownFault,
+  type ShownFault,
+  type VersionPair,
+} from './VersionVerdict.js';
--- a/src/folds/FleetFold.ts
+++ b/src/folds/FleetFold.ts
@@ -46,7 +46,7 @@
     return this.lease.getState();
   }
 
-  /** Returns the moves under way and the last ended one of each service. */
+  /** Returns the newest move of each service, then the earlier ones that are done, newest first. */
   getMoves(): readonly Move[] {
     return this.moves.getMoves();
   }
--- a/src/folds/MoveFold.ts
+++ b/src/folds/MoveFold.ts
@@ -1,4 +1,4 @@
-/** Version moves: those under way, and the last ended one of each service. */
+/** Version moves: the newest one of each service, and the earlier ones that are done. */
 import {z} from 'zod';
 import type {Move, MovePhase} from '../blackboard/index.js';
 import type {LogBodyOf} from '../records/index.js';
@@ -34,13 +34,20 @@
   return PHASE_RANKS[move.phase] === PHASE_RANKS.done;
 }
 
-/** Keeps one move a service; a new one starts only after the last one ended. */
+/** Done moves of a service that are kept; a configuration published since makes older ones idle. */
+const MAX_DONE_MOVES = 64;
+
+/** Lets a service's next move start only after its last one ended. */
 export class MoveFold {
   private readonly movesByService = new Map<string, Move>();
+  private readonly doneMoves = new Map<string, readonly Move[]>();
 
-  /** Returns the moves under way and the last ended one of each service without one. */
+  /**
+   * Returns the newest move of each service, then the earlier ones that are done, newest first: until a configuration
+   * names the new version, a done move still says where the old version's work goes.
+   */
   getMoves(): readonly Move[] {
-    return [...this.movesByService.values()];
+    return [...this.movesByService.values(), ...[...this.doneMoves.values()].flat()];
   }
 
   /**
@@ -49,7 +56,11 @@
    */
   restore(moves: readonly Move[]): void {
     this.movesByService.clear();
-    for (const move of moves) this.movesByService.set(move.service, move);
+    this.doneMoves.clear();
+    for (const move of moves) {
+      if (this.movesByService.has(move.service)) this.addDoneMove(move, 'oldest');
+      else this.movesByService.set(move.service, move);
+    }
   }
 
   /**
@@ -63,6 +74,7 @@
     if (last && !isMoveEnded(last)) return reject('move-under-way');
     if (fromVersion === toVersion) return reject('move-to-same-version');
     if (deadlineAtMs <= requestedAtMs) return reject('deadline-before-request');
+    if (last?.phase === 'done') this.addDoneMove(last, 'newest');
     this.movesByService.set(service, {
       moveId,
       service,
@@ -117,4 +129,10 @@
   private getMove(moveId: string): Move | undefined {
     return this.getMoves().find(move => move.moveId === moveId);
   }
+
+  private addDoneMove(move: Move, place: 'newest' | 'oldest'): void {
+    const known = this.doneMoves.get(move.service) ?? [];
+    const all = place === 'newest' ? [move, ...known] : [...known, move];
+    this.doneMoves.set(move.service, all.slice(0, MAX_DONE_MOVES));
+  }
 }
