Lease: properties against a model in virtual time

Cause: at no time may two holders' orders both take effect, also at backend servers that ignore the fencing token. Model: 2 to 5 candidates with clocks that differ by up to 2 in 100 each, lost, repeated and late appends, slow readers, outages, candidates cut off, frozen past the term and woken, or restarted; one kind of server honours tokens, one ignores them and must never see an order of an older holder after one of a newer.

--- /dev/null
+++ b/tests/controllers/lease/LeaseController.test.ts
@@ -0,0 +1,165 @@
+/** Tests of the lease's decisions: cases, and properties against a model in virtual time. */
+import assert from 'node:assert/strict';
+import t from 'tap';
+import fc from 'fast-check';
+import {
+  decideLease,
+  decideOrder,
+  type LeaseView,
+  type OrderPermission,
+  type OrderView,
+} from '../../../src/controllers/lease/index.js';
+import {LeaseModel, type StepFaults} from '../../support/LeaseModel.js';
+
+const SEED = 20261204;
+const RUNS = 3_000;
+const STEPS = 240;
+/** Steps within which a holder must stand once faults have ended: term, margin, an open proposal's timeout, and reading. */
+const RECOVERY_STEPS = 60;
+
+const VIEW: LeaseView = {
+  candidate: 'a',
+  timing: {termMs: 1_000, marginMs: 100, claimDelayMs: 50},
+  lease: {holder: 'b', fencingToken: 4, termMs: 2_000, newestOffset: 9},
+  isHistoryKnown: true,
+  newestReadAtMs: 10_000,
+  confirmedSentAtMs: undefined,
+  isProposalOpen: false,
+  isStopping: false,
+};
+
+t.test('decideLease', t => {
+  function doTest(
+    name: string,
+    changes: Partial<LeaseView>,
+    nowMs: number,
+    expected: readonly string[],
+  ) {
+    t.test(name, t => {
+      const {effects, changes: after} = decideLease({...VIEW, ...changes}, nowMs);
+      t.same([...(after.isHeld ? ['held'] : []), ...effects.map(one => one.kind)], expected);
+      t.end();
+    });
+  }
+
+  const own = {lease: {...VIEW.lease, holder: 'a'}, confirmedSentAtMs: 9_900};
+  doTest("waits out the holder's own term and the margin", {}, 12_149, []);
+  doTest('claims after term, margin and delay', {}, 12_150, ['propose-claim']);
+  doTest('claims nothing without the history', {isHistoryKnown: false}, 99_000, []);
+  doTest('claims nothing while a proposal is open', {isProposalOpen: true}, 99_000, []);
+  doTest('claims nothing while it stops', {isStopping: true}, 99_000, []);
+  doTest('holds until a term after the sending', own, 10_000, ['held']);
+  doTest('renews after a third of a term', own, 10_600, ['held', 'propose-renewal']);
+  doTest('acts no more after the term', own, 11_900, ['propose-renewal']);
+  doTest('releases when it stops', {...own, isStopping: true}, 10_000, ['held', 'propose-release']);
+  t.end();
+});
+
+t.test('decideOrder', t => {
+  function doTest(
+    name: string,
+    changes: Partial<OrderView>,
+    nowMs: number,
+    expected: OrderPermission,
+  ) {
+    t.test(name, t => {
+      const view = {
+        heldUntilMs: 2_000,
+        claimReadAtMs: 1_000,
+        longestOrderMs: 500,
+        honoursFencingTokens: true,
+        ...changes,
+      };
+      t.equal(decideOrder(view, nowMs), expected);
+      t.end();
+    });
+  }
+
+  doTest('allows the holder', {}, 1_999, 'allowed');
+  doTest('refuses at the end of the term', {}, 2_000, 'not-the-holder');
+  doTest('refuses others', {heldUntilMs: undefined}, 0, 'not-the-holder');
+  const ignoring = {honoursFencingTokens: false};
+  doTest('waits out older orders', ignoring, 1_499, 'older-orders-in-flight');
+  doTest('allows once older orders ended', ignoring, 1_500, 'allowed');
+  t.end();
+});
+
+const NO_FAULTS: StepFaults = {
+  isLogOut: false,
+  isAppendLost: false,
+  isAppendRepeated: false,
+  appendDelayMs: 0,
+  isReadSlow: false,
+  orderDelayMs: 0,
+};
+
+const seldom = <Value>(weight: number, arbitrary: fc.Arbitrary<Value>) =>
+  fc.oneof({weight: 100 - weight, arbitrary: fc.constant(undefined)}, {weight, arbitrary});
+
+const rare = (weight: number) => seldom(weight, fc.constant(true)).map(Boolean);
+
+const faultsArbitrary: fc.Arbitrary<StepFaults> = fc.record({
+  isLogOut: fc.constant(false),
+  isAppendLost: rare(20),
+  isAppendRepeated: rare(20),
+  appendDelayMs: fc.oneof(
+    {weight: 4, arbitrary: fc.constant(0)},
+    {weight: 2, arbitrary: fc.integer({min: 0, max: 400})},
+    {weight: 1, arbitrary: fc.integer({min: 400, max: 4_000})},
+  ),
+  isReadSlow: rare(30),
+  freeze: seldom(4, fc.record({index: fc.nat(4), durationMs: fc.integer({min: 100, max: 5_000})})),
+  cut: seldom(14, fc.record({index: fc.nat(4), durationMs: fc.integer({min: 100, max: 3_000})})),
+  restartIndex: seldom(4, fc.nat(4)),
+  orderDelayMs: fc.constantFrom(0, 100, 350),
+});
+
+const outageArbitrary = fc.record({from: fc.nat(STEPS), steps: fc.integer({min: 1, max: 80})});
+
+t.test('lease: no two holders whose orders both take effect', {timeout: 200_000}, t => {
+  let holders = 0;
+  let heldSteps = 0;
+  fc.assert(
+    fc.property(
+      fc.integer({min: 2, max: 5}),
+      fc.array(faultsArbitrary, {minLength: 24, maxLength: 48}),
+      fc.array(outageArbitrary, {maxLength: 2}),
+      (candidateCount, faults, outages) => {
+        const isLogOut = (step: number) =>
+          outages.some(({from, steps}) => step >= from && step < from + steps);
+        const result = new LeaseModel(candidateCount).run(STEPS, step => ({
+          ...faults[step % faults.length],
+          isLogOut: isLogOut(step),
+        }));
+        holders += result.holders;
+        heldSteps += result.heldSteps;
+        assert.deepEqual(result.violations, []);
+      },
+    ),
+    {seed: SEED, numRuns: RUNS},
+  );
+  t.comment(`${RUNS} cases, ${holders} holders, ${heldSteps} held steps`);
+  t.ok(holders > 2 * RUNS, 'holders changed in the cases');
+  t.ok(heldSteps > 80 * RUNS, 'the lease was held in the cases');
+  t.end();
+});
+
+t.test('lease: somebody holds it soon after faults ended', t => {
+  fc.assert(
+    fc.property(
+      fc.integer({min: 2, max: 5}),
+      fc.array(faultsArbitrary, {minLength: 24, maxLength: 48}),
+      (candidateCount, faults) => {
+        const lastFaultStep = 100;
+        const drainSteps = 100;
+        const result = new LeaseModel(candidateCount).run(
+          lastFaultStep + drainSteps + RECOVERY_STEPS,
+          step => (step <= lastFaultStep ? faults[step % faults.length] : NO_FAULTS),
+        );
+        assert.ok(result.isHeldAtEnd);
+      },
+    ),
+    {seed: SEED, numRuns: 500},
+  );
+  t.end();
+});
--- /dev/null
+++ b/tests/support/LeaseModel.ts
@@ -0,0 +1,269 @@
+/** A model of candidates, log and backend servers in virtual time, for properties of the lease. */
+import {
+  decideLease,
+  decideOrder,
+  getHeldUntilMs,
+  type LeaseEffect,
+  type LeaseView,
+} from '../../src/controllers/lease/index.js';
+import {FleetFold} from '../../src/folds/index.js';
+import type {LogBody, LogRecord, PlacedRecord} from '../../src/records/index.js';
+
+/** Length of a step of virtual time. */
+export const STEP_MS = 50;
+const TERM_MS = 1_000;
+const MARGIN_MS = 100;
+const LONGEST_ORDER_MS = 400;
+const PROPOSAL_TIMEOUT_MS = 800;
+
+/** What goes wrong, drawn anew in each step by a function that a test gives. */
+export interface StepFaults {
+  readonly isLogOut: boolean;
+  readonly isAppendLost: boolean;
+  readonly isAppendRepeated: boolean;
+  readonly appendDelayMs: number;
+  readonly isReadSlow: boolean;
+  /** Candidate that freezes now, and for how long. */
+  readonly freeze?: {readonly index: number; readonly durationMs: number};
+  /** Candidate that loses the log now while others keep it, and for how long. */
+  readonly cut?: {readonly index: number; readonly durationMs: number};
+  /** Candidate that is killed and started anew now. */
+  readonly restartIndex?: number;
+  readonly orderDelayMs: number;
+}
+
+interface PendingAppend {
+  readonly atMs: number;
+  readonly record: LogRecord;
+}
+
+interface PendingOrder {
+  readonly atMs: number;
+  readonly fencingToken: number;
+  readonly honoursFencingTokens: boolean;
+}
+
+/** A candidate: its fold, its clock, and at most one open proposal, as the daemon has them. */
+class Candidate {
+  readonly fold = new FleetFold();
+  frozenUntilMs = 0;
+  cutUntilMs = 0;
+  readOffset = 0;
+  private readonly incarnation: string;
+  private readonly clockRate: number;
+  private newestOffset = -1;
+  private newestReadAtMs: number;
+  private ownToken = -1;
+  private claimReadAtMs = 0;
+  private confirmedSentAtMs: number | undefined;
+  private sequence = 0;
+  private open: {sentAtMs: number; record: LogRecord} | undefined;
+
+  constructor(incarnation: string, clockRate: number, trueMs: number) {
+    this.incarnation = incarnation;
+    this.clockRate = clockRate;
+    this.newestReadAtMs = this.getNowMs(trueMs);
+  }
+
+  getNowMs(trueMs: number): number {
+    return trueMs * this.clockRate;
+  }
+
+  getView(): LeaseView {
+    return {
+      candidate: this.incarnation,
+      timing: {termMs: TERM_MS, marginMs: MARGIN_MS, claimDelayMs: 0},
+      lease: this.fold.getLease(),
+      isHistoryKnown: true,
+      newestReadAtMs: this.newestReadAtMs,
+      confirmedSentAtMs: this.confirmedSentAtMs,
+      isProposalOpen: this.open !== undefined,
+      isStopping: false,
+    };
+  }
+
+  isHolder(trueMs: number): boolean {
+    return decideLease(this.getView(), this.getNowMs(trueMs)).changes.isHeld;
+  }
+
+  isOrderAllowed(trueMs: number, honoursFencingTokens: boolean): boolean {
+    const view = {
+      heldUntilMs: getHeldUntilMs(this.getView()),
+      claimReadAtMs: this.claimReadAtMs,
+      longestOrderMs: LONGEST_ORDER_MS,
+      honoursFencingTokens,
+    };
+    return decideOrder(view, this.getNowMs(trueMs)) === 'allowed';
+  }
+
+  read(records: readonly PlacedRecord[], trueMs: number): void {
+    for (const placed of records) {
+      this.readOffset = placed.offset + 1;
+      this.fold.applyRecord(placed);
+      this.noteLease(trueMs);
+      const {open} = this;
+      const {isAccepted, rejection} = this.fold.getLastVerdict();
+      if (rejection === 'repeat' || open?.record.sequence !== placed.record.sequence) continue;
+      if (open.record.writer !== placed.record.writer) continue;
+      if (isAccepted) this.confirmedSentAtMs = open.sentAtMs;
+      this.open = undefined;
+    }
+  }
+
+  /** Returns the record to append now: a new proposal, or the open one again. */
+  propose(trueMs: number): LogRecord | undefined {
+    const nowMs = this.getNowMs(trueMs);
+    if (this.open && nowMs - this.open.sentAtMs > PROPOSAL_TIMEOUT_MS) this.open = undefined;
+    if (this.open) return this.open.record;
+    const [effect] = decideLease(this.getView(), nowMs).effects;
+    if (!effect) return undefined;
+    this.sequence += 1;
+    const body = this.toBody(effect);
+    const record = {writer: this.incarnation, sequence: this.sequence, body};
+    this.open = {sentAtMs: nowMs, record};
+    return record;
+  }
+
+  private noteLease(trueMs: number): void {
+    const {newestOffset, holder, fencingToken} = this.fold.getLease();
+    if (newestOffset === this.newestOffset) return;
+    this.newestOffset = newestOffset;
+    this.newestReadAtMs = this.getNowMs(trueMs);
+    if (holder !== this.incarnation || fencingToken === this.ownToken) return;
+    this.ownToken = fencingToken;
+    this.claimReadAtMs = this.getNowMs(trueMs);
+    this.confirmedSentAtMs = undefined;
+  }
+
+  private toBody(effect: LeaseEffect): LogBody {
+    const holder = this.incarnation;
+    if (effect.kind === 'propose-claim') {
+      return {kind: 'lease-claim', holder, followsOffset: effect.followsOffset, termMs: TERM_MS};
+    }
+    return {kind: 'lease-renewal', holder, claimOffset: effect.claimOffset};
+  }
+}
+
+/** What broke in a run of the model; empty where nothing did. */
+export interface LeaseModelResult {
+  readonly violations: readonly string[];
+  /** Steps in which somebody could act as the holder. */
+  readonly heldSteps: number;
+  /** Holders that followed each other. */
+  readonly holders: number;
+  readonly isHeldAtEnd: boolean;
+}
+
+/** Runs candidates against a log and two kinds of backend servers. */
+export class LeaseModel {
+  private readonly candidates: Candidate[];
+  private readonly log: PlacedRecord[] = [];
+  private readonly violations: string[] = [];
+  private appends: PendingAppend[] = [];
+  private orders: PendingOrder[] = [];
+  private highestToken = -1;
+  private lastIgnoringToken = -1;
+  private heldSteps = 0;
+  private restarts = 0;
+
+  constructor(candidateCount: number) {
+    this.candidates = Array.from({length: candidateCount}, (ignored, index) =>
+      this.createCandidate(index, 0),
+    );
+  }
+
+  /**
+   * Runs the model.
+   * @param steps - Number of steps.
+   * @param getFaults - Returns what goes wrong in a step.
+   */
+  run(steps: number, getFaults: (step: number) => StepFaults): LeaseModelResult {
+    for (let step = 1; step <= steps; step++) this.runStep(step * STEP_MS, getFaults(step));
+    const fold = new FleetFold();
+    const tokens = new Set<number>();
+    for (const placed of this.log) {
+      fold.applyRecord(placed);
+      tokens.add(fold.getLease().fencingToken);
+    }
+    return {
+      violations: this.violations,
+      heldSteps: this.heldSteps,
+      holders: tokens.size,
+      isHeldAtEnd: this.candidates.some(one => one.isHolder(steps * STEP_MS)),
+    };
+  }
+
+  private runStep(nowMs: number, faults: StepFaults): void {
+    this.applyFaults(nowMs, faults);
+    this.placeAppends(nowMs);
+    this.runOrders(nowMs);
+    for (const candidate of this.candidates) {
+      if (candidate.frozenUntilMs > nowMs) continue;
+      this.runCandidate(candidate, nowMs, faults);
+    }
+    this.checkHolders(nowMs);
+  }
+
+  private applyFaults(nowMs: number, {freeze, cut, restartIndex}: StepFaults): void {
+    const frozen = freeze && this.candidates[freeze.index];
+    if (frozen) frozen.frozenUntilMs = nowMs + freeze.durationMs;
+    const cutOff = cut && this.candidates[cut.index];
+    if (cutOff) cutOff.cutUntilMs = nowMs + cut.durationMs;
+    if (restartIndex === undefined || restartIndex >= this.candidates.length) return;
+    this.restarts += 1;
+    this.candidates[restartIndex] = this.createCandidate(restartIndex, nowMs);
+  }
+
+  private runCandidate(candidate: Candidate, nowMs: number, faults: StepFaults): void {
+    const isLogOut = faults.isLogOut || candidate.cutUntilMs > nowMs;
+    if (!isLogOut && !faults.isReadSlow) {
+      candidate.read(this.log.slice(candidate.readOffset), nowMs);
+    }
+    this.sendOrders(candidate, nowMs, faults);
+    const record = candidate.propose(nowMs);
+    if (!record || isLogOut || faults.isAppendLost) return;
+    const copies = faults.isAppendRepeated ? [0, faults.appendDelayMs] : [faults.appendDelayMs];
+    for (const delayMs of copies) this.appends.push({atMs: nowMs + delayMs, record});
+  }
+
+  private sendOrders(candidate: Candidate, nowMs: number, {orderDelayMs}: StepFaults): void {
+    for (const honoursFencingTokens of [true, false]) {
+      if (!candidate.isOrderAllowed(nowMs, honoursFencingTokens)) continue;
+      const {fencingToken} = candidate.fold.getLease();
+      this.orders.push({atMs: nowMs + orderDelayMs, fencingToken, honoursFencingTokens});
+    }
+  }
+
+  private placeAppends(nowMs: number): void {
+    const due = this.appends.filter(({atMs}) => atMs <= nowMs);
+    this.appends = this.appends.filter(({atMs}) => atMs > nowMs);
+    for (const {record} of due) this.log.push({offset: this.log.length, record});
+  }
+
+  /** An order that takes effect after one of a later holder is what the lease must prevent. */
+  private runOrders(nowMs: number): void {
+    const due = this.orders.filter(({atMs}) => atMs <= nowMs);
+    this.orders = this.orders.filter(({atMs}) => atMs > nowMs);
+    for (const {fencingToken, honoursFencingTokens} of due) {
+      if (honoursFencingTokens) {
+        this.highestToken = Math.max(this.highestToken, fencingToken);
+      } else if (fencingToken < this.lastIgnoringToken) {
+        this.violations.push(`order ${fencingToken} after ${this.lastIgnoringToken} at ${nowMs}`);
+      } else {
+        this.lastIgnoringToken = fencingToken;
+      }
+    }
+  }
+
+  private checkHolders(nowMs: number): void {
+    const holders = this.candidates.filter(candidate => candidate.isHolder(nowMs));
+    if (holders.length > 0) this.heldSteps += 1;
+    if (holders.length > 1) this.violations.push(`${holders.length} holders at ${nowMs}`);
+  }
+
+  /** Clocks differ in rate by up to two in a hundred each. */
+  private createCandidate(index: number, nowMs: number): Candidate {
+    const clockRate = 0.98 + 0.04 * ((index * 7 + this.restarts * 3) % 5) * 0.25;
+    return new Candidate(`candidate-${index}/${this.restarts}`, clockRate, nowMs);
+  }
+}
