Evidence: strata also by uncached prompt length; short and long memories

Cause: a new version's caches hold less at a small share, so its first tokens come later on the same prompts; and a fault that shows late was diluted by the good evidence before it. Choice: windows are split by what the prediction says has to be computed, durations count from warm backend servers only, and the comparison looks at the last 30 s, the last 120 s and the whole move, each against 1 in 100,000.

--- a/src/blackboard/Sections.ts
+++ b/src/blackboard/Sections.ts
@@ -142,6 +142,9 @@
 /** How busy a backend server was when a request was sent to it, so that versions are compared under like load. */
 export type LoadBand = 'low' | 'medium' | 'high';
 
+/** How much of a prompt had to be computed, by the prediction; versions differ in what their caches hold. */
+export type PrefillBand = 'tiny' | 'short' | 'long' | 'huge';
+
 /** Sums of the natural logarithms of durations in milliseconds; enough for their mean and variance. */
 export interface DurationMoments {
   readonly count: number;
@@ -156,6 +159,7 @@
   readonly route: string;
   readonly requestClass: string;
   readonly loadBand: LoadBand;
+  readonly prefillBand: PrefillBand;
   /** Start of the window, a multiple of its length by the wall clock. */
   readonly windowStartMs: number;
   /** Tries that ended within the window. */
@@ -165,7 +169,7 @@
    * crash count once. Tries that a caller cancelled, or whose backend server was leaving, are not counted at all.
    */
   readonly errors: number;
-  /** Time to the first token, or to the answer of a plain service. */
+  /** Time to the first token, or to the answer of a plain service; of backend servers that are warm. */
   readonly firstToken: DurationMoments;
   /** Mean time between tokens of a try. */
   readonly interToken: DurationMoments;
--- a/src/controllers/moves/EvidenceComparison.ts
+++ b/src/controllers/moves/EvidenceComparison.ts
@@ -50,7 +50,7 @@
 ): readonly EvidenceStratum[] {
   const blocks = new Map<string, VersionEvidence[]>();
   for (const window of evidence) {
-    const key = `${window.loadBand} ${Math.floor(window.windowStartMs / blockMs)}`;
+    const key = `${window.loadBand} ${window.prefillBand} ${Math.floor(window.windowStartMs / blockMs)}`;
     const block = blocks.get(key);
     if (block) block.push(window);
     else blocks.set(key, [window]);
--- a/src/controllers/moves/EvidenceRecorder.ts
+++ b/src/controllers/moves/EvidenceRecorder.ts
@@ -1,5 +1,10 @@
 /** Gathers ended tries into windows of evidence. */
-import type {DurationMoments, LoadBand, VersionEvidence} from '../../blackboard/index.js';
+import type {
+  DurationMoments,
+  LoadBand,
+  PrefillBand,
+  VersionEvidence,
+} from '../../blackboard/index.js';
 
 /** Length of a window of evidence. */
 export const EVIDENCE_WINDOW_MS = 2_000;
@@ -8,6 +13,12 @@
 
 const MEDIUM_LOAD_PART = 0.4;
 const HIGH_LOAD_PART = 0.75;
+/** Least uncached tokens of each band, largest first. */
+const PREFILL_BANDS: ReadonlyArray<{readonly band: PrefillBand; readonly fromTokens: number}> = [
+  {band: 'huge', fromTokens: 4_096},
+  {band: 'long', fromTokens: 1_024},
+  {band: 'short', fromTokens: 256},
+];
 const LEAST_DURATION_MS = 0.1;
 const NO_DURATIONS: DurationMoments = {count: 0, sumLogMs: 0, sumSquaredLogMs: 0};
 
@@ -18,8 +29,9 @@
   readonly route: string;
   readonly requestClass: string;
   readonly loadBand: LoadBand;
+  readonly prefillBand: PrefillBand;
   readonly hasFailed: boolean;
-  /** Absent where no token or answer came. */
+  /** Absent where no token or answer came, or the backend server wasn't warm when the try was sent. */
   readonly firstTokenMs?: number;
   /** Mean time between tokens; absent where fewer than two tokens came. */
   readonly interTokenMs?: number;
@@ -36,6 +48,14 @@
   return loadPart < HIGH_LOAD_PART ? 'medium' : 'high';
 }
 
+/**
+ * Returns the band of a prompt.
+ * @param uncachedTokens - Tokens that have to be computed, by the prediction; 0 for plain services.
+ */
+export function getPrefillBand(uncachedTokens: number): PrefillBand {
+  return PREFILL_BANDS.find(({fromTokens}) => uncachedTokens >= fromTokens)?.band ?? 'tiny';
+}
+
 /** Keeps the evidence of the last minutes of one entry. */
 export class EvidenceRecorder {
   private readonly windows = new Map<string, VersionEvidence>();
@@ -47,17 +67,13 @@
    */
   addTry(sample: TrySample, nowMs: number): void {
     const windowStartMs = nowMs - (nowMs % EVIDENCE_WINDOW_MS);
-    const {service, version, route, requestClass, loadBand} = sample;
-    const key = JSON.stringify([service, version, route, requestClass, loadBand, windowStartMs]);
+    const {service, version, route, requestClass, loadBand, prefillBand} = sample;
+    const subject = {service, version, route, requestClass, loadBand, prefillBand, windowStartMs};
+    const key = JSON.stringify(subject);
     const known = this.windows.get(key);
     if (!known) this.removeOld(nowMs);
     this.windows.set(key, {
-      service,
-      version,
-      route,
-      requestClass,
-      loadBand,
-      windowStartMs,
+      ...subject,
       requests: (known?.requests ?? 0) + 1,
       errors: (known?.errors ?? 0) + (sample.hasFailed ? 1 : 0),
       firstToken: addDuration(known?.firstToken ?? NO_DURATIONS, sample.firstTokenMs),
--- a/src/controllers/moves/VersionVerdict.ts
+++ b/src/controllers/moves/VersionVerdict.ts
@@ -17,25 +17,29 @@
   readonly likelihoodRatio: number;
 }
 
-/** Chance, one in this many, that a good version is called bad on one route and class over a whole move. */
-const TAKE_BACK_LIKELIHOOD_RATIO = 5_000;
+/** Chance, one in this many, that a good version is called bad on one route and class by one series of windows. */
+const TAKE_BACK_LIKELIHOOD_RATIO = 100_000;
 /** An entry's own evidence is little and a brake is soon lifted, so it takes less certainty. */
-const LOCAL_BRAKE_LIKELIHOOD_RATIO = 1_000;
+const LOCAL_BRAKE_LIKELIHOOD_RATIO = 10_000;
 /** Windows within this time count as simultaneous. */
 const BLOCK_MS = 10_000;
-/** An entry brakes on the evidence of this time. */
-const LOCAL_BRAKE_MEMORY_MS = 60_000;
+/** Series of windows that are looked at: short ones show a late fault soon, long ones a small one. */
+const TAKE_BACK_MEMORIES_MS = [30_000, 120_000, Infinity];
+const LOCAL_BRAKE_MEMORIES_MS = [20_000, 60_000];
 
 /**
  * Returns the fault that the evidence shows most clearly; undefined where it shows none.
  * @param evidence - Evidence of all entries.
  * @param pair - The versions.
+ * @param nowMs - Present time.
  */
 export function getShownFault(
   evidence: readonly VersionEvidence[],
   pair: VersionPair,
+  nowMs: number,
 ): ShownFault | undefined {
-  return getClearestFault(evidence, pair, TAKE_BACK_LIKELIHOOD_RATIO);
+  const faults = getFaults(evidence, pair, TAKE_BACK_MEMORIES_MS, nowMs);
+  return faults.find(({likelihoodRatio}) => likelihoodRatio >= TAKE_BACK_LIKELIHOOD_RATIO);
 }
 
 /**
@@ -50,8 +54,8 @@
   pair: VersionPair,
   nowMs: number,
 ): ShownFault | undefined {
-  const recent = evidence.filter(window => window.windowStartMs >= nowMs - LOCAL_BRAKE_MEMORY_MS);
-  return getClearestFault(recent, pair, LOCAL_BRAKE_LIKELIHOOD_RATIO);
+  const faults = getFaults(evidence, pair, LOCAL_BRAKE_MEMORIES_MS, nowMs);
+  return faults.find(({likelihoodRatio}) => likelihoodRatio >= LOCAL_BRAKE_LIKELIHOOD_RATIO);
 }
 
 /**
@@ -74,18 +78,30 @@
   return groups;
 }
 
-function getClearestFault(
+/** Returns the evidence for each fault, route, class and memory, clearest first. */
+function getFaults(
   evidence: readonly VersionEvidence[],
-  {service, fromVersion, toVersion}: VersionPair,
-  minLikelihoodRatio: number,
-): ShownFault | undefined {
-  const groups = [...groupByRouteAndClass(evidence, service).values()];
-  const shown = groups.flatMap(group => {
-    const {route, requestClass} = group[0];
-    const strata = getStrata(group, fromVersion, toVersion, BLOCK_MS);
-    return compareVersions(strata)
-      .filter(({likelihoodRatio}) => likelihoodRatio >= minLikelihoodRatio)
-      .map(({fault, likelihoodRatio}) => ({fault, likelihoodRatio, route, requestClass}));
-  });
-  return shown.sort((one, other) => other.likelihoodRatio - one.likelihoodRatio)[0];
+  pair: VersionPair,
+  memoriesMs: readonly number[],
+  nowMs: number,
+): readonly ShownFault[] {
+  const groups = [...groupByRouteAndClass(evidence, pair.service).values()];
+  const faults = groups.flatMap(group =>
+    memoriesMs.flatMap(memoryMs => {
+      const recent = group.filter(({windowStartMs}) => windowStartMs >= nowMs - memoryMs);
+      return compareGroup(recent, pair);
+    }),
+  );
+  return faults.sort((one, other) => other.likelihoodRatio - one.likelihoodRatio);
+}
+
+function compareGroup(
+  group: readonly VersionEvidence[],
+  {fromVersion, toVersion}: VersionPair,
+): readonly ShownFault[] {
+  const [first] = group;
+  if (!first) return [];
+  const {route, requestClass} = first;
+  const strata = getStrata(group, fromVersion, toVersion, BLOCK_MS);
+  return compareVersions(strata).map(evidence => ({...evidence, route, requestClass}));
 }
--- a/src/controllers/moves/index.ts
+++ b/src/controllers/moves/index.ts
@@ -3,6 +3,7 @@
   EVIDENCE_WINDOW_MS,
   EvidenceRecorder,
   getLoadBand,
+  getPrefillBand,
   type TrySample,
 } from './EvidenceRecorder.js';
 export type {Fault} from './EvidenceComparison.js';
