Questionnaire from an answers file, and buckthornctl's config commands

Cause: the quickstart needs a configuration generated from answers and published with compare-and-set. Ruled out: one schema for answers and configuration; answers speak of sizes and keys to be made, and keep keys in force.

--- /dev/null
+++ b/tests/operator/ConfigurationStream.test.ts
@@ -0,0 +1,78 @@
+/** Tests of publishing on the configuration stream. */
+import t from 'tap';
+import {ConfigurationStream, publishAnswersFile} from '../../src/operator/index.js';
+import {generateConfiguration, readAnswersFile} from '../../src/questionnaire/index.js';
+import {FakeLog} from '../support/FakeLog.js';
+import {assertRejectsKind} from '../support/assertions.js';
+
+const ANSWERS_PATH = 'examples/barnehageplass.answers.yaml';
+const {configuration: CONFIGURATION} = generateConfiguration(
+  await readAnswersFile(ANSWERS_PATH, 0),
+  {inForce: undefined, createKey: () => 'key'},
+);
+
+async function openStream(log: FakeLog, writer: string, timeoutMs = 5_000) {
+  const stream = new ConfigurationStream({log, writer, getNowMs: Date.now, timeoutMs});
+  await stream.open();
+  return stream;
+}
+
+t.test('ConfigurationStream', async t => {
+  await t.test('publish gives offset and revision', async t => {
+    const stream = await openStream(new FakeLog(), 'a');
+    t.same(await stream.publish(CONFIGURATION, 0, 'kari'), {
+      isAccepted: true,
+      revision: 1,
+      publishedBy: 'kari',
+      offset: 0,
+    });
+    t.equal(stream.getInForce().revision, 1);
+    await stream.close();
+  });
+
+  await t.test('publish lets one of two racing operators win and names the winner', async t => {
+    const log = new FakeLog();
+    const streams = [await openStream(log, 'a'), await openStream(log, 'b')] as const;
+    const results = await Promise.all([
+      streams[0].publish(CONFIGURATION, 0, 'kari'),
+      streams[1].publish(CONFIGURATION, 0, 'ama'),
+    ]);
+    const winner = results[0].isAccepted ? 'kari' : 'ama';
+    t.equal(results.filter(({isAccepted}) => isAccepted).length, 1);
+    t.same(
+      results.map(({publishedBy}) => publishedBy),
+      [winner, winner],
+    );
+    await Promise.all(streams.map(stream => stream.close()));
+  });
+
+  await t.test('publish tells of a log that is out', async t => {
+    const log = new FakeLog();
+    const stream = await openStream(log, 'a', 300);
+    log.setOut(true);
+    await assertRejectsKind(t, stream.publish(CONFIGURATION, 0, 'kari'), 'log-unavailable');
+    await stream.close();
+  });
+
+  await t.test('open tells of a log that is out', async t => {
+    const log = new FakeLog();
+    log.setOut(true);
+    await assertRejectsKind(t, openStream(log, 'a', 300), 'log-unavailable');
+  });
+});
+
+t.test('publishAnswersFile', async t => {
+  const log = new FakeLog();
+  const publish = (writer: string) =>
+    publishAnswersFile({
+      answersPath: ANSWERS_PATH,
+      log,
+      writer,
+      publishedBy: 'kari',
+      getNowMs: Date.now,
+      timeoutMs: 5_000,
+    });
+  t.equal((await publish('a')).revision, 1);
+  t.equal((await publish('b')).revision, 2);
+  t.equal(log.getPayloads('configuration').length, 2);
+});
