--- a/src/operator/DaemonsClient.ts
+++ b/src/operator/DaemonsClient.ts
@@ -1,38 +1,35 @@
-/** What an operator's client asks of the platform's instance list and of the daemons on it. */
+/** What an operator's client asks of the platform's instance list and of the entries on it. */
 import {Agent, request} from 'undici';
 import {z} from 'zod';
-import {ServingError} from '../errors/index.js';
+import type {Instance, InstancesSection} from '../blackboard/index.js';
+import {InstanceListClient} from '../platform/index.js';
 
-const instanceSchema = z.object({
-  instanceId: z.string(),
-  role: z.enum(['entry', 'fleet', 'backend']),
-  address: z.string(),
-  port: z.number().int(),
-  /** Port of an entry's interface for callers, where the list tells it apart from the peer port. */
-  callersPort: z.number().int().optional(),
-  failureDomain: z.string(),
-  machineClass: z.string(),
-  market: z.enum(['reclaimable', 'on-demand']),
-  state: z.enum(['live', 'leaving', 'gone']),
-  leavingAtMs: z.number().optional(),
-  service: z.string().optional(),
-  version: z.string().optional(),
-});
-const listSchema = z.object({instances: z.array(instanceSchema), asOfMs: z.number()});
-const statusSchema = z.object({
-  instanceId: z.string(),
-  configurationRevision: z.number().int().min(0),
+const statusSchema = z.object({configurationRevision: z.number().int().min(0)});
+const metricSchema = z.object({
+  name: z.string(),
+  tags: z.record(z.string(), z.string()),
+  count: z.number(),
+  p50: z.number().optional(),
+  p95: z.number().optional(),
+  p99: z.number().optional(),
+  max: z.number().optional(),
 });
+const metricsSchema = z.array(metricSchema);
+const statsSchema = z.union([metricsSchema, z.object({metrics: metricsSchema})]);
 
-/** An instance of the platform's list. */
-export type ListedInstance = z.infer<typeof instanceSchema>;
+/** A counter or the summary of a histogram of one entry. */
+export type EntryMetric = Readonly<z.infer<typeof metricSchema>>;
 
-/** The platform's list with its age. */
-export type InstanceListing = z.infer<typeof listSchema>;
+/** What an entry answered, or why it gave no answer. */
+export interface EntryAnswer<Answer> {
+  readonly instance: Instance;
+  readonly answer?: Answer;
+  readonly problem?: string;
+}
 
 /** What an entry said of itself, or why it said nothing. */
 export interface EntryStatus {
-  readonly instance: ListedInstance;
+  readonly instance: Instance;
   /** Absent where the entry gave no answer. */
   readonly configurationRevision?: number;
   readonly problem?: string;
@@ -49,61 +46,78 @@
 /** Asks the instance list, and each entry on it. */
 export class DaemonsClient {
   private readonly options: DaemonsClientOptions;
+  private readonly list: InstanceListClient;
   private readonly agent = new Agent();
 
   constructor(options: DaemonsClientOptions) {
     this.options = options;
+    this.list = new InstanceListClient({url: options.listUrl, timeoutMs: options.timeoutMs});
   }
 
   /**
    * Returns the platform's list, which lags by seconds.
    * @throws ServingError of kind `backend-failed` where the list gives no answer.
    */
-  async getInstances(): Promise<InstanceListing> {
-    const url = `${this.options.listUrl}/v1/list`;
-    try {
-      return listSchema.parse(await this.getJson(url));
-    } catch (cause) {
-      const reason = cause instanceof Error ? cause.message : String(cause);
-      throw new ServingError(`instance list ${url}: ${reason}`, {kind: 'backend-failed', cause});
-    }
+  async getInstances(): Promise<InstancesSection> {
+    return this.list.getInstances();
   }
 
   /** Asks all entries that are not gone for their status, side by side. */
   async getEntryStatuses(): Promise<readonly EntryStatus[]> {
-    const {instances} = await this.getInstances();
-    const entries = instances.filter(({role, state}) => role === 'entry' && state !== 'gone');
-    return Promise.all(entries.map(instance => this.getEntryStatus(instance)));
+    const answers = await this.askEntries('/v1/status', statusSchema);
+    return answers.map(({instance, answer, problem}) => ({
+      instance,
+      configurationRevision: answer?.configurationRevision,
+      problem,
+    }));
+  }
+
+  /** Asks all entries that are not gone for their metrics, side by side. */
+  async getEntryMetrics(): Promise<ReadonlyArray<EntryAnswer<readonly EntryMetric[]>>> {
+    const answers = await this.askEntries('/v1/stats', statsSchema);
+    return answers.map(({instance, answer, problem}) => ({
+      instance,
+      answer: answer && ('metrics' in answer ? answer.metrics : answer),
+      problem,
+    }));
   }
 
   /** Closes the connections. */
   async close(): Promise<void> {
-    await this.agent.destroy();
+    await Promise.all([this.agent.destroy(), this.list.close()]);
+  }
+
+  private async askEntries<Answer>(
+    path: string,
+    schema: z.ZodType<Answer>,
+  ): Promise<ReadonlyArray<EntryAnswer<Answer>>> {
+    const {instances} = await this.getInstances();
+    const entries = instances.filter(({role, state}) => role === 'entry' && state !== 'gone');
+    return Promise.all(entries.map(instance => this.askEntry(instance, path, schema)));
   }
 
-  private async getEntryStatus(instance: ListedInstance): Promise<EntryStatus> {
+  private async askEntry<Answer>(
+    instance: Instance,
+    path: string,
+    schema: z.ZodType<Answer>,
+  ): Promise<EntryAnswer<Answer>> {
+    const {deploymentKey, timeoutMs} = this.options;
     try {
-      const answer = await this.getJson(`${getCallersUrl(instance)}/v1/status`);
-      return {instance, configurationRevision: statusSchema.parse(answer).configurationRevision};
+      const response = await request(getEntryUrl(instance) + path, {
+        dispatcher: this.agent,
+        headers: {authorization: `Bearer ${deploymentKey}`},
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const text = await response.body.text();
+      if (response.statusCode !== 200) throw new Error(`status ${response.statusCode}`);
+      return {instance, answer: schema.parse(JSON.parse(text))};
     } catch (cause) {
       return {instance, problem: cause instanceof Error ? cause.message : String(cause)};
     }
   }
-
-  private async getJson(url: string): Promise<unknown> {
-    const {deploymentKey, timeoutMs} = this.options;
-    const response = await request(url, {
-      dispatcher: this.agent,
-      headers: {authorization: `Bearer ${deploymentKey}`},
-      signal: AbortSignal.timeout(timeoutMs),
-    });
-    const text = await response.body.text();
-    if (response.statusCode !== 200) throw new Error(`status ${response.statusCode}`);
-    return JSON.parse(text) as unknown;
-  }
 }
 
-function getCallersUrl({address, port, callersPort}: ListedInstance): string {
+function getEntryUrl({address, port}: Instance): string {
   const host = address.includes(':') ? `[${address}]` : address;
-  return `http://${host}:${callersPort ?? port}`;
+  return `http://${host}:${port}`;
 }
--- a/src/operator/index.ts
+++ b/src/operator/index.ts
@@ -8,16 +8,17 @@
 export {
   ConfigurationStream,
   type ConfigurationInForce,
-  type ConfigurationStreamOptions,
   type PublishResult,
 } from './ConfigurationStream.js';
 export {
   DaemonsClient,
   type DaemonsClientOptions,
+  type EntryAnswer,
+  type EntryMetric,
   type EntryStatus,
-  type InstanceListing,
-  type ListedInstance,
 } from './DaemonsClient.js';
+export {FleetStream, type MoveRequest} from './FleetStream.js';
 export {countInForce, waitUntilInForce, type InForceCount} from './InForceWait.js';
 export type {OperatorContext} from './OperatorContext.js';
+export {StreamSession, type SessionOptions} from './StreamSession.js';
 export {createQuestionnaireCommand} from './QuestionnaireCommand.js';
--- /dev/null
+++ b/src/utils/index.ts
@@ -0,0 +1,8 @@
+export {
+  BLOCK_TOKENS,
+  hashBlocks,
+  renderChatPrompt,
+  splitTokens,
+  type PromptMessage,
+} from './promptBlocks.js';
+export {hashText, rankByRendezvous} from './rendezvous.js';
--- a/tests/operator/ConfigurationStream.test.ts
+++ b/tests/operator/ConfigurationStream.test.ts
@@ -1,5 +1,6 @@
 /** Tests of publishing on the configuration stream. */
 import t from 'tap';
+import {systemSleep} from '../../src/log/index.js';
 import {ConfigurationStream, publishAnswersFile} from '../../src/operator/index.js';
 import {generateConfiguration, readAnswersFile} from '../../src/questionnaire/index.js';
 import {FakeLog} from '../support/FakeLog.js';
@@ -11,6 +12,10 @@
   {inForce: undefined, createKey: () => 'key'},
 );
 
+function createLog(): FakeLog {
+  return new FakeLog({getNowMs: Date.now, sleep: systemSleep});
+}
+
 async function openStream(log: FakeLog, writer: string, timeoutMs = 5_000) {
   const stream = new ConfigurationStream({log, writer, getNowMs: Date.now, timeoutMs});
   await stream.open();
@@ -19,7 +24,7 @@
 
 t.test('ConfigurationStream', async t => {
   await t.test('publish gives offset and revision', async t => {
-    const stream = await openStream(new FakeLog(), 'a');
+    const stream = await openStream(createLog(), 'a');
     t.same(await stream.publish(CONFIGURATION, 0, 'kari'), {
       isAccepted: true,
       revision: 1,
@@ -31,7 +36,7 @@
   });
 
   await t.test('publish lets one of two racing operators win and names the winner', async t => {
-    const log = new FakeLog();
+    const log = createLog();
     const streams = [await openStream(log, 'a'), await openStream(log, 'b')] as const;
     const results = await Promise.all([
       streams[0].publish(CONFIGURATION, 0, 'kari'),
@@ -47,7 +52,7 @@
   });
 
   await t.test('publish tells of a log that is out', async t => {
-    const log = new FakeLog();
+    const log = createLog();
     const stream = await openStream(log, 'a', 300);
     log.setOut(true);
     await assertRejectsKind(t, stream.publish(CONFIGURATION, 0, 'kari'), 'log-unavailable');
@@ -55,14 +60,14 @@
   });
 
   await t.test('open tells of a log that is out', async t => {
-    const log = new FakeLog();
+    const log = createLog();
     log.setOut(true);
     await assertRejectsKind(t, openStream(log, 'a', 300), 'log-unavailable');
   });
 });
 
 t.test('publishAnswersFile', async t => {
-  const log = new FakeLog();
+  const log = createLog();
   const publish = (writer: string) =>
     publishAnswersFile({
       answersPath: ANSWERS_PATH,
@@ -74,5 +79,5 @@
     });
   t.equal((await publish('a')).revision, 1);
   t.equal((await publish('b')).revision, 2);
-  t.equal(log.getPayloads('configuration').length, 2);
+  t.equal(log.getRecords('configuration').length, 2);
 });
