--- a/src/controllers/admission/AdmissionQueue.ts
+++ b/src/controllers/admission/AdmissionQueue.ts
@@ -1,11 +1,7 @@
-/** Admits requests by class and fair share of their workspace, and lets the others wait in bounded queues. */
+/** Admits requests while there is room, and lets the others wait in a bounded and fair queue. */
 import {ServingError, type ErrorKind} from '../../errors/index.js';
-import type {
-  AdmissionDecision,
-  AdmissionLimits,
-  AdmissionRequest,
-  WorkspaceLimit,
-} from './AdmissionTypes.js';
+import type {AdmissionDecision, AdmissionLimits, AdmissionRequest} from './AdmissionTypes.js';
+import {FairQueue, getWorkspaceLimit} from './FairQueue.js';
 
 /** Options of an `AdmissionQueue`. */
 export interface AdmissionQueueOptions {
@@ -13,27 +9,22 @@
   readonly getLimits: () => AdmissionLimits;
 }
 
-/** Every so many admissions from the queue, the request that has waited longest goes first. */
-const OLDEST_FIRST_EVERY = 8;
-
-interface WaitingRequest extends AdmissionRequest {
-  readonly queuedAtMs: number;
-}
+/** Weight of a new sample in the mean time between ends of requests. */
+const INTERVAL_SAMPLE_WEIGHT = 0.2;
 
 /**
- * Start-time fair queueing over workspaces, classes by priority before it.
+ * Gives each request a place to run, a place to wait, or a refusal.
  *
- * Each admission advances its workspace's virtual time by the inverse of the weight; among waiting requests of the most
- * urgent class, the workspace that is furthest behind goes next.
+ * A full queue makes room for a workspace below its share by displacing the newest request of the one that holds the
+ * most, so that a large workspace can't shut out a small one by filling the queue first.
  */
 export class AdmissionQueue {
   private readonly options: AdmissionQueueOptions;
+  private readonly queue = new FairQueue();
   private readonly running = new Map<string, AdmissionRequest>();
-  private readonly waiting = new Map<string, WaitingRequest>();
-  private readonly virtualTimes = new Map<string, number>();
   private readonly openCounts = new Map<string, number>();
-  private virtualTime = 0;
-  private admittedFromQueue = 0;
+  private meanIntervalMs: number | undefined;
+  private lastEndAtMs: number | undefined;
 
   constructor(options: AdmissionQueueOptions) {
     this.options = options;
@@ -46,7 +37,7 @@
    */
   addRequest(request: AdmissionRequest, nowMs: number): AdmissionDecision {
     const {requestId, workspace} = request;
-    if (this.running.has(requestId) || this.waiting.has(requestId)) {
+    if (this.hasRequest(requestId)) {
       throw new ServingError(`request ${requestId} is open already`, {kind: 'internal'});
     }
     const limits = this.options.getLimits();
@@ -54,17 +45,13 @@
     if (this.getOpenCount(workspace) >= getWorkspaceLimit(limits, workspace).maxOpenRequests) {
       return refuse('over-workspace-limit', `workspace ${workspace} has too many open requests`);
     }
-    if (this.waiting.size === 0 && this.running.size < limits.maxRunningRequests) {
-      this.admit(request, limits);
+    if (this.queue.getSize() === 0 && this.running.size < limits.maxRunningRequests) {
+      this.queue.addService(limits, workspace);
+      this.running.set(requestId, request);
       this.changeOpenCount(workspace, 1);
       return {kind: 'admitted'};
     }
-    if (this.waiting.size >= limits.maxQueuedRequests) {
-      return refuse('overloaded', `${this.waiting.size} requests are waiting`);
-    }
-    this.waiting.set(requestId, {...request, queuedAtMs: nowMs});
-    this.changeOpenCount(workspace, 1);
-    return {kind: 'queued'};
+    return this.addWaiting(request, limits, nowMs);
   }
 
   /**
@@ -74,16 +61,17 @@
    * @returns Requests that are admitted now.
    */
   removeRequest(requestId: string, nowMs: number): readonly string[] {
-    const request = this.running.get(requestId) ?? this.waiting.get(requestId);
+    const wasRunning = this.running.has(requestId);
+    const request = this.running.get(requestId) ?? this.queue.removeRequest(requestId);
     if (!request) return [];
+    if (wasRunning) this.addEnd(nowMs);
     this.running.delete(requestId);
-    this.waiting.delete(requestId);
     this.changeOpenCount(request.workspace, -1);
     return this.admitWaiting(nowMs);
   }
 
   /**
-   * Admits waiting requests where limits have grown.
+   * Admits waiting requests, as far as there is room; to be called too where limits have grown.
    * @param nowMs - Present time.
    * @returns Requests that are admitted now.
    */
@@ -91,11 +79,9 @@
     const limits = this.options.getLimits();
     const admitted: string[] = [];
     while (this.running.size < limits.maxRunningRequests) {
-      const next = this.chooseNext(limits, nowMs);
+      const next = this.queue.takeNext(limits, nowMs);
       if (!next) break;
-      this.waiting.delete(next.requestId);
-      this.admit(next, limits);
-      this.admittedFromQueue += 1;
+      this.running.set(next.requestId, next);
       admitted.push(next.requestId);
     }
     return admitted;
@@ -107,9 +93,9 @@
    * @returns The removed requests.
    */
   removeExpired(nowMs: number): readonly string[] {
-    const expired = [...this.waiting.values()].filter(({deadlineAtMs}) => deadlineAtMs <= nowMs);
+    const expired = this.queue.getRequests().filter(({deadlineAtMs}) => deadlineAtMs <= nowMs);
     for (const {requestId, workspace} of expired) {
-      this.waiting.delete(requestId);
+      this.queue.removeRequest(requestId);
       this.changeOpenCount(workspace, -1);
     }
     return expired.map(({requestId}) => requestId);
@@ -122,36 +108,57 @@
 
   /** Returns how many requests wait. */
   getWaitingCount(): number {
-    return this.waiting.size;
+    return this.queue.getSize();
   }
 
-  private admit(request: AdmissionRequest, limits: AdmissionLimits): void {
-    const {workspace} = request;
-    const startTime = this.getStartTime(workspace);
-    this.virtualTime = startTime;
-    const {shareWeight} = getWorkspaceLimit(limits, workspace);
-    this.virtualTimes.set(workspace, startTime + 1 / shareWeight);
-    this.running.set(request.requestId, request);
+  /**
+   * Returns the time that a new request of a class would wait, from the pace at which requests end; 0 while unknown.
+   * @param requestClass - The class.
+   */
+  getExpectedWaitMs(requestClass: string): number {
+    const before = this.queue.getCountBefore(this.options.getLimits(), requestClass);
+    return (before + 1) * (this.meanIntervalMs ?? 0);
   }
 
-  /** An idle workspace starts at the present virtual time, so that it can't save up its share. */
-  private getStartTime(workspace: string): number {
-    return Math.max(this.virtualTime, this.virtualTimes.get(workspace) ?? 0);
+  private addWaiting(
+    request: AdmissionRequest,
+    limits: AdmissionLimits,
+    nowMs: number,
+  ): AdmissionDecision {
+    const {workspace, requestClass, deadlineAtMs} = request;
+    const waitMs = this.getExpectedWaitMs(requestClass);
+    if (nowMs + waitMs >= deadlineAtMs) {
+      return refuse('deadline-unreachable', `its turn would come in ${Math.ceil(waitMs)} ms`);
+    }
+    const isFull = this.queue.getSize() >= limits.maxQueuedRequests;
+    const displaced = isFull ? this.queue.getDisplaceable(limits, workspace) : undefined;
+    if (isFull && !displaced) {
+      return refuse('overloaded', `${this.queue.getSize()} requests are waiting`);
+    }
+    if (displaced) {
+      this.queue.removeRequest(displaced.requestId);
+      this.changeOpenCount(displaced.workspace, -1);
+    }
+    this.queue.addRequest({...request, queuedAtMs: nowMs});
+    this.changeOpenCount(workspace, 1);
+    return {kind: 'queued', displacedRequestId: displaced?.requestId};
   }
 
-  private chooseNext(limits: AdmissionLimits, nowMs: number): WaitingRequest | undefined {
-    const candidates = [...this.waiting.values()].filter(({deadlineAtMs}) => deadlineAtMs > nowMs);
-    if (candidates.length === 0) return undefined;
-    if (this.admittedFromQueue % OLDEST_FIRST_EVERY === OLDEST_FIRST_EVERY - 1) {
-      return candidates.reduce((a, b) => (b.queuedAtMs < a.queuedAtMs ? b : a));
-    }
-    return candidates.reduce((a, b) => (this.compare(limits, b, a) < 0 ? b : a));
+  private addEnd(nowMs: number): void {
+    const {lastEndAtMs, meanIntervalMs} = this;
+    this.lastEndAtMs = nowMs;
+    if (lastEndAtMs === undefined || this.queue.getSize() === 0) return;
+    const intervalMs = nowMs - lastEndAtMs;
+    this.meanIntervalMs =
+      meanIntervalMs === undefined
+        ? intervalMs
+        : meanIntervalMs + INTERVAL_SAMPLE_WEIGHT * (intervalMs - meanIntervalMs);
   }
 
-  private compare(limits: AdmissionLimits, a: WaitingRequest, b: WaitingRequest): number {
+  private hasRequest(requestId: string): boolean {
     return (
-      getPriority(limits, a.requestClass) - getPriority(limits, b.requestClass) ||
-      this.getStartTime(a.workspace) - this.getStartTime(b.workspace)
+      this.running.has(requestId) ||
+      this.queue.getRequests().some(request => request.requestId === requestId)
     );
   }
 
@@ -160,20 +167,12 @@
   }
 
   private changeOpenCount(workspace: string, change: number): void {
-    this.openCounts.set(workspace, this.getOpenCount(workspace) + change);
+    const count = this.getOpenCount(workspace) + change;
+    if (count > 0) this.openCounts.set(workspace, count);
+    else this.openCounts.delete(workspace);
   }
 }
 
 function refuse(errorKind: ErrorKind, reason: string): AdmissionDecision {
   return {kind: 'refused', errorKind, reason};
 }
-
-function getPriority(limits: AdmissionLimits, requestClass: string): number {
-  const found = limits.requestClasses.find(({name}) => name === requestClass);
-  return found?.priority ?? Number.MAX_SAFE_INTEGER;
-}
-
-function getWorkspaceLimit(limits: AdmissionLimits, workspace: string): WorkspaceLimit {
-  const found = limits.workspaces.find(({name}) => name === workspace);
-  return found ?? {name: workspace, shareWeight: 1, maxOpenRequests: 0};
-}
--- a/src/controllers/admission/AdmissionTypes.ts
+++ b/src/controllers/admission/AdmissionTypes.ts
@@ -6,13 +6,17 @@
   readonly requestId: string;
   readonly workspace: string;
   readonly requestClass: string;
+  /** Instant at which its first token must have come, or the request is refused. */
   readonly deadlineAtMs: number;
 }
 
 /** Whether a request may be sent now, waits, or is refused. */
 export type AdmissionDecision =
   | {readonly kind: 'admitted'}
-  | {readonly kind: 'queued'}
+  | {
+      readonly kind: 'queued';
+      /** Waiting request that gave up its place. */ readonly displacedRequestId?: string;
+    }
   | {readonly kind: 'refused'; readonly errorKind: ErrorKind; readonly reason: string};
 
 /** Share and bound of a workspace. */
--- a/src/controllers/admission/index.ts
+++ b/src/controllers/admission/index.ts
@@ -6,3 +6,10 @@
   ClassPriority,
   WorkspaceLimit,
 } from './AdmissionTypes.js';
+export {
+  createConcurrencyLimit,
+  updateConcurrencyLimit,
+  type ConcurrencyBounds,
+  type ConcurrencyLimitState,
+  type LatencySample,
+} from './concurrencyLimit.js';
--- /dev/null
+++ b/tests/controllers/admission/concurrencyLimit.test.ts
@@ -0,0 +1,58 @@
+/** Property tests of the adaptive concurrency limit. */
+import fc from 'fast-check';
+import t from 'tap';
+import {
+  createConcurrencyLimit,
+  updateConcurrencyLimit,
+} from '../../../src/controllers/admission/index.js';
+
+const SEED = 20_261_207;
+const BOUNDS = {minLimit: 1, maxLimit: 32};
+
+t.test('updateConcurrencyLimit', t => {
+  t.test('stays within its bounds', t => {
+    const sampleArbitrary = fc.record({
+      expectedMs: fc.integer({min: 0, max: 1_000}),
+      observedMs: fc.integer({min: 1, max: 60_000}),
+      openRequests: fc.nat(40),
+    });
+    fc.assert(
+      fc.property(fc.array(sampleArbitrary, {maxLength: 200}), samples => {
+        let state = createConcurrencyLimit(BOUNDS);
+        for (const sample of samples) state = updateConcurrencyLimit(state, sample, BOUNDS);
+        return state.limit >= BOUNDS.minLimit && state.limit <= BOUNDS.maxLimit;
+      }),
+      {seed: SEED, numRuns: 1_000},
+    );
+    t.end();
+  });
+  t.test(
+    'finds the capacity of a server that slows down beyond it, and takes more when it can',
+    t => {
+      const capacities = fc.integer({min: 4, max: 20});
+      fc.assert(
+        fc.property(capacities, capacity => {
+          const run = (start: ReturnType<typeof createConcurrencyLimit>, able: number) => {
+            let state = start;
+            for (let i = 0; i < 60; i++) {
+              const openRequests = Math.floor(state.limit);
+              const observedMs = 100 * Math.max(1, (openRequests / able) ** 3);
+              state = updateConcurrencyLimit(
+                state,
+                {expectedMs: 100, observedMs, openRequests},
+                BOUNDS,
+              );
+            }
+            return state;
+          };
+          const lowered = run(createConcurrencyLimit(BOUNDS), capacity);
+          const raised = run(lowered, BOUNDS.maxLimit);
+          return lowered.limit < capacity * 2 && raised.limit > lowered.limit;
+        }),
+        {seed: SEED, numRuns: 100},
+      );
+      t.end();
+    },
+  );
+  t.end();
+});
