--- a/src/controllers/routing/index.ts
+++ b/src/controllers/routing/index.ts
@@ -1,3 +1,11 @@
 export {chooseBackendServer} from './chooseBackendServer.js';
+export {
+  DEFAULT_PREFIX_INDEX,
+  PrefixIndex,
+  type CacheEvent,
+  type CacheEventResult,
+  type CacheEventSlice,
+  type PrefixIndexOptions,
+} from './PrefixIndex.js';
 export type {RoutingDecision, RoutingRequest, RoutingView} from './RoutingTypes.js';
 export {getVersionShares, isBadVersion, type VersionShare} from './versionShares.js';
--- a/src/controllers/warmth/warmthLimit.ts
+++ b/src/controllers/warmth/warmthLimit.ts
@@ -1,5 +1,5 @@
 /** How many requests this entry may have open at a backend server, by the server's warmth. */
-import type {BackendServer, Member} from '../../blackboard/index.js';
+import type {BackendServer, Member, Warmth} from '../../blackboard/index.js';
 import type {Service} from '../../configuration/index.js';
 import {rankByRendezvous} from '../../utils/index.js';
 
@@ -9,29 +9,30 @@
   readonly service: Service;
   readonly entries: readonly Member[];
   readonly ownInstanceId: string;
+  /** From 0, cold, to 1, warm; absent where only the name of the warmth is known. */
+  readonly levelPart?: number;
 }
 
-/** Entries that share a warming backend server. */
-const WARMING_ENTRIES = 2;
+const LEVEL_PARTS: Readonly<Record<Warmth, number>> = {cold: 0, suspect: 0, warming: 0.25, warm: 1};
 
 /**
  * Returns how many requests this entry may have open at the server.
  *
- * A cold server is used by one entry, the first by rendezvous hash, and a warming one by the first two. So all entries
- * together keep to the configured limit without asking each other.
+ * The total over all entries grows with warmth from the cold limit to the warm one and is cut into slices of the cold
+ * limit: the first entry by rendezvous hash owns the first slice, the second one the next. A slice depends on the rank and
+ * on the total only, and grows with the total; so all entries together keep to the highest total that any of them sees,
+ * without asking each other. A warm server is free to all, up to what the service allows.
  * @param view - The server, its service and the entries known here.
  */
 export function getWarmthLimit(view: WarmthLimitView): number {
   const {server, service} = view;
-  switch (server.warmth) {
-    case 'warm':
-      return service.maxConcurrentRequests;
-    case 'warming':
-      return getOwnRank(view) < WARMING_ENTRIES ? service.coldConcurrentRequests : 0;
-    case 'cold':
-    case 'suspect':
-      return getOwnRank(view) === 0 ? service.coldConcurrentRequests : 0;
-  }
+  const levelPart = view.levelPart ?? LEVEL_PARTS[server.warmth];
+  const {maxConcurrentRequests, coldConcurrentRequests} = service;
+  if (levelPart >= 1) return maxConcurrentRequests;
+  const sliceRequests = Math.min(coldConcurrentRequests, maxConcurrentRequests);
+  const growth = Math.floor((maxConcurrentRequests - sliceRequests) * levelPart);
+  const ownStart = getOwnRank(view) * sliceRequests;
+  return Math.min(sliceRequests, Math.max(0, sliceRequests + growth - ownStart));
 }
 
 function getOwnRank({server, entries, ownInstanceId}: WarmthLimitView): number {
--- /dev/null
+++ b/tests/controllers/warmth/warmthLimit.test.ts
@@ -0,0 +1,71 @@
+/** Property tests of the load that all entries together put on a server that is not warm. */
+import fc from 'fast-check';
+import t from 'tap';
+import {getWarmthLimit} from '../../../src/controllers/warmth/index.js';
+import {GUIDANCE, createEntry, createServer} from '../../support/deployment.js';
+
+const SEED = 20_261_208;
+const RUNS = 3_000;
+const ENTRIES = Array.from({length: 9}, (unused, index) => createEntry(`entry-${index}`));
+const SERVICE = {...GUIDANCE, maxConcurrentRequests: 32, coldConcurrentRequests: 2};
+
+/** Returns the sum of the limits of all entries, each with its own view. */
+function getTotal(
+  instanceId: string,
+  views: ReadonlyArray<{readonly missing: readonly number[]; readonly levelPart: number}>,
+): number {
+  const limits = views.map(({missing, levelPart}, own) =>
+    getWarmthLimit({
+      server: createServer(instanceId, {warmth: 'cold'}),
+      service: SERVICE,
+      entries: ENTRIES.filter((unused, index) => index === own || !missing.includes(index)),
+      ownInstanceId: ENTRIES[own].instanceId,
+      levelPart,
+    }),
+  );
+  return limits.reduce((sum, limit) => sum + limit, 0);
+}
+
+t.test('getWarmthLimit', t => {
+  const levels = fc.array(fc.double({min: 0, max: 0.99, noNaN: true}), {
+    minLength: 9,
+    maxLength: 9,
+  });
+  t.test('keeps the total to the highest level that any entry sees', t => {
+    fc.assert(
+      fc.property(fc.uuid(), levels, (instanceId, levelParts) => {
+        const views = levelParts.map(levelPart => ({levelPart, missing: []}));
+        return getTotal(instanceId, views) <= 2 + Math.floor(30 * Math.max(...levelParts));
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.end();
+  });
+  t.test('exceeds the cold limit by one slice at most for each entry missing from a view', t => {
+    const missing = fc.uniqueArray(fc.nat(8), {maxLength: 3});
+    fc.assert(
+      fc.property(
+        fc.uuid(),
+        fc.array(missing, {minLength: 9, maxLength: 9}),
+        (instanceId, missingByEntry) => {
+          const most = Math.max(...missingByEntry.map(({length}) => length));
+          const views = missingByEntry.map(list => ({levelPart: 0, missing: list}));
+          return getTotal(instanceId, views) <= 2 * (1 + most);
+        },
+      ),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.end();
+  });
+  t.test('lets every server have an owner while views agree', t => {
+    fc.assert(
+      fc.property(fc.uuid(), instanceId => {
+        const views = ENTRIES.map(() => ({levelPart: 0, missing: []}));
+        return getTotal(instanceId, views) === 2;
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.end();
+  });
+  t.end();
+});
