Quarantine and drain decisions; design notes of the request path

Cause: an accepted request is replayed after a crash, so a poison request would walk through all servers. Reports go out before the next try, one entry watches, and a second crash quarantines: at most two crashes over four entries in 1000 sequences of sends, where reports arrive before the caller's next send.

--- /dev/null
+++ b/src/controllers/drain/index.ts
@@ -0,0 +1,7 @@
+export {
+  decideDrain,
+  getRequestsToHandOver,
+  type DrainDecision,
+  type DrainView,
+  type OpenRequestView,
+} from './decideDrain.js';
--- /dev/null
+++ b/tests/controllers/quarantine/QuarantineLedger.test.ts
@@ -0,0 +1,107 @@
+/** Tests of the quarantine, over several entries in virtual time. */
+import fc from 'fast-check';
+import t from 'tap';
+import {DEFAULT_QUARANTINE, QuarantineLedger} from '../../../src/controllers/quarantine/index.js';
+import type {Incident} from '../../../src/blackboard/index.js';
+
+const SEED = 20_261_210;
+const RUNS = 1_000;
+const SETTLED_MS = DEFAULT_QUARANTINE.settleMs;
+
+function createLedger(ownInstanceId: string): QuarantineLedger {
+  return new QuarantineLedger({...DEFAULT_QUARANTINE, ownInstanceId});
+}
+
+function attempt(fingerprint: string, instanceId: string) {
+  return {attemptId: `${fingerprint}@${instanceId}`, fingerprint, service: 's', instanceId};
+}
+
+function crash(instanceId: string, atMs: number, failureDomain = instanceId) {
+  return {instanceId, failureDomain, atMs};
+}
+
+t.test('QuarantineLedger', t => {
+  t.test('watches a suspect alone and refuses it after its second crash', t => {
+    const ledger = createLedger('entry-1');
+    ledger.addAttempt(attempt('poison', 'a'));
+    ledger.addAttempt(attempt('victim', 'a'));
+    t.equal(ledger.addCrash(crash('a', 0)).length, 2);
+    t.match(ledger.decide('poison', 0), {kind: 'wait'});
+    t.match(ledger.decide('other', 0), {kind: 'run'});
+    t.match(ledger.decide('poison', SETTLED_MS), {kind: 'run-watched'});
+    ledger.addAttempt(attempt('poison', 'b'));
+    const decision = ledger.decide('victim', SETTLED_MS);
+    t.same(decision.kind === 'run-watched' && [...decision.busyInstanceIds], ['b']);
+    const [incident] = ledger.addCrash(crash('b', 1_000));
+    t.equal(incident.kind, 'poison-quarantined');
+    t.match(ledger.decide('poison', 1_001), {kind: 'refused'});
+    t.match(ledger.decide('victim', 1_001), {kind: 'run-watched'});
+    t.end();
+  });
+  t.test('clears a suspect that was answered, here and at peers', t => {
+    const ledger = createLedger('entry-1');
+    const peer = createLedger('entry-2');
+    ledger.addAttempt(attempt('victim', 'a'));
+    for (const incident of ledger.addCrash(crash('a', 0))) peer.addIncident(incident, 0);
+    t.match(peer.decide('victim', SETTLED_MS), {kind: 'wait'}, 'only one entry tries it');
+    ledger.addAttempt(attempt('victim', 'b'));
+    for (const incident of ledger.removeAttempt('victim@b', true, 900)) {
+      peer.addIncident(incident, 900);
+    }
+    t.match(ledger.decide('victim', 901), {kind: 'run'});
+    t.match(peer.decide('victim', 901), {kind: 'run'});
+    t.end();
+  });
+  t.test('puts the loss of a failure domain down to the domain', t => {
+    const ledger = createLedger('entry-1');
+    for (const id of ['a', 'b', 'c', 'd']) ledger.addAttempt(attempt(`request-${id}`, id));
+    ledger.addCrash(crash('a', 0, 'oslo-a'));
+    ledger.addCrash(crash('b', 10, 'oslo-a'));
+    t.same(ledger.addCrash(crash('c', 20, 'oslo-a')), []);
+    t.equal(ledger.addCrash(crash('d', 30, 'oslo-b')).length, 1);
+    t.end();
+  });
+  t.test('lets a suspicion lapse', t => {
+    const ledger = createLedger('entry-1');
+    ledger.addAttempt(attempt('victim', 'a'));
+    ledger.addCrash(crash('a', 0));
+    t.match(ledger.decide('victim', DEFAULT_QUARANTINE.suspicionMs), {kind: 'run'});
+    t.end();
+  });
+  t.test('lets a poison request crash two servers at most over all entries', t => {
+    const sends = fc.array(fc.record({entry: fc.nat(3), afterMs: fc.nat(2_000)}), {
+      minLength: 1,
+      maxLength: 30,
+    });
+    fc.assert(
+      fc.property(sends, fc.nat(250), (steps, reportMs) => {
+        const ledgers = [0, 1, 2, 3].map(index => createLedger(`entry-${index}`));
+        const reports: Array<{atMs: number; from: number; incident: Incident}> = [];
+        let nowMs = 0;
+        let crashes = 0;
+        for (const {entry, afterMs} of steps) {
+          // A caller sends its request again once it was answered, which is after the report has gone out.
+          nowMs += afterMs + (crashes > 0 ? reportMs : 0);
+          for (const {atMs, from, incident} of reports) {
+            const isHeard = atMs <= nowMs;
+            ledgers.forEach((ledger, index) => {
+              if (isHeard && index !== from) ledger.addIncident(incident, nowMs);
+            });
+          }
+          const kind = ledgers[entry].decide('poison', nowMs).kind;
+          if (kind !== 'run' && kind !== 'run-watched') continue;
+          const instanceId = `server-${crashes}`;
+          crashes += 1;
+          ledgers[entry].addAttempt(attempt('poison', instanceId));
+          for (const incident of ledgers[entry].addCrash(crash(instanceId, nowMs))) {
+            reports.push({atMs: nowMs + reportMs, from: entry, incident});
+          }
+        }
+        return crashes <= 2;
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.end();
+  });
+  t.end();
+});
