--- a/src/folds/ConfigurationFold.ts
+++ b/src/folds/ConfigurationFold.ts
@@ -1,7 +1,7 @@
 /** The configuration in force, as the configuration stream gives it. */
 import type {Configuration} from '../configuration/index.js';
-import type {LogBodyOf, PlacedRecord} from '../records/index.js';
-import {RepeatFilter, type Fold} from './Fold.js';
+import type {LogBody, LogBodyOf, PlacedRecord} from '../records/index.js';
+import type {SnapshotFold} from './Fold.js';
 
 /** Whether a published configuration was accepted. */
 export interface ConfigurationVerdict {
@@ -12,9 +12,12 @@
   readonly publishedBy: string;
 }
 
-/** Accepts a configuration where it replaces the revision in force; revisions only grow. */
-export class ConfigurationFold implements Fold {
-  private readonly repeats = new RepeatFilter();
+/**
+ * Accepts a configuration where it replaces the revision in force; revisions only grow. A repeated append replaces a
+ * revision that is no longer in force, so repeats need no filter, and a snapshot carries the whole state.
+ */
+export class ConfigurationFold implements SnapshotFold {
+  private isWhole = true;
   private revision = 0;
   private configuration: Configuration | undefined;
   private publishedBy = '';
@@ -22,10 +25,35 @@
 
   applyRecord(placed: PlacedRecord): void {
     this.lastVerdict = undefined;
-    if (this.repeats.isRepeat(placed)) return;
     const {body} = placed.record;
     if (body.kind === 'configuration') this.applyConfiguration(body);
-    if (body.kind === 'configuration-snapshot') this.applySnapshot(body);
+    if (body.kind === 'configuration-snapshot') this.applySnapshot(body, placed.offset);
+  }
+
+  markIncomplete(): void {
+    this.isWhole = false;
+  }
+
+  isComplete(): boolean {
+    return this.isWhole;
+  }
+
+  createSnapshot(coversOffset: number): readonly LogBody[] {
+    const {revision, configuration, publishedBy} = this;
+    if (!configuration) return [];
+    return [{kind: 'configuration-snapshot', coversOffset, revision, configuration, publishedBy}];
+  }
+
+  /**
+   * Takes over the state of a daemon that has read further; a lower revision than this one's is left.
+   * @param snapshot - The other's state.
+   */
+  restoreSnapshot(snapshot: LogBodyOf<'configuration-snapshot'>): void {
+    this.isWhole = true;
+    if (snapshot.revision <= this.revision) return;
+    this.revision = snapshot.revision;
+    this.configuration = snapshot.configuration;
+    this.publishedBy = snapshot.publishedBy ?? '';
   }
 
   /** Returns the revision in force; 0 before the first. */
@@ -44,7 +72,7 @@
   }
 
   private applyConfiguration(body: LogBodyOf<'configuration'>): void {
-    const isAccepted = body.replacesRevision === this.revision;
+    const isAccepted = this.isWhole && body.replacesRevision === this.revision;
     if (isAccepted) {
       this.revision += 1;
       this.configuration = body.configuration;
@@ -53,9 +81,9 @@
     this.lastVerdict = {isAccepted, revision: this.revision, publishedBy: this.publishedBy};
   }
 
-  private applySnapshot(body: LogBodyOf<'configuration-snapshot'>): void {
-    if (body.revision <= this.revision) return;
-    this.revision = body.revision;
-    this.configuration = body.configuration;
+  /** Only a reader that missed records needs a snapshot, and only one with no record after what it covers is sure. */
+  private applySnapshot(body: LogBodyOf<'configuration-snapshot'>, offset: number): void {
+    if (this.isWhole || body.coversOffset !== offset - 1) return;
+    this.restoreSnapshot(body);
   }
 }
--- a/src/folds/index.ts
+++ b/src/folds/index.ts
@@ -1,14 +1,9 @@
-export {
-  ClaimsFold,
-  DEFAULT_CLAIM_KEEP_MS,
-  type ClaimOutcome,
-  type ClaimsFoldOptions,
-  type KeptClaim,
-} from './ClaimsFold.js';
+export {ClaimsFold, DEFAULT_CLAIM_KEEP_MS, type ClaimsFoldOptions} from './ClaimsFold.js';
 export {ConfigurationFold, type ConfigurationVerdict} from './ConfigurationFold.js';
 export {FleetFold} from './FleetFold.js';
 export type {FleetRejection, FleetVerdict} from './FleetVerdict.js';
-export {RepeatFilter, type Fold} from './Fold.js';
+export type {ClaimOutcome, KeptClaim} from './KeptClaim.js';
+export {RepeatFilter, type Fold, type SnapshotFold} from './Fold.js';
 export type {LeaseState} from './LeaseFold.js';
 export {isMoveEnded} from './MoveFold.js';
 export type {Quarantine} from './QuarantineFold.js';
--- a/src/log/LogTailer.ts
+++ b/src/log/LogTailer.ts
@@ -1,5 +1,5 @@
 /** Follows a stream of the log and hands each record to a fold, in order, once. */
-import type {LogAccess, StoredRecord} from './LogClient.js';
+import type {LogAccess, LogSlice, StoredRecord} from './LogClient.js';
 import type {LogStream} from '../records/index.js';
 import {systemSleep, type Sleep} from './Sleep.js';
 
@@ -18,7 +18,8 @@
   readonly sleep?: Sleep;
 }
 
-const DEFAULT_LONG_POLL_MS = 10_000;
+/** Short, so that a connection that has gone silent under a poll is noticed within a few seconds. */
+const DEFAULT_LONG_POLL_MS = 2_000;
 const DEFAULT_RETRY_DELAY_MS = 250;
 const MAX_RECORDS_PER_READ = 1_000;
 
@@ -50,6 +51,14 @@
     return this.nextOffset;
   }
 
+  /**
+   * Goes on after records that were learnt from elsewhere; never back.
+   * @param nextOffset - Offset of the next record to read.
+   */
+  skipTo(nextOffset: number): void {
+    this.nextOffset = Math.max(this.nextOffset, nextOffset);
+  }
+
   /** Returns the instant at which a read last reached the end of the stream; undefined before. */
   getCaughtUpAtMs(): number | undefined {
     return this.caughtUpAtMs;
@@ -68,20 +77,31 @@
   }
 
   private async readOnce(signal: AbortSignal): Promise<void> {
-    const {stream, log, getNowMs, onRecords, onGap, longPollMs} = this.options;
+    const {stream, log, getNowMs, longPollMs = DEFAULT_LONG_POLL_MS} = this.options;
     const askedAtMs = getNowMs();
+    const waitMs = this.caughtUpAtMs === undefined ? 0 : longPollMs;
     const slice = await log.read(stream, {
       fromOffset: this.nextOffset,
       maxRecords: MAX_RECORDS_PER_READ,
-      waitMs: this.caughtUpAtMs === undefined ? 0 : (longPollMs ?? DEFAULT_LONG_POLL_MS),
+      waitMs,
       signal,
     });
-    if (slice.earliestOffset > this.nextOffset) onGap?.(this.nextOffset, slice.earliestOffset);
-    if (slice.records.length > 0) onRecords(slice.records);
-    this.nextOffset = slice.nextOffset;
-    // A long poll that ends without records proves the end as of its end, not only of its start.
-    if (slice.nextOffset >= slice.endOffset) {
-      this.caughtUpAtMs = slice.records.length > 0 ? askedAtMs : getNowMs();
-    }
+    if (signal.aborted) return;
+    this.takeSlice(slice);
+    if (slice.nextOffset < slice.endOffset) return;
+    // An empty long poll proves the end as of its end, but a pause may lie between its end and this line.
+    const provenAtMs = slice.records.length > 0 ? askedAtMs : askedAtMs + waitMs;
+    this.caughtUpAtMs = Math.min(getNowMs(), provenAtMs);
+  }
+
+  /** Passes on what is new; the offset moves first, so that a callback that throws sees no record twice. */
+  private takeSlice(slice: LogSlice): void {
+    const {onRecords, onGap} = this.options;
+    const expected = this.nextOffset;
+    const records = slice.records.filter(({offset}) => offset >= expected);
+    const firstKept = Math.max(slice.earliestOffset, records[0]?.offset ?? 0);
+    this.nextOffset = Math.max(expected, slice.nextOffset);
+    if (firstKept > expected) onGap?.(expected, firstKept);
+    if (records.length > 0) onRecords(records);
   }
 }
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -8,5 +8,5 @@
 } from './LogClient.js';
 export {LogTailer, type LogTailerOptions} from './LogTailer.js';
 export {LogWriter, type LogWriterOptions} from './LogWriter.js';
-export {StreamFollower, type RecordApplier, type StreamFollowerOptions} from './StreamFollower.js';
+export {StreamFollower, type StreamFollowerOptions} from './StreamFollower.js';
 export {systemSleep, type Sleep} from './Sleep.js';
--- a/src/records/LogRecord.ts
+++ b/src/records/LogRecord.ts
@@ -31,6 +31,8 @@
   coversOffset: z.number().int(),
   revision: z.number().int().positive(),
   configuration: configurationSchema,
+  /** Who published the revision. */
+  publishedBy: z.string().optional(),
 });
 
 /** Claims the lease after the lease record at `followsOffset`; accepted where that is the newest. */
