--- a/src/claims/ClaimService.ts
+++ b/src/claims/ClaimService.ts
@@ -143,11 +143,14 @@
   }
 
   private getVerdict(request: ClaimRequest): ClaimAnswer | undefined {
-    const claim = this.fold.getClaim(request.workspace, request.key);
-    if (!claim) return undefined;
+    const {fold, options} = this;
+    const claim = fold.getClaim(request.workspace, request.key);
     const isClaimantLive =
-      claim.claimant === this.options.claimant || this.options.isClaimantLive(claim.claimant);
-    return decideClaim({claim, isClaimantLive}, request);
+      claim !== undefined &&
+      (claim.claimant === options.claimant || options.isClaimantLive(claim.claimant));
+    const isHistoryWhole = fold.isComplete();
+    const forgottenBeforeMs = fold.getForgottenBeforeMs();
+    return decideClaim({claim, isClaimantLive, isHistoryWhole, forgottenBeforeMs}, request);
   }
 
   private isOutcomeKept({workspace, key, attemptId, run}: OutcomeProposal): boolean {
@@ -171,7 +174,8 @@
   /** A claim that stands only after its request was refused never runs, and only this process knows it. */
   private releaseAbandonedClaim(workspace: string, key: string): void {
     const claim = this.fold.getClaim(workspace, key);
-    if (!claim || !this.abandonedAttempts.delete(claim.attemptId)) return;
+    if (!claim || !this.fold.isComplete()) return;
+    if (!this.abandonedAttempts.delete(claim.attemptId)) return;
     const {attemptId} = claim;
     this.batcher.addOutcome({workspace, key, attemptId, run: 'not-run'});
   }
--- a/src/controllers/claims/decideClaim.ts
+++ b/src/controllers/claims/decideClaim.ts
@@ -27,8 +27,12 @@
 
 /** What the verdict on a claim is drawn from. */
 export interface ClaimView {
-  /** Claim that holds the key. */
-  readonly claim: KeptClaim;
+  /** Claim that holds the key; undefined where none is known. */
+  readonly claim: KeptClaim | undefined;
+  /** Whether every record of the stream that still matters was read. */
+  readonly isHistoryWhole: boolean;
+  /** Instant by the log's clock before which claims are forgotten. */
+  readonly forgottenBeforeMs: number;
   /** Whether the claimant's process is known to run. */
   readonly isClaimantLive: boolean;
 }
@@ -36,13 +40,44 @@
 /** Time for which a granted claim may be used; see `isClaimFresh`. */
 export const CLAIM_FRESH_MS = 5_000;
 
+const UUID_V7 = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+const UUID_V7_TIME_DIGITS = 12;
+const HEXADECIMAL = 16;
+/** Difference between the clocks of caller and log that still leaves a forgotten key recognised. */
+const KEY_CLOCK_MARGIN_MS = 3_600_000;
+
+const UNKNOWN: ClaimAnswer = {verdict: 'unknown', isKnownNotRun: false};
+
 /**
- * Returns the verdict for a request whose key is held.
- * @param view - The claim that holds the key.
+ * Returns the verdict for a request; undefined where its key is free and may be claimed.
+ * @param view - The claim that holds the key, and what is known of its history.
  * @param request - The request; granted where the claim is its own.
  */
-export function decideClaim(
-  {claim, isClaimantLive}: ClaimView,
+export function decideClaim(view: ClaimView, request: ClaimRequest): ClaimAnswer | undefined {
+  const {claim, isHistoryWhole} = view;
+  if (claim?.outcome?.run === 'ran') return decideHeldKey(claim, view, request);
+  if (!isHistoryWhole) return UNKNOWN;
+  if (claim) return decideHeldKey(claim, view, request);
+  return isKeyForgotten(request.key, view.forgottenBeforeMs) ? UNKNOWN : undefined;
+}
+
+/**
+ * Returns the instant that a key carries; undefined where it is no UUID of version 7.
+ * @param key - The idempotency key.
+ */
+export function getKeyTimeMs(key: string): number | undefined {
+  if (!UUID_V7.test(key)) return undefined;
+  return Number.parseInt(key.replaceAll('-', '').slice(0, UUID_V7_TIME_DIGITS), HEXADECIMAL);
+}
+
+function isKeyForgotten(key: string, forgottenBeforeMs: number): boolean {
+  const keyTimeMs = getKeyTimeMs(key);
+  return keyTimeMs !== undefined && keyTimeMs < forgottenBeforeMs + KEY_CLOCK_MARGIN_MS;
+}
+
+function decideHeldKey(
+  claim: KeptClaim,
+  {isClaimantLive, forgottenBeforeMs}: ClaimView,
   request: ClaimRequest,
 ): ClaimAnswer {
   if (claim.fingerprint !== request.fingerprint) {
@@ -54,11 +89,14 @@
     case 'not-run':
       return {verdict: 'not-run', isKnownNotRun: true};
     case 'unknown':
-      return {verdict: 'unknown', isKnownNotRun: false};
+      return UNKNOWN;
     default:
       break;
   }
-  if (claim.attemptId === request.attemptId) return {verdict: 'granted', isKnownNotRun: false};
+  if (claim.attemptId === request.attemptId) {
+    if (isKeyForgotten(request.key, forgottenBeforeMs)) return UNKNOWN;
+    return {verdict: 'granted', isKnownNotRun: false};
+  }
   return {verdict: isClaimantLive ? 'held' : 'unknown', isKnownNotRun: false};
 }
 
--- a/src/controllers/claims/index.ts
+++ b/src/controllers/claims/index.ts
@@ -1,6 +1,7 @@
 export {
   CLAIM_FRESH_MS,
   decideClaim,
+  getKeyTimeMs,
   isClaimFresh,
   type ClaimAnswer,
   type ClaimRequest,
--- a/src/log/LogWriter.ts
+++ b/src/log/LogWriter.ts
@@ -18,6 +18,7 @@
 }
 
 const DEFAULT_RETRY_DELAY_MS = 100;
+const MAX_RETRY_DELAY_MS = 1_000;
 
 interface PendingProposal {
   readonly sequence: number;
@@ -91,12 +92,14 @@
     signal: AbortSignal,
   ): Promise<void> {
     const {stream, log, retryDelayMs = DEFAULT_RETRY_DELAY_MS, sleep = systemSleep} = this.options;
+    let delayMs = retryDelayMs;
     while (!signal.aborted) {
       try {
         await log.append(stream, payloads);
         return;
       } catch {
-        await sleep(retryDelayMs, signal);
+        await sleep(delayMs, signal);
+        delayMs = Math.min(delayMs * 2, MAX_RETRY_DELAY_MS);
       }
     }
   }
