--- a/src/folds/FleetFold.ts
+++ b/src/folds/FleetFold.ts
@@ -1,10 +1,10 @@
 /** The state of the fleet stream: lease, version moves, failure domains and quarantines. */
 import {z} from 'zod';
 import type {FailureDomainStatus, Move} from '../blackboard/index.js';
-import type {LogBodyOf, PlacedRecord} from '../records/index.js';
+import type {LogBody, LogBodyOf, PlacedRecord} from '../records/index.js';
 import {FailureDomainFold, failureDomainStatusSchema} from './FailureDomainFold.js';
 import {ACCEPTED, reject, type FleetVerdict} from './FleetVerdict.js';
-import {RepeatFilter, type Fold} from './Fold.js';
+import {RepeatFilter, type SnapshotFold} from './Fold.js';
 import {LeaseFold, leaseStateSchema, type LeaseState} from './LeaseFold.js';
 import {MoveFold, moveSchema} from './MoveFold.js';
 import {QuarantineFold, quarantineSchema, type Quarantine} from './QuarantineFold.js';
@@ -18,7 +18,7 @@
 });
 
 /** Folds the fleet stream; after a gap it ignores records until a snapshot gives it the whole state again. */
-export class FleetFold implements Fold {
+export class FleetFold implements SnapshotFold {
   private readonly repeats = new RepeatFilter();
   private readonly lease = new LeaseFold();
   private readonly moves = new MoveFold();
@@ -69,6 +69,10 @@
     return this.lastVerdict;
   }
 
+  createSnapshot(coversOffset: number): readonly LogBody[] {
+    return [{kind: 'fleet-snapshot', coversOffset, state: this.getSnapshotState()}];
+  }
+
   /** Returns the whole state for the `state` field of a snapshot record. */
   getSnapshotState(): string {
     const lastSequences = [...this.repeats.getLastSequences()];
