Whole questionnaire with interview and difference; moves, failure domains, instances, stats and events

Cause: operators drive the system by answering again, announcing moves and taking failure domains out. What: an interview whose later questions follow from the answers so far, with a way back and defaults from what is in force; the difference before publishing over the revision that it was shown against; the fleet stream's orders with the fold's verdict as words.

--- a/src/bin/buckthornctl.ts
+++ b/src/bin/buckthornctl.ts
@@ -1,26 +1,50 @@
 #!/usr/bin/env node
 /** The operators' client. */
+import {createInterface} from 'node:readline';
 import {subcommands} from 'cmd-ts';
 import {
   createConfigurationCommands,
+  createDomainCommands,
+  createEventsCommand,
+  createInstancesCommand,
+  createMoveCommands,
   createQuestionnaireCommand,
+  createStatsCommand,
   type OperatorContext,
 } from '../operator/index.js';
 import {runCommandLine, type RunnableCommand} from '../settings/index.js';
 
+/** Lines typed so far and not yet asked for, so that piped input loses none. */
+let lines: AsyncIterator<string> | undefined;
+
+async function ask(prompt: string): Promise<string | undefined> {
+  process.stderr.write(prompt);
+  lines ??= createInterface({input: process.stdin})[Symbol.asyncIterator]();
+  const {value, done} = await lines.next();
+  return done ? undefined : value;
+}
+
 const context: OperatorContext = {
   getNowMs: Date.now,
-  writeLine: line => process.stdout.write(`${line}\n`),
-  writeProgress: line => process.stderr.write(`${line}\n`),
+  ask,
+  writeLine: line => void process.stdout.write(`${line}\n`),
+  writeProgress: line => void process.stderr.write(`${line}\n`),
 };
 
 const commands = subcommands({
   name: 'buckthornctl',
-  description: "The operators' client of buckthorngw",
+  description:
+    "The operators' client of buckthorngw. Exit codes: 0 done, 1 failed, refused or taken back, 2 bad settings or answers.",
   cmds: {
     questionnaire: createQuestionnaireCommand(context),
     config: createConfigurationCommands(context),
+    move: createMoveCommands(context),
+    domain: createDomainCommands(context),
+    instances: createInstancesCommand(context),
+    stats: createStatsCommand(context),
+    events: createEventsCommand(context),
   },
 }) as unknown as RunnableCommand;
 
 await runCommandLine(commands, process.argv.slice(2));
+process.stdin.destroy();
--- a/src/operator/ConfigurationCommands.ts
+++ b/src/operator/ConfigurationCommands.ts
@@ -16,6 +16,7 @@
 } from './OperatorContext.js';
 import {
   DAEMONS_SETTINGS,
+  JSON_FLAG,
   LOG_SETTINGS,
   PUBLISH_SETTINGS,
   type DaemonsSettings,
@@ -23,8 +24,6 @@
 } from './OperatorSettings.js';
 import {formatTable} from './Tables.js';
 
-const JSON_FLAG = {json: 'Prints JSON'} as const;
-
 /** Builds the `config` commands. */
 export function createConfigurationCommands(context: OperatorContext): RunnableCommand {
   return subcommands({
@@ -42,6 +41,8 @@
 /** What `publishAndWait` publishes, and what it tells on the way. */
 export interface PublishOrder {
   readonly configuration: Configuration;
+  /** The revision that the operator has seen in force. */
+  readonly replacesRevision: number;
   /** Called once the configuration is accepted, before the wait. */
   readonly onAccepted?: () => void;
 }
@@ -56,11 +57,10 @@
  */
 export async function publishAndWait(
   stream: ConfigurationStream,
-  {configuration, onAccepted}: PublishOrder,
+  {configuration, replacesRevision, onAccepted}: PublishOrder,
   settings: DaemonsSettings & PublishSettings,
   context: OperatorContext,
 ): Promise<void> {
-  const replacesRevision = stream.getInForce().revision;
   const result = await stream.publish(configuration, replacesRevision, settings.operator);
   throwUnlessAccepted(result, replacesRevision);
   context.writeLine(`accepted at offset ${result.offset} as revision ${result.revision}`);
@@ -110,9 +110,10 @@
     commandArguments: {file: 'A configuration in JSON, as `config show --json` prints it'},
     run: async settings => {
       const configuration = await readConfigurationFile(settings.commandArguments.file);
-      await withConfigurationStream(settings, context, stream =>
-        publishAndWait(stream, {configuration}, settings, context),
-      );
+      await withConfigurationStream(settings, context, stream => {
+        const replacesRevision = stream.getInForce().revision;
+        return publishAndWait(stream, {configuration, replacesRevision}, settings, context);
+      });
     },
   });
 }
--- a/src/operator/OperatorContext.ts
+++ b/src/operator/OperatorContext.ts
@@ -3,17 +3,27 @@
 import {LogClient} from '../log/index.js';
 import {ConfigurationStream} from './ConfigurationStream.js';
 import {DaemonsClient} from './DaemonsClient.js';
+import {FleetStream} from './FleetStream.js';
+import type {SessionOptions} from './StreamSession.js';
 import type {DaemonsSettings, LogSettings} from './OperatorSettings.js';
 
 /** Clock, output and identity of the process. */
 export interface OperatorContext {
   readonly getNowMs: () => number;
+  /** Shows a prompt and returns the line typed; undefined where the input has ended. */
+  readonly ask: (prompt: string) => Promise<string | undefined>;
   /** Writes a result; standard output. */
   readonly writeLine: (line: string) => void;
   /** Writes progress; standard error. */
   readonly writeProgress: (line: string) => void;
 }
 
+/** A stream that is read before it is used. */
+interface OpenableStream {
+  open(): Promise<void>;
+  close(): Promise<void>;
+}
+
 /**
  * Runs with the configuration stream read to its end.
  * @param settings - Where the log is.
@@ -21,24 +31,25 @@
  * @param act - What to do with the stream.
  */
 export async function withConfigurationStream<Result>(
-  {logUrl, logTimeoutMs}: LogSettings,
-  {getNowMs}: OperatorContext,
+  settings: LogSettings,
+  context: OperatorContext,
   act: (stream: ConfigurationStream) => Promise<Result>,
 ): Promise<Result> {
-  const log = new LogClient({url: logUrl, timeoutMs: logTimeoutMs});
-  const stream = new ConfigurationStream({
-    log,
-    writer: createWriterId(),
-    getNowMs,
-    timeoutMs: logTimeoutMs,
-  });
-  try {
-    await stream.open();
-    return await act(stream);
-  } finally {
-    await stream.close();
-    await log.close();
-  }
+  return withStream(settings, context, options => new ConfigurationStream(options), act);
+}
+
+/**
+ * Runs with the fleet stream read to its end.
+ * @param settings - Where the log is.
+ * @param context - The process.
+ * @param act - What to do with the stream.
+ */
+export async function withFleetStream<Result>(
+  settings: LogSettings,
+  context: OperatorContext,
+  act: (stream: FleetStream) => Promise<Result>,
+): Promise<Result> {
+  return withStream(settings, context, options => new FleetStream(options), act);
 }
 
 /**
@@ -62,3 +73,20 @@
 export function createWriterId(): string {
   return `buckthornctl-${randomUUID()}`;
 }
+
+async function withStream<Stream extends OpenableStream, Result>(
+  {logUrl, logTimeoutMs}: LogSettings,
+  {getNowMs}: OperatorContext,
+  create: (options: SessionOptions) => Stream,
+  act: (stream: Stream) => Promise<Result>,
+): Promise<Result> {
+  const log = new LogClient({url: logUrl, timeoutMs: logTimeoutMs});
+  const stream = create({log, writer: createWriterId(), getNowMs, timeoutMs: logTimeoutMs});
+  try {
+    await stream.open();
+    return await act(stream);
+  } finally {
+    await stream.close();
+    await log.close();
+  }
+}
--- a/src/operator/OperatorSettings.ts
+++ b/src/operator/OperatorSettings.ts
@@ -4,6 +4,7 @@
   parseHttpUrl,
   parseText,
   parseWholeNumber,
+  type SettingDefinition,
   type SettingDefinitions,
 } from '../settings/index.js';
 
@@ -70,15 +71,21 @@
   },
 };
 
+/** Prints JSON in place of tables. */
+export const JSON_FLAG = {json: 'Prints JSON'} as const;
+
+/** Who gives the order. */
+export const OPERATOR_SETTING: SettingDefinition<string> = {
+  flag: 'operator',
+  variable: 'BUCKTHORN_OPERATOR',
+  description: 'Who gives the order; shown to an operator who loses a race',
+  parse: parseText,
+  defaultText: userInfo().username,
+};
+
 /** Who publishes and how long to wait until it is in force. */
 export const PUBLISH_SETTINGS: SettingDefinitions<PublishSettings> = {
-  operator: {
-    flag: 'operator',
-    variable: 'BUCKTHORN_OPERATOR',
-    description: 'Who publishes; shown to an operator who loses a race',
-    parse: parseText,
-    defaultText: userInfo().username,
-  },
+  operator: OPERATOR_SETTING,
   waitMs: {
     flag: 'wait-ms',
     variable: 'BUCKTHORN_WAIT_MS',
@@ -87,3 +94,11 @@
     defaultText: '30000',
   },
 };
+
+/** Returns a setting that may be absent; its value is then empty. */
+export function toOptionalSetting(
+  definition: SettingDefinition<string>,
+): SettingDefinition<string> {
+  const {parse} = definition;
+  return {...definition, defaultText: '', parse: text => (text === '' ? '' : parse(text))};
+}
--- a/src/operator/Tables.ts
+++ b/src/operator/Tables.ts
@@ -4,6 +4,11 @@
 export type Cell = string | number;
 
 const COLUMN_GAP = '  ';
+const DURATION_UNITS = [
+  {ms: 3_600_000, name: 'h'},
+  {ms: 60_000, name: 'min'},
+  {ms: 1_000, name: 's'},
+] as const;
 
 /**
  * Returns a table as lines.
@@ -25,6 +30,17 @@
   );
 }
 
+/** Returns an instant as people read it, to the second. */
+export function formatInstant(atMs: number): string {
+  return new Date(atMs).toISOString().replace(/\.\d+Z$/, 'Z');
+}
+
+/** Returns a duration in its largest fitting unit. */
+export function formatDuration(durationMs: number): string {
+  const unit = DURATION_UNITS.find(({ms}) => Math.abs(durationMs) >= ms) ?? {ms: 1, name: 'ms'};
+  return `${Math.round((durationMs / unit.ms) * 10) / 10} ${unit.name}`;
+}
+
 function padCell(cell: Cell, width: number): string {
   return typeof cell === 'number' ? String(cell).padStart(width) : cell.padEnd(width);
 }
--- a/src/operator/index.ts
+++ b/src/operator/index.ts
@@ -22,3 +22,8 @@
 export type {OperatorContext} from './OperatorContext.js';
 export {StreamSession, type SessionOptions} from './StreamSession.js';
 export {createQuestionnaireCommand} from './QuestionnaireCommand.js';
+export {createDomainCommands} from './DomainCommands.js';
+export {createEventsCommand, formatEvent, type LogEvent} from './EventsCommand.js';
+export {createInstancesCommand, createStatsCommand, formatMetrics} from './InspectCommands.js';
+export {createMoveCommands, getCurrentVersion, getMoveOrThrow} from './MoveCommands.js';
+export {parseDeadline} from './Deadlines.js';
--- a/src/questionnaire/AnswersFile.ts
+++ b/src/questionnaire/AnswersFile.ts
@@ -6,6 +6,8 @@
 import {answersSchema, type Answers} from './Answers.js';
 import {checkAnswers, formatIssue, type AnswerIssue} from './AnswersCheck.js';
 
+const MAX_SHOWN_LENGTH = 80;
+
 /**
  * Reads and checks an answers file.
  * @param path - Path of the file.
@@ -29,6 +31,18 @@
  * @throws ServingError of kind `invalid-settings` naming each question and value that can't stand.
  */
 export function parseAnswers(text: string, nowMs: number): Answers {
+  const issues = findAnswerIssues(text, nowMs);
+  if (issues.length > 0) throwIssues(issues);
+  return answersSchema.parse(parse(text));
+}
+
+/**
+ * Returns what is wrong with answers; empty where they stand.
+ * @param text - YAML, of which JSON is a part.
+ * @param nowMs - The present time.
+ * @throws ServingError of kind `invalid-settings` where the text is neither.
+ */
+export function findAnswerIssues(text: string, nowMs: number): readonly AnswerIssue[] {
   let value: unknown;
   try {
     value = parse(text);
@@ -40,10 +54,8 @@
     });
   }
   const parsed = answersSchema.safeParse(value);
-  if (!parsed.success) throwIssues(parsed.error.issues.map(issue => toAnswerIssue(issue, value)));
-  const issues = checkAnswers(parsed.data, nowMs);
-  if (issues.length > 0) throwIssues(issues);
-  return parsed.data;
+  if (!parsed.success) return parsed.error.issues.map(issue => toAnswerIssue(issue, value));
+  return checkAnswers(parsed.data, nowMs);
 }
 
 function throwIssues(issues: readonly AnswerIssue[]): never {
@@ -61,11 +73,16 @@
   }
   return {
     question: names.join('.') || 'answers',
-    value: value === undefined ? 'nothing' : (JSON.stringify(value) ?? String(value)).slice(0, 80),
+    value: formatValue(value),
     message: `- ${issue.message}`,
   };
 }
 
+function formatValue(value: unknown): string {
+  if (value === undefined) return 'nothing';
+  return (typeof value === 'string' ? value : JSON.stringify(value)).slice(0, MAX_SHOWN_LENGTH);
+}
+
 function getMember(value: unknown, key: PropertyKey): unknown {
   if (typeof value !== 'object' || value === null) return undefined;
   return (value as Readonly<Record<PropertyKey, unknown>>)[key];
--- a/src/questionnaire/index.ts
+++ b/src/questionnaire/index.ts
@@ -7,7 +7,7 @@
   type WorkspaceAnswer,
 } from './Answers.js';
 export {checkAnswers, formatIssue, type AnswerIssue} from './AnswersCheck.js';
-export {parseAnswers, readAnswersFile} from './AnswersFile.js';
+export {findAnswerIssues, parseAnswers, readAnswersFile} from './AnswersFile.js';
 export {
   generateConfiguration,
   hashKey,
@@ -15,3 +15,10 @@
   type GeneratedKey,
   type GenerateOptions,
 } from './ConfigurationGenerator.js';
+export {
+  compareConfigurations,
+  formatChange,
+  type ConfigurationChange,
+} from './ConfigurationDifference.js';
+export {Interview, type InterviewOptions} from './Interview.js';
+export {getQuestions, type AnswerTexts, type Question} from './Questions.js';
