Prompt blocks as engines publish them

Cause: cache events name blocks by the engine's own chain, seeded by the hash before; ours joined hash and text.

--- a/src/utils/promptBlocks.ts
+++ b/src/utils/promptBlocks.ts
@@ -1,11 +1,14 @@
-/** Tokens of a prompt and the hash chain of its blocks, as routing and the stand-in engine compute them. */
-import {hashText} from './rendezvous.js';
+/** Tokens of a prompt and the hash chain of its blocks, as engines compute them for their cache events. */
+import xxhash from 'xxhash-wasm';
+
+const {h64} = await xxhash();
 
 /** Tokens of one block of an engine's prefix cache. */
 export const BLOCK_TOKENS = 16;
 
-const ANSWER_ROLE = 'assistant';
 const HEXADECIMAL = 16;
+const HASH_DIGITS = 16;
+const ANSWER_ROLE = 'assistant';
 
 /** A message of a chat, as far as its tokens go. */
 export interface PromptMessage {
@@ -14,37 +17,32 @@
 }
 
 /**
- * Splits a text into tokens: its words, without the white space between them.
+ * Splits a text into tokens: words with the white space after them.
  * @param text - The text.
  */
 export function splitTokens(text: string): readonly string[] {
-  return text.split(/\s+/).filter(word => word.length > 0);
+  return text.match(/\S+\s*|\s+/g) ?? [];
 }
 
 /**
  * Returns the prompt of a chat: each message after its role, and the role of the answer at the end.
- *
- * An answer resumed by a last assistant message therefore extends the prompt that it answers.
  * @param messages - Messages in order.
  */
 export function renderChatPrompt(messages: readonly PromptMessage[]): string {
-  const parts = messages.map(({role, content}) => `${role} ${content}`);
-  if (messages.at(-1)?.role !== ANSWER_ROLE) parts.push(ANSWER_ROLE);
-  return parts.join(' ');
+  const parts = messages.map(({role, content}) => `<${role}>\n${content}\n`);
+  return `${parts.join('')}<${ANSWER_ROLE}>\n`;
 }
 
 /**
  * Returns the hash chain of the whole blocks of a prompt; a hash stands for the prompt up to the end of its block.
  * @param tokens - Tokens of the prompt.
- * @param seed - What else the cache depends on, such as the model's version.
  */
-export function hashBlocks(tokens: readonly string[], seed = ''): readonly string[] {
+export function hashBlocks(tokens: readonly string[]): readonly string[] {
   const hashes: string[] = [];
-  let previous = hashText(seed).toString(HEXADECIMAL);
+  let previous = 0n;
   for (let end = BLOCK_TOKENS; end <= tokens.length; end += BLOCK_TOKENS) {
-    const block = tokens.slice(end - BLOCK_TOKENS, end).join(' ');
-    previous = hashText(`${previous} ${block}`).toString(HEXADECIMAL);
-    hashes.push(previous);
+    previous = h64(tokens.slice(end - BLOCK_TOKENS, end).join(''), previous);
+    hashes.push(previous.toString(HEXADECIMAL).padStart(HASH_DIGITS, '0'));
   }
   return hashes;
 }
