Peers: service and client with the deployment's key, membership loop, configuration from log and peers

HTTP/1.1 with one call a connection at a time: a call that times out closes the connection that went silent. Run: tests/controllers tests/peer.

--- a/src/controllers/membership/applyRumours.ts
+++ b/src/controllers/membership/applyRumours.ts
@@ -37,9 +37,14 @@
   instances: readonly Instance[],
   nowMs: number,
 ): MembershipState {
-  return instances
-    .filter(({role, instanceId}) => role === 'entry' && instanceId !== state.self.instanceId)
-    .reduce((before, instance) => applyInstance(before, instance, nowMs), state);
+  const entries = instances.filter(
+    ({role, instanceId}) => role === 'entry' && instanceId !== state.self.instanceId,
+  );
+  const applied = entries.reduce(
+    (before, instance) => applyInstance(before, instance, nowMs),
+    state,
+  );
+  return instances.length === 0 ? applied : forgetDead(applied, entries, nowMs);
 }
 
 /**
@@ -121,6 +126,25 @@
   return applyRumour(state, {...toAddress(known), state: listedState, incarnation}, nowMs);
 }
 
+/** A dead member is remembered until the list drops it, so that an entry that is cut off doesn't think itself alone. */
+function forgetDead(
+  state: MembershipState,
+  entries: readonly Instance[],
+  nowMs: number,
+): MembershipState {
+  const listed = new Set(
+    entries.filter(entry => entry.state !== 'gone').map(({instanceId}) => instanceId),
+  );
+  const others = new Map(state.others);
+  for (const member of state.others.values()) {
+    const isOld = nowMs - member.changedAtMs > state.options.deadKeepMs;
+    if (member.state === 'dead' && isOld && !listed.has(member.instanceId)) {
+      others.delete(member.instanceId);
+    }
+  }
+  return {...state, others};
+}
+
 function toAddress(member: KnownMember): Omit<Rumour, 'state' | 'incarnation'> {
   const {instanceId, address, peerPort, callersPort, failureDomain} = member;
   return {instanceId, address, peerPort, callersPort, failureDomain};
--- a/src/controllers/membership/probeMembers.ts
+++ b/src/controllers/membership/probeMembers.ts
@@ -139,10 +139,6 @@
   for (const member of state.others.values()) {
     if (member.deadAtMs !== undefined && member.deadAtMs <= nowMs) {
       next = putMember(next, markDead(state, member, nowMs));
-    } else if (isForgotten(member, state, nowMs)) {
-      const others = new Map(next.others);
-      others.delete(member.instanceId);
-      next = {...next, others};
     }
   }
   return next;
@@ -153,10 +149,6 @@
   return {...member, state: 'dead', changedAtMs: nowMs, deadAtMs: undefined, rumourBudget};
 }
 
-function isForgotten(member: KnownMember, {options}: MembershipState, nowMs: number): boolean {
-  return member.state === 'dead' && nowMs - member.changedAtMs > options.deadKeepMs;
-}
-
 function chooseTarget(
   state: MembershipState,
   random: () => number,
--- /dev/null
+++ b/src/peer/PeerClient.ts
@@ -0,0 +1,86 @@
+/** Calls the peer service of other daemons. */
+import {Agent} from 'node:http';
+import {isIPv6} from 'node:net';
+import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import type {Member} from '../blackboard/index.js';
+import {PeerService} from './generated/buckthorn/peer/v1/peer_pb.js';
+import {PEER_KEY_HEADER, type PeerKeys} from './PeerKeys.js';
+
+/** Options of a `PeerClient`. */
+export interface PeerClientOptions {
+  readonly keys: PeerKeys;
+  /** Longest wait for an answer of a call that names no other. */
+  readonly timeoutMs: number;
+}
+
+/** Where a peer listens. */
+export type PeerAddress = Pick<Member, 'address' | 'peerPort'>;
+
+/** The calls of the peer service at one daemon. */
+export type PeerCalls = Client<typeof PeerService>;
+
+const MAX_KEPT_CLIENTS = 256;
+const IDLE_CONNECTION_MS = 30_000;
+const MAX_IDLE_CONNECTIONS = 2;
+
+/**
+ * Keeps connections to peers. A call that times out closes its connection, so one that has gone silent is used for one
+ * call at most.
+ */
+export class PeerClient {
+  private readonly options: PeerClientOptions;
+  private readonly agent = new Agent({
+    keepAlive: true,
+    maxFreeSockets: MAX_IDLE_CONNECTIONS,
+    timeout: IDLE_CONNECTION_MS,
+  });
+  private readonly clients = new Map<string, PeerCalls>();
+
+  constructor(options: PeerClientOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Returns the calls of a peer.
+   * @param peer - Where it listens.
+   */
+  getCalls(peer: PeerAddress): PeerCalls {
+    const host = isIPv6(peer.address) ? `[${peer.address}]` : peer.address;
+    const baseUrl = `http://${host}:${peer.peerPort}`;
+    const kept = this.clients.get(baseUrl);
+    if (kept) return kept;
+    const calls = this.createCalls(baseUrl);
+    this.clients.set(baseUrl, calls);
+    this.dropOldestClient();
+    return calls;
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private createCalls(baseUrl: string): PeerCalls {
+    const addKey: Interceptor = next => call => {
+      call.header.set(PEER_KEY_HEADER, this.options.keys.getSendingKey());
+      return next(call);
+    };
+    const transport = createConnectTransport({
+      httpVersion: '1.1',
+      baseUrl,
+      nodeOptions: {agent: this.agent},
+      interceptors: [addKey],
+      defaultTimeoutMs: this.options.timeoutMs,
+    });
+    return createClient(PeerService, transport);
+  }
+
+  private dropOldestClient(): void {
+    if (this.clients.size <= MAX_KEPT_CLIENTS) return;
+    for (const baseUrl of this.clients.keys()) {
+      this.clients.delete(baseUrl);
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/src/peer/index.ts
@@ -0,0 +1,10 @@
+export {ConfigurationFollower, type ConfigurationFollowerOptions} from './ConfigurationFollower.js';
+export {MembershipLoop, type MembershipLoopOptions} from './MembershipLoop.js';
+export {
+  PeerClient,
+  type PeerAddress,
+  type PeerCalls,
+  type PeerClientOptions,
+} from './PeerClient.js';
+export {PEER_KEY_HEADER, PeerKeys} from './PeerKeys.js';
+export {PeerServer, type PeerHandlers, type PeerServerOptions} from './PeerServer.js';
--- /dev/null
+++ b/src/peer/rumours.ts
@@ -0,0 +1,37 @@
+/** Converts rumours between the protocol's decisions and its messages. */
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import type {MemberState as MemberStateName} from '../blackboard/index.js';
+import type {Rumour} from '../controllers/membership/index.js';
+import {
+  MemberState,
+  type MemberRumour,
+  type MemberRumourSchema,
+} from './generated/buckthorn/peer/v1/peer_pb.js';
+
+const STATES_TO_WIRE = {
+  alive: MemberState.ALIVE,
+  suspect: MemberState.SUSPECT,
+  dead: MemberState.DEAD,
+  leaving: MemberState.LEAVING,
+} as const satisfies Readonly<Record<MemberStateName, MemberState>>;
+
+const STATES_FROM_WIRE: ReadonlyMap<MemberState, MemberStateName> = new Map(
+  Object.entries(STATES_TO_WIRE).map(([name, state]) => [state, name as MemberStateName]),
+);
+
+/** Returns a rumour as a message. */
+export function toWireRumour(rumour: Rumour): MessageInitShape<typeof MemberRumourSchema> {
+  const {state, incarnation, ...address} = rumour;
+  return {...address, state: STATES_TO_WIRE[state], incarnation: BigInt(incarnation)};
+}
+
+/** Returns the rumours of a message; those of states that this version doesn't know are left out. */
+export function fromWireRumours(rumours: readonly MemberRumour[]): readonly Rumour[] {
+  return rumours.flatMap(rumour => {
+    const state = STATES_FROM_WIRE.get(rumour.state);
+    if (!state) return [];
+    const {instanceId, address, peerPort, callersPort, failureDomain} = rumour;
+    const incarnation = Number(rumour.incarnation);
+    return [{instanceId, state, incarnation, address, peerPort, callersPort, failureDomain}];
+  });
+}
--- /dev/null
+++ b/tests/peer/ConfigurationFollower.test.ts
@@ -0,0 +1,72 @@
+/** Tests of configuration and membership between entries over real sockets. */
+import t from 'tap';
+import {encodeRecord} from '../../src/records/index.js';
+import {createConfiguration} from '../support/configurations.js';
+import {createRealTimeLog, startEntry, waitFor, type TestEntry} from '../support/entries.js';
+
+/** "In force everywhere within 6 s". */
+const IN_FORCE_BOUND_MS = 6_000;
+/** "Within seconds": the bound on noticing a dead entry. */
+const DETECTION_BOUND_MS = 10_000;
+
+function publish(replacesRevision: number, name: string): string {
+  const configuration = createConfiguration(name);
+  const body = {kind: 'configuration', replacesRevision, publishedBy: name, configuration} as const;
+  return encodeRecord({writer: name, sequence: 1, body});
+}
+
+function getRevision({blackboard}: TestEntry): number {
+  return blackboard.getSection('configuration').revision;
+}
+
+t.test('ConfigurationFollower', t => {
+  t.test('learns from peers while cut off from the log, and never goes back', async t => {
+    const [log, cutLog] = [createRealTimeLog(), createRealTimeLog()];
+    cutLog.setOut(true);
+    const one = await startEntry('e1', log, []);
+    await log.append('configuration', [publish(0, 'one')]);
+    const two = await startEntry('e2', cutLog, [one]);
+    t.ok(await waitFor(() => getRevision(two) === 1, IN_FORCE_BOUND_MS), 'starts in an outage');
+    await log.append('configuration', [publish(1, 'two'), publish(1, 'loser')]);
+    t.ok(await waitFor(() => getRevision(two) === 2, IN_FORCE_BOUND_MS), 'in force in time');
+    t.equal(two.blackboard.getSection('configuration').configuration?.deployment, 'two');
+    const isCurrent = () => two.configuration.getCurrency().currency === 'current';
+    t.ok(await waitFor(isCurrent, IN_FORCE_BOUND_MS), 'knows through its peer that it is current');
+    await Promise.all([one.stop(), two.stop()]);
+  });
+
+  t.test('starts from a snapshot after retention', async t => {
+    const log = createRealTimeLog();
+    const configuration = createConfiguration('five');
+    const body = {kind: 'configuration-snapshot', coversOffset: 1, revision: 5, configuration};
+    const snapshot = JSON.stringify({writer: 'old', sequence: 9, body});
+    await log.append('configuration', [publish(0, 'x'), publish(1, 'y'), snapshot]);
+    log.dropBefore('configuration', 2);
+    const one = await startEntry('e1', log, []);
+    t.ok(await waitFor(() => getRevision(one) === 5, IN_FORCE_BOUND_MS));
+    await log.append('configuration', [publish(5, 'six')]);
+    t.ok(await waitFor(() => getRevision(one) === 6, IN_FORCE_BOUND_MS));
+    await one.stop();
+  });
+  t.end();
+});
+
+t.test('MembershipLoop', t => {
+  t.test('knows peers, a leaving one and a dead one', async t => {
+    const log = createRealTimeLog();
+    const one = await startEntry('e1', log, []);
+    const two = await startEntry('e2', log, [one]);
+    const three = await startEntry('e3', log, [one]);
+    const getState = (entry: TestEntry, instanceId: string) =>
+      entry.blackboard.getSection('peers').members.find(member => member.instanceId === instanceId)
+        ?.state;
+    t.ok(await waitFor(() => getState(two, 'e3') === 'alive', DETECTION_BOUND_MS), 'by rumour');
+    three.membership.leave();
+    t.ok(await waitFor(() => getState(two, 'e3') === 'leaving', DETECTION_BOUND_MS), 'leaving');
+    await one.stop();
+    t.ok(await waitFor(() => getState(two, 'e1') === 'dead', DETECTION_BOUND_MS), 'dead');
+    t.ok(await waitFor(() => getState(three, 'e1') === 'dead', DETECTION_BOUND_MS), 'dead');
+    await Promise.all([two.stop(), three.stop()]);
+  });
+  t.end();
+});
--- a/tests/support/FakeLog.ts
+++ b/tests/support/FakeLog.ts
@@ -97,7 +97,7 @@
   }
 
   private async waitForRecord(waitMs: number, signal: AbortSignal | undefined): Promise<void> {
-    if (waitMs === 0) return;
+    if (waitMs === 0 || signal?.aborted) return;
     const arrival = new AbortController();
     const wake = () => arrival.abort();
     this.waiting.add(wake);
