--- /dev/null
+++ b/src/operator/index.ts
@@ -0,0 +1,24 @@
+export {
+  createWorkspaceKey,
+  publishAnswersFile,
+  type PublishAnswersOptions,
+  type PublishedAnswers,
+} from './AnswersPublisher.js';
+export {createConfigurationCommands} from './ConfigurationCommands.js';
+export {
+  ConfigurationStream,
+  type ConfigurationInForce,
+  type PublishResult,
+} from './ConfigurationStream.js';
+export {
+  DaemonsClient,
+  type DaemonsClientOptions,
+  type EntryAnswer,
+  type EntryMetric,
+  type EntryStatus,
+} from './DaemonsClient.js';
+export {FleetStream, type MoveRequest} from './FleetStream.js';
+export {countInForce, waitUntilInForce, type InForceCount} from './InForceWait.js';
+export type {OperatorContext} from './OperatorContext.js';
+export {StreamSession, type SessionOptions} from './StreamSession.js';
+export {createQuestionnaireCommand} from './QuestionnaireCommand.js';
