--- a/src/http/PlainHandler.ts
+++ b/src/http/PlainHandler.ts
@@ -1,7 +1,9 @@
 /** Handles calls to plain services, idempotent or claimed. */
 import {createHash} from 'node:crypto';
 import type {IncomingHttpHeaders} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendServer} from '../blackboard/index.js';
+import type {ClaimAnswer, ClaimRequest} from '../claims/index.js';
 import type {Service, ServiceRoute} from '../configuration/index.js';
 import {chooseBackendServer} from '../controllers/routing/index.js';
 import type {PlainAnswer} from '../engine/index.js';
@@ -21,6 +23,9 @@
 /** A larger answer is not kept for repeats, since the log is small. */
 const MAX_KEPT_ANSWER_BYTES = 16_384;
 const PLAIN_CLASS = 'plain';
+/** Longest wait for the outcome of another attempt that holds the key. */
+const HELD_WAIT_MS = 2_000;
+const HELD_POLL_MS = 25;
 /** Errors that come before a connection stands, so that nothing can have been sent. */
 const UNCONNECTED_ERROR_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -40,6 +45,12 @@
   readonly deadlineAtMs: number;
 }
 
+/** A claim as it was last asked for, and its verdict. */
+interface ClaimAttempt {
+  readonly attempt: ClaimRequest;
+  readonly claimAnswer: ClaimAnswer;
+}
+
 /** Answers `/v1/services/{service}/{path}` with any method. */
 export class PlainHandler {
   private readonly context: HandlerContext;
@@ -100,12 +111,30 @@
   private async callOnce(call: PlainCall, key: string): Promise<PlainAnswer> {
     const {caller} = call;
     const server = this.chooseServer(call, new Set());
-    const attemptId = `${caller.requestId}.once`;
-    const claim = {workspace: caller.workspace.name, key, attemptId, fingerprint: hashCall(call)};
-    const {verdict, answer, isKnownNotRun} = await this.context.claims.claim(claim);
+    const claim = {
+      workspace: caller.workspace.name,
+      key,
+      attemptId: `${caller.requestId}.once`,
+      fingerprint: hashCall(call),
+    };
+    const {attempt, claimAnswer} = await this.claimOrWait(claim);
+    const {verdict, answer, isKnownNotRun} = claimAnswer;
     if (verdict === 'done' && answer) return decodeAnswer(answer);
     if (verdict !== 'granted') throw createClaimRefusal(verdict, isKnownNotRun);
-    return this.sendClaimed(call, server, claim);
+    return this.sendClaimed(call, server, attempt);
+  }
+
+  /** Claims a key; where another attempt holds it, waits a while for that one's outcome. */
+  private async claimOrWait(claim: ClaimRequest): Promise<ClaimAttempt> {
+    const {claims, getNowMs} = this.context;
+    const waitUntilMs = getNowMs() + HELD_WAIT_MS;
+    for (let ask = 1; ; ask += 1) {
+      const attempt = {...claim, attemptId: `${claim.attemptId}.${ask}`};
+      const claimAnswer = await claims.claim(attempt);
+      if (claimAnswer.verdict !== 'held' || getNowMs() >= waitUntilMs)
+        return {attempt, claimAnswer};
+      await sleep(HELD_POLL_MS);
+    }
   }
 
   private async sendClaimed(
