--- /dev/null
+++ b/standins/engine/ModelEngine.ts
@@ -0,0 +1,362 @@
+/** Stand-in of a model engine: OpenAI-compatible answers over a model of continuous batching. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {BackendLifecycle, type BackendIdentity} from '../backend/index.js';
+import {isVersionBad, type Faults} from '../faults/index.js';
+import {StandinServer, type Exchange, type Route} from '../http/index.js';
+import {describeBody, RunLedger, type RunEntry} from '../ledger/index.js';
+import {AnswerWriter} from './AnswerWriter.js';
+import {CacheEventLog} from './CacheEventLog.js';
+import {
+  parseChatRequest,
+  parseCompletionRequest,
+  type CompletionRequest,
+} from './CompletionRequest.js';
+import type {EngineProfile} from './EngineProfile.js';
+import {EngineScheduler, type EngineJob} from './EngineScheduler.js';
+import {EngineWarmth} from './EngineWarmth.js';
+import {KvTransfers, kvImportSchema} from './KvTransfers.js';
+import {OrderDesk, orderSchema} from './OrderDesk.js';
+import {PrefixCache} from './PrefixCache.js';
+
+/** Options of a `ModelEngine`. */
+export interface ModelEngineOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly identity: BackendIdentity;
+  readonly listUrl?: string;
+  readonly profile: EngineProfile;
+  readonly isColdAtStart: boolean;
+  readonly honoursFencingTokens: boolean;
+  /** Age of a load report. */
+  readonly loadLagMs: number;
+  /** Age at which a cache event is published. */
+  readonly cacheEventDelayMs: number;
+  /** Time from an order to load a version until it is served. */
+  readonly loadVersionMs: number;
+  readonly random: () => number;
+  /** Called when the engine crashes or its instance is taken away; it has stopped answering by then. */
+  readonly onDown: (reason: 'crashed' | 'taken-away') => void;
+}
+
+interface OpenRun {
+  readonly job: EngineJob;
+  readonly entry: RunEntry;
+}
+
+/** Serves one version of one model. */
+export class ModelEngine {
+  private readonly options: ModelEngineOptions;
+  private readonly server: StandinServer;
+  private readonly lifecycle: BackendLifecycle;
+  private readonly ledger = new RunLedger();
+  private readonly warmth: EngineWarmth;
+  private readonly events = new CacheEventLog();
+  private readonly cache: PrefixCache;
+  private readonly scheduler: EngineScheduler;
+  private readonly transfers: KvTransfers;
+  private readonly orders: OrderDesk;
+  private readonly openRuns = new Map<RunEntry, OpenRun>();
+  private loadReport: object = {};
+  private reportTimer: NodeJS.Timeout | undefined;
+  private isServing = true;
+
+  constructor(options: ModelEngineOptions) {
+    this.options = options;
+    const {profile} = options;
+    this.warmth = new EngineWarmth(profile, options.isColdAtStart);
+    this.cache = new PrefixCache(profile.cacheTokens, (kind, blockHash) => {
+      const isLost = this.server.happens(this.server.getFaults().cacheEventLossPercent);
+      this.events.addEvent(kind, blockHash, isLost, Date.now());
+    });
+    this.scheduler = new EngineScheduler(profile, this.cache, () =>
+      this.warmth.getSlowdownFactor(),
+    );
+    this.transfers = new KvTransfers(profile, this.cache);
+    this.orders = new OrderDesk(options.honoursFencingTokens);
+    this.lifecycle = new BackendLifecycle({
+      ...options,
+      onTakenAway: () => void this.goDown('taken-away'),
+    });
+    this.server = new StandinServer({
+      ...options,
+      routes: this.createRoutes(),
+      getLedger: () => ({runs: this.ledger.getEntries(), orders: this.orders.getEntries()}),
+      onFaults: faults => this.applyFaults(faults),
+    });
+  }
+
+  /** Listens and registers at the instance list. */
+  async start(): Promise<void> {
+    await this.server.start();
+    this.reportLoad();
+    this.reportTimer = setInterval(() => this.reportLoad(), this.options.loadLagMs);
+    await this.lifecycle.start(this.server.getPort());
+  }
+
+  /** Leaves the instance list and stops. */
+  async stop(): Promise<void> {
+    await this.lifecycle.stop();
+    await this.shutDown();
+  }
+
+  /** Returns the port it listens on. */
+  getPort(): number {
+    return this.server.getPort();
+  }
+
+  /** Returns what it ran. */
+  getLedger(): RunLedger {
+    return this.ledger;
+  }
+
+  private createRoutes(): readonly Route[] {
+    return [
+      {
+        method: 'POST',
+        path: /^\/v1\/chat\/completions$/,
+        hasEffect: true,
+        handler: exchange => this.complete(exchange, parseChatRequest),
+      },
+      {
+        method: 'POST',
+        path: /^\/v1\/completions$/,
+        hasEffect: true,
+        handler: exchange => this.complete(exchange, parseCompletionRequest),
+      },
+      {method: 'GET', path: /^\/health$/, handler: exchange => this.sendHealth(exchange)},
+      {method: 'GET', path: /^\/v1\/models$/, handler: exchange => this.sendModels(exchange)},
+      {
+        method: 'GET',
+        path: /^\/load$/,
+        handler: exchange => exchange.sendJson(200, this.loadReport),
+      },
+      {method: 'GET', path: /^\/cache\/events$/, handler: exchange => this.sendEvents(exchange)},
+      {method: 'POST', path: /^\/cache\/export$/, handler: exchange => this.exportKv(exchange)},
+      {method: 'POST', path: /^\/cache\/import$/, handler: exchange => this.importKv(exchange)},
+      {
+        method: 'GET',
+        path: /^\/cache\/exports\/([^/]+)$/,
+        handler: (exchange, [kvId]) => this.sendExport(exchange, kvId),
+      },
+      {
+        method: 'POST',
+        path: /^\/orders$/,
+        hasEffect: true,
+        handler: exchange => this.takeOrder(exchange),
+      },
+      {
+        method: 'POST',
+        path: /^\/standin\/notice$/,
+        handler: exchange => this.lifecycle.takeNotice(exchange),
+      },
+    ];
+  }
+
+  private async complete(
+    exchange: Exchange,
+    parse: (body: unknown) => CompletionRequest,
+  ): Promise<void> {
+    const body = await exchange.readText();
+    const request = parse(JSON.parse(body));
+    const {service, version} = this.lifecycle.getIdentity();
+    if (request.model !== service || !this.isServing) {
+      exchange.sendJson(404, {error: {message: `model ${request.model} is not served here`}});
+      return;
+    }
+    const entry = this.addEntry(exchange, body);
+    if (this.isCrashedBy(body, entry.openRequests)) {
+      await this.goDown('crashed');
+      return;
+    }
+    const badEffect = this.getBadEffect(exchange.url.pathname, entry.openRequests);
+    if (badEffect === 'fail') {
+      endRun(entry, 'failed');
+      exchange.sendJson(500, {error: {message: `version ${version} failed`}});
+      return;
+    }
+    const slowdownFactor =
+      badEffect === 'slow' ? (this.server.getFaults().badVersion?.slowdownFactor ?? 1) : 1;
+    this.run(exchange, request, entry, slowdownFactor);
+  }
+
+  private run(
+    exchange: Exchange,
+    request: CompletionRequest,
+    entry: RunEntry,
+    slowdownFactor: number,
+  ): void {
+    const id = `cmpl-${entry.requestId}`;
+    const writer = new AnswerWriter(exchange, request, id, entry.version);
+    const job: EngineJob = {
+      ...request,
+      slowdownFactor,
+      onAdmitted: (promptTokens, cachedTokens) => {
+        Object.assign(entry, {promptTokens, cachedTokens});
+      },
+      onToken: token => {
+        entry.firstTokenAtMs ??= Date.now();
+        entry.generatedTokens += 1;
+        writer.addToken(token);
+      },
+      onEnd: reason => {
+        this.finishRun(entry);
+        writer.finish(reason, entry);
+      },
+    };
+    this.openRuns.set(entry, {job, entry});
+    exchange.onClosed(() => this.cancelRun(entry));
+    this.scheduler.addJob(job);
+  }
+
+  private finishRun(entry: RunEntry): void {
+    this.openRuns.delete(entry);
+    endRun(entry, 'finished');
+    this.warmth.countFinished();
+  }
+
+  private cancelRun(entry: RunEntry): void {
+    const run = this.openRuns.get(entry);
+    if (!run) return;
+    this.openRuns.delete(entry);
+    this.scheduler.removeJob(run.job);
+    endRun(entry, 'cancelled');
+  }
+
+  private addEntry(exchange: Exchange, body: string): RunEntry {
+    return this.ledger.addEntry({
+      ...pickIdentity(this.lifecycle.getIdentity()),
+      ...describeBody(body),
+      requestId: exchange.getHeader('x-request-id') ?? '',
+      attemptId: exchange.getHeader('x-attempt-id') ?? '',
+      method: exchange.method,
+      path: exchange.url.pathname,
+      openRequests: this.openRuns.size + 1,
+      wasCold: this.warmth.isCold(),
+      startedAtMs: Date.now(),
+      promptTokens: 0,
+      cachedTokens: 0,
+      generatedTokens: 0,
+      end: 'running',
+    });
+  }
+
+  private isCrashedBy(body: string, openRequests: number): boolean {
+    const {crashOnBodyText} = this.server.getFaults();
+    if (crashOnBodyText !== undefined && body.includes(crashOnBodyText)) return true;
+    return this.warmth.isOverwhelmedBy(openRequests);
+  }
+
+  private getBadEffect(path: string, openRequests: number): 'fail' | 'slow' | undefined {
+    const {badVersion} = this.server.getFaults();
+    if (!badVersion || !this.server.happens(badVersion.percent)) return undefined;
+    const faultAgeMs = Date.now() - this.server.getFaultsSinceMs();
+    return isVersionBad(badVersion, path, openRequests, faultAgeMs) ? badVersion.effect : undefined;
+  }
+
+  private applyFaults(faults: Faults): void {
+    if (faults.turnCold) {
+      this.warmth.turnCold();
+      this.cache.clear();
+    }
+    if (faults.dropPrefixCache) this.cache.clear();
+  }
+
+  private reportLoad(): void {
+    const {prefillTokensPerSecond, decodeStepMs, timeScale, cacheTokens} = this.options.profile;
+    const factor = timeScale / this.warmth.getSlowdownFactor();
+    this.loadReport = {
+      ...this.scheduler.getLoad(),
+      prefillTokensPerSecond: prefillTokensPerSecond * factor,
+      decodeTokensPerSecond: (MS_PER_SECOND / decodeStepMs) * factor,
+      cachedTokens: this.cache.getTokens(),
+      cachedTokensLimit: cacheTokens,
+      reportedAtMs: Date.now(),
+      ...this.lifecycle.getState(),
+    };
+  }
+
+  private sendHealth(exchange: Exchange): void {
+    exchange.sendJson(this.isServing ? 200 : 503, {});
+  }
+
+  private sendModels(exchange: Exchange): void {
+    const {service, version} = this.lifecycle.getIdentity();
+    exchange.sendJson(200, {data: this.isServing ? [{id: service, version}] : []});
+  }
+
+  private sendEvents(exchange: Exchange): void {
+    const from = exchange.getNumber('from', 0);
+    const max = exchange.getNumber('max', MAX_EVENTS);
+    const delayMs = this.server.getFaults().cacheEventDelayMs ?? this.options.cacheEventDelayMs;
+    exchange.sendJson(200, this.events.getEvents(from, max, Date.now() - delayMs));
+  }
+
+  private async exportKv(exchange: Exchange): Promise<void> {
+    const {requestId} = (await exchange.readJson()) as {requestId?: string};
+    const run = [...this.openRuns.values()].find(({entry}) => entry.requestId === requestId);
+    const blocks = run && this.scheduler.getBlocks(run.job);
+    if (!blocks || requestId === undefined) {
+      exchange.sendJson(404, {error: `request ${requestId} is not running here`});
+      return;
+    }
+    exchange.sendJson(200, this.transfers.addExport(requestId, blocks));
+  }
+
+  private async importKv(exchange: Exchange): Promise<void> {
+    const source = kvImportSchema.parse(await exchange.readJson());
+    exchange.sendJson(200, {tokens: await this.transfers.importFrom(source)});
+  }
+
+  private sendExport(exchange: Exchange, kvId: string): void {
+    const blocks = this.transfers.getExport(kvId);
+    exchange.sendJson(blocks ? 200 : 404, blocks ?? {error: `no export ${kvId}`});
+  }
+
+  private async takeOrder(exchange: Exchange): Promise<void> {
+    const order = orderSchema.parse(await exchange.readJson());
+    if (!this.orders.takeOrder(order, Date.now())) {
+      exchange.sendJson(409, {highestToken: this.orders.getHighestToken()});
+      return;
+    }
+    exchange.sendJson(200, {});
+    if (order.order === 'load') await this.loadVersion(order.service, order.version);
+    if (order.order === 'unload') this.isServing = false;
+  }
+
+  private async loadVersion(service: string, version: string): Promise<void> {
+    await sleep(this.options.loadVersionMs);
+    this.cache.clear();
+    this.warmth.turnCold();
+    this.isServing = true;
+    await this.lifecycle.changeVersion(service, version);
+  }
+
+  private async goDown(reason: 'crashed' | 'taken-away'): Promise<void> {
+    this.lifecycle.abandon();
+    for (const {entry} of this.openRuns.values()) endRun(entry, 'crashed');
+    for (const entry of this.ledger.getEntries()) {
+      if (entry.end === 'running') endRun(entry, 'crashed');
+    }
+    await this.shutDown();
+    this.options.onDown(reason);
+  }
+
+  private async shutDown(): Promise<void> {
+    clearInterval(this.reportTimer);
+    this.scheduler.stop();
+    this.openRuns.clear();
+    await this.server.stop();
+  }
+}
+
+const MS_PER_SECOND = 1_000;
+const MAX_EVENTS = 1_000;
+
+function endRun(entry: RunEntry, end: RunEntry['end']): void {
+  entry.end = end;
+  entry.endedAtMs = Date.now();
+}
+
+function pickIdentity({instanceId, service, version, failureDomain}: BackendIdentity) {
+  return {instanceId, service, version, failureDomain};
+}
--- /dev/null
+++ b/standins/engine/index.ts
@@ -0,0 +1,8 @@
+export {createAnswer, splitIntoTokens} from './AnswerText.js';
+export {
+  parseChatRequest,
+  parseCompletionRequest,
+  type CompletionRequest,
+} from './CompletionRequest.js';
+export {DEFAULT_ENGINE_PROFILE, type EngineProfile} from './EngineProfile.js';
+export {ModelEngine, type ModelEngineOptions} from './ModelEngine.js';
--- /dev/null
+++ b/standins/http/index.ts
@@ -0,0 +1,7 @@
+export {Exchange} from './Exchange.js';
+export {
+  StandinServer,
+  type Handler,
+  type Route,
+  type StandinServerOptions,
+} from './StandinServer.js';
--- /dev/null
+++ b/standins/ledger/index.ts
@@ -0,0 +1,1 @@
+export {describeBody, RunLedger, type RunEnd, type RunEntry} from './RunLedger.js';
--- /dev/null
+++ b/standins/plain/index.ts
@@ -0,0 +1,1 @@
+export {PlainService, type PlainServiceOptions} from './PlainService.js';
--- /dev/null
+++ b/standins/platform/WeightStore.ts
@@ -0,0 +1,108 @@
+/** Stand-in of the rate-limited weight store. */
+import {z} from 'zod';
+import {StandinServer, type Exchange} from '../http/index.js';
+
+/** Options of a `WeightStore`. */
+export interface WeightStoreOptions {
+  readonly address: string;
+  readonly port: number;
+  /** Rate over all loads. */
+  readonly bytesPerSecond: number;
+  /** Size of a version. */
+  readonly versionBytes: number;
+  readonly random: () => number;
+}
+
+interface Load {
+  readonly loadId: string;
+  readonly instanceId: string;
+  readonly version: string;
+  readonly fencingToken: number;
+  readonly startsAtMs: number;
+  readonly endsAtMs: number;
+}
+
+const loadSchema = z.strictObject({
+  instanceId: z.string(),
+  version: z.string(),
+  fencingToken: z.number().int(),
+});
+
+const MS_PER_SECOND = 1_000;
+const WHOLE_PERCENT = 100;
+
+/** Serves loads one after another at the full rate. */
+export class WeightStore {
+  private readonly options: WeightStoreOptions;
+  private readonly server: StandinServer;
+  private readonly loads: Load[] = [];
+
+  constructor(options: WeightStoreOptions) {
+    this.options = options;
+    const {bytesPerSecond, versionBytes} = options;
+    this.server = new StandinServer({
+      ...options,
+      getLedger: () => ({loads: this.loads}),
+      routes: [
+        {
+          method: 'POST',
+          path: /^\/v1\/loads$/,
+          hasEffect: true,
+          handler: exchange => this.startLoad(exchange),
+        },
+        {
+          method: 'GET',
+          path: /^\/v1\/loads\/([^/]+)$/,
+          handler: (exchange, [loadId]) => this.sendLoad(exchange, loadId),
+        },
+        {
+          method: 'GET',
+          path: /^\/v1\/rate$/,
+          handler: exchange => exchange.sendJson(200, {bytesPerSecond, versionBytes}),
+        },
+      ],
+    });
+  }
+
+  /** Listens. */
+  async start(): Promise<void> {
+    await this.server.start();
+  }
+
+  /** Stops. */
+  async stop(): Promise<void> {
+    await this.server.stop();
+  }
+
+  /** Returns the port it listens on. */
+  getPort(): number {
+    return this.server.getPort();
+  }
+
+  private async startLoad(exchange: Exchange): Promise<void> {
+    const asked = loadSchema.parse(await exchange.readJson());
+    const {bytesPerSecond, versionBytes} = this.options;
+    const startsAtMs = Math.max(Date.now(), this.loads.at(-1)?.endsAtMs ?? 0);
+    const endsAtMs = startsAtMs + (versionBytes / bytesPerSecond) * MS_PER_SECOND;
+    const loadId = `load-${this.loads.length + 1}`;
+    this.loads.push({...asked, loadId, startsAtMs, endsAtMs});
+    exchange.sendJson(201, {loadId});
+  }
+
+  private sendLoad(exchange: Exchange, loadId: string): void {
+    const load = this.loads.find(item => item.loadId === loadId);
+    if (!load) {
+      exchange.sendJson(404, {error: `unknown load ${loadId}`});
+      return;
+    }
+    const nowMs = Date.now();
+    const doneShare = (nowMs - load.startsAtMs) / (load.endsAtMs - load.startsAtMs);
+    const progressPercent = Math.min(Math.max(doneShare, 0), 1) * WHOLE_PERCENT;
+    exchange.sendJson(200, {state: getLoadState(load, nowMs), progressPercent});
+  }
+}
+
+function getLoadState({startsAtMs, endsAtMs}: Load, nowMs: number): string {
+  if (nowMs >= endsAtMs) return 'done';
+  return nowMs >= startsAtMs ? 'running' : 'queued';
+}
