--- a/standins/backend/BackendIdentity.ts
+++ b/standins/backend/BackendIdentity.ts
@@ -23,19 +23,33 @@
   port: number,
 ): Promise<void> {
   const {instanceId, service, version, failureDomain, machineClass, market} = identity;
-  const listed = {instanceId, service, version, failureDomain, machineClass, market};
-  const body = JSON.stringify({...listed, role: 'backend', address, port});
+  const body = JSON.stringify({
+    instanceId,
+    service,
+    version,
+    failureDomain,
+    machineClass,
+    market,
+    role: 'backend',
+    address,
+    port,
+  });
+  let lastReason = '';
   for (let triesLeft = MAX_TRIES; triesLeft > 0; triesLeft--) {
     try {
       const answer = await request(`${listUrl}/standin/instances`, {method: 'POST', body});
       await answer.body.dump();
       if (answer.statusCode === 201) return;
-    } catch {
+      lastReason = `status ${answer.statusCode}`;
+    } catch (error) {
+      lastReason = error instanceof Error ? error.message : String(error);
       // The instance list may start after the backend server.
     }
     await sleep(RETRY_DELAY_MS);
   }
-  throw new Error(`instance list at ${listUrl} took no registration of ${identity.instanceId}`);
+  throw new Error(
+    `instance list at ${listUrl} took no registration of ${instanceId}: ${lastReason}`,
+  );
 }
 
 /** Takes a backend server that stops off the instance list. */
