--- a/src/operator/ConfigurationCommands.ts
+++ b/src/operator/ConfigurationCommands.ts
@@ -8,6 +8,7 @@
 import {throwUnlessAccepted} from './AnswersPublisher.js';
 import type {ConfigurationStream} from './ConfigurationStream.js';
 import {countInForce, waitUntilInForce, type InForceCount} from './InForceWait.js';
+import {formatConfiguration} from './ConfigurationTables.js';
 import {createOperatorCommand} from './OperatorCommand.js';
 import {
   withConfigurationStream,
@@ -180,44 +181,3 @@
     kind: 'invalid-settings',
   });
 }
-
-function formatConfiguration(revision: number, configuration: Configuration): readonly string[] {
-  const {deployment, failureDomains, workspaces, requestClasses, services} = configuration;
-  const serviceRows = services.map(service => [
-    service.name,
-    service.kind,
-    service.versions.map(({name, sharePercent}) => `${name} ${sharePercent}%`).join(', '),
-    service.targetReplicas,
-    service.maxConcurrentRequests,
-    service.workspaces?.join(', ') ?? 'all',
-  ]);
-  const workspaceRows = workspaces.map(({name, shareWeight, maxOpenRequests, keys}) => [
-    name,
-    shareWeight,
-    maxOpenRequests,
-    keys.length,
-  ]);
-  const classRows = requestClasses.map(requestClass => [
-    requestClass.name,
-    requestClass.priority,
-    requestClass.maxPromptTokens,
-    requestClass.firstTokenTargetMs,
-    requestClass.interTokenTargetMs,
-  ]);
-  return [
-    `deployment ${deployment}, revision ${revision}`,
-    `failure domains: ${failureDomains.map(({name, region}) => `${name} (${region})`).join(', ')}`,
-    '',
-    ...formatTable(
-      ['SERVICE', 'KIND', 'VERSIONS', 'REPLICAS', 'REQUESTS EACH', 'WORKSPACES'],
-      serviceRows,
-    ),
-    '',
-    ...formatTable(['WORKSPACE', 'SHARE WEIGHT', 'OPEN REQUESTS', 'KEYS'], workspaceRows),
-    '',
-    ...formatTable(
-      ['CLASS', 'PRIORITY', 'PROMPT TOKENS', 'FIRST TOKEN MS', 'INTER TOKEN MS'],
-      classRows,
-    ),
-  ];
-}
--- a/src/operator/QuestionnaireCommand.ts
+++ b/src/operator/QuestionnaireCommand.ts
@@ -14,6 +14,7 @@
 import type {RunnableCommand, SettingDefinition} from '../settings/index.js';
 import {createWorkspaceKey} from './AnswersPublisher.js';
 import {publishAndWait} from './ConfigurationCommands.js';
+import {formatConfiguration} from './ConfigurationTables.js';
 import type {ConfigurationInForce} from './ConfigurationStream.js';
 import {createOperatorCommand} from './OperatorCommand.js';
 import {withConfigurationStream, type OperatorContext} from './OperatorContext.js';
@@ -135,6 +136,17 @@
   generated: GeneratedConfiguration,
   {writeProgress}: OperatorContext,
 ): boolean {
+  if (!configuration) {
+    writeProgress('nothing is in force yet; the answers give:');
+    formatConfiguration(0, generated.configuration).forEach(writeProgress);
+    return true;
+  }
+  if (configuration.deployment !== generated.configuration.deployment) {
+    throw new ServingError(
+      `deployment: "${generated.configuration.deployment}" is not "${configuration.deployment}", which is in force`,
+      {kind: 'invalid-settings'},
+    );
+  }
   const changes = compareConfigurations(configuration, generated.configuration);
   if (changes.length === 0) {
     writeProgress(`the answers give what is in force as revision ${revision}; nothing to publish`);
--- a/src/questionnaire/Interview.ts
+++ b/src/questionnaire/Interview.ts
@@ -67,7 +67,7 @@
   private async askAgain(issues: readonly AnswerIssue[]): Promise<void> {
     const known = new Set(this.texts.keys());
     const named = this.getQuestions().filter(({id}) =>
-      issues.some(({question}) => question.startsWith(id) || id.startsWith(question)),
+      issues.some(({question}) => isAskedBy(question, id, known)),
     );
     if (named.length === 0) return this.askFrom(0);
     for (const question of named) await this.askOne(question);
@@ -102,3 +102,11 @@
     return getQuestions(this.texts, this.options.inForce);
   }
 }
+
+/** Tells whether the question of an id gives the value that an issue names. */
+function isAskedBy(named: string, id: string, ids: ReadonlySet<string>): boolean {
+  if (ids.has(named)) return id === named;
+  if (id.startsWith(`${named}.`)) return true;
+  const lengths = [...ids].filter(other => named.startsWith(`${other}.`)).map(({length}) => length);
+  return named.startsWith(`${id}.`) && id.length === Math.max(...lengths);
+}
--- a/src/settings/SettingsCommand.ts
+++ b/src/settings/SettingsCommand.ts
@@ -1,5 +1,5 @@
 /** Turns setting definitions into a cmd-ts command, and runs a binary's command line. */
-import {command, option, optional, run, string, type subcommands} from 'cmd-ts';
+import {command, option, optional, runSafely, string, type subcommands} from 'cmd-ts';
 import {ServingError, toServingError} from '../errors/index.js';
 import {
   parseSetting,
@@ -20,6 +20,12 @@
   readonly run: (values: Values) => Promise<void>;
 }
 
+interface UsageMessage {
+  readonly exitCode: number;
+  readonly message: string;
+  readonly into: 'stdout' | 'stderr';
+}
+
 /** Something that `runCommandLine` can run. */
 export type RunnableCommand = ReturnType<typeof command> | ReturnType<typeof subcommands>;
 
@@ -55,7 +61,8 @@
   args: readonly string[],
 ): Promise<void> {
   try {
-    await run(runnable as ReturnType<typeof command>, [...args]);
+    const result = await runSafely(runnable as ReturnType<typeof command>, [...args]);
+    if (result._tag === 'error') printUsage(result.error.config);
   } catch (error) {
     const servingError = toServingError(error);
     process.stderr.write(`${servingError.message}\n`);
@@ -64,6 +71,12 @@
   }
 }
 
+/** Prints help, or what is wrong with the command line. */
+function printUsage({exitCode, message, into}: UsageMessage): void {
+  process[into].write(`${message}\n`);
+  process.exitCode = exitCode === 0 ? 0 : EXIT_BAD_SETTINGS;
+}
+
 function createOption(definition: SettingDefinition<unknown>) {
   const fallback =
     definition.defaultText === undefined ? '' : ` [default: ${definition.defaultText || 'none'}]`;
--- /dev/null
+++ b/tests/questionnaire/Interview.test.ts
@@ -0,0 +1,98 @@
+/** Tests of the interactive questionnaire. */
+import t from 'tap';
+import {
+  generateConfiguration,
+  Interview,
+  readAnswersFile,
+  type Answers,
+} from '../../src/questionnaire/index.js';
+import type {Configuration} from '../../src/configuration/index.js';
+import {assertRejectsKind} from '../support/assertions.js';
+
+const FIRST_DAY = [
+  'fjord',
+  'oslo-a ostlandet, oslo-b ostlandet',
+  'families',
+  'large',
+  'chat',
+  '',
+  'guidance, booking',
+  'model',
+  ...['v1 100', '4', '8', '1', '120', 'yes', 'all'],
+  'plain',
+  ...['POST /places', 'GET /', '', '2', '32', '4', '', '', 'families'],
+  'gpu-small 1.2',
+  '',
+];
+
+async function runInterview(
+  lines: readonly string[],
+  inForce?: Configuration,
+): Promise<{readonly answers: Answers; readonly shown: readonly string[]}> {
+  const shown: string[] = [];
+  const left = [...lines];
+  const interview = new Interview({
+    ask: async () => left.shift(),
+    writeLine: line => shown.push(line),
+    inForce,
+    nowMs: 0,
+  });
+  return {answers: await interview.run(), shown};
+}
+
+t.test('Interview.run', async t => {
+  await t.test('asks for what follows from earlier answers', async t => {
+    const {answers} = await runInterview(FIRST_DAY);
+    t.same(answers.workspaces, [{name: 'families', size: 'large'}]);
+    t.same(
+      answers.services.map(({name, kind}) => [name, kind]),
+      [
+        ['guidance', 'model'],
+        ['booking', 'plain'],
+      ],
+    );
+    const booking = answers.services[1];
+    t.same(booking?.kind === 'plain' && booking.routes, [
+      {methods: ['POST'], pathPrefix: '/places', isIdempotent: false},
+      {methods: ['GET'], pathPrefix: '/', isIdempotent: true},
+    ]);
+    t.equal(answers.staleConfigurationGraceSeconds, 10);
+  });
+
+  await t.test('goes back and takes the second answer', async t => {
+    const lines = ['fjrod', '<', ...FIRST_DAY];
+    t.equal((await runInterview(lines)).answers.deployment, 'fjord');
+  });
+
+  await t.test('asks again what can not stand', async t => {
+    const coldIndex = 10;
+    const lines = FIRST_DAY.map((line, index) => (index === coldIndex + 1 ? '9' : line));
+    const {answers, shown} = await runInterview([...lines, '3']);
+    t.equal(answers.services[0]?.requestsPerColdReplica, 3);
+    t.ok(
+      shown.includes(
+        'services.guidance.requestsPerColdReplica: "9" exceeds requestsPerReplica (8); a cold replica bears less',
+      ),
+    );
+  });
+
+  await t.test('offers what is in force as defaults', async t => {
+    const example = await readAnswersFile('examples/barnehageplass.answers.yaml', 0);
+    const options = {inForce: undefined, createKey: () => 'key'};
+    const {configuration} = generateConfiguration(example, options);
+    const {answers} = await runInterview(new Array<string>(200).fill(''), configuration);
+    const again = generateConfiguration(answers, {...options, inForce: configuration});
+    const getMethods = ({services}: Configuration) =>
+      services.flatMap(({routes}) => routes.flatMap(({methods}) => methods)).sort();
+    t.same(getMethods(again.configuration), getMethods(configuration));
+    const withoutRoutes = ({services, ...rest}: Configuration) => ({
+      ...rest,
+      services: services.map(service => ({...service, routes: []})),
+    });
+    t.same(withoutRoutes(again.configuration), withoutRoutes(configuration));
+  });
+
+  await t.test('publishes nothing where the input ends', async t => {
+    await assertRejectsKind(t, runInterview(FIRST_DAY.slice(0, 5)), 'invalid-settings');
+  });
+});
