--- a/src/controllers/routing/RoutingTypes.ts
+++ b/src/controllers/routing/RoutingTypes.ts
@@ -6,7 +6,7 @@
   Member,
   Move,
 } from '../../blackboard/index.js';
-import type {Configuration} from '../../configuration/index.js';
+import type {Configuration, Service} from '../../configuration/index.js';
 import type {ErrorKind} from '../../errors/index.js';
 
 /** What an entry knows when it chooses a backend server. */
@@ -21,6 +21,8 @@
   readonly ownFailureDomain: string;
   /** Returns the requests that this entry has open at a backend server. */
   getOpenRequests(instanceId: string): number;
+  /** Returns how many requests this entry may have open at a backend server; absent to go by warmth alone. */
+  readonly getConcurrencyLimit?: (server: BackendServer, service: Service) => number;
   /** Returns the longest cached prefix in tokens. */
   getCachedTokens(instanceId: string, blockHashes: readonly string[]): number;
 }
--- a/src/controllers/routing/chooseBackendServer.ts
+++ b/src/controllers/routing/chooseBackendServer.ts
@@ -1,11 +1,12 @@
 /** Chooses the backend server of a request by its expected time to the first token. */
 import type {BackendServer} from '../../blackboard/index.js';
-import type {Service} from '../../configuration/index.js';
+import type {Service, ServiceVersion} from '../../configuration/index.js';
 import type {ErrorKind} from '../../errors/index.js';
 import {getWarmthLimit} from '../warmth/index.js';
 import {getExpectedFirstTokenMs} from './firstTokenTime.js';
 import type {RoutingDecision, RoutingRequest, RoutingView} from './RoutingTypes.js';
-import {getVersionShares, type VersionShare} from './versionShares.js';
+import {getAllowedServers} from './allowedServers.js';
+import {getUsableVersions} from './usableVersions.js';
 
 /**
  * Chooses a backend server for a request.
@@ -24,9 +25,9 @@
 ): RoutingDecision {
   const service = view.configuration.services.find(({name}) => name === request.service);
   if (!service) return refuse('not-found', `no service "${request.service}"`);
-  const live = getLiveServers(view, service);
-  const shares = getVersionShares(service, view.moves, view.incidents, nowMs);
-  const versions = shares.filter(share => live.some(({version}) => version === share.version));
+  const live = getAllowedServers(view, service.name, nowMs);
+  const shares = getUsableVersions(service, view.moves, view.incidents, nowMs);
+  const versions = shares.filter(({name}) => live.some(({version}) => version === name));
   const version = drawVersion(versions, random);
   if (version === undefined) {
     return refuse('no-backend-server', `no backend server of "${service.name}" takes new work`);
@@ -48,36 +49,21 @@
   return {kind: 'refused', errorKind, reason};
 }
 
-function getLiveServers(view: RoutingView, service: Service): readonly BackendServer[] {
-  const outDomains = new Set(
-    view.failureDomains.filter(({state}) => state === 'out').map(({name}) => name),
-  );
-  const leaving = new Set(
-    view.incidents.filter(({kind}) => kind === 'leaving-server').map(({subject}) => subject),
-  );
-  return view.servers.filter(
-    server =>
-      server.service === service.name &&
-      server.state === 'live' &&
-      server.leavingAtMs === undefined &&
-      !leaving.has(server.instanceId) &&
-      !outDomains.has(server.failureDomain),
-  );
-}
-
-function drawVersion(shares: readonly VersionShare[], random: () => number): string | undefined {
+function drawVersion(shares: readonly ServiceVersion[], random: () => number): string | undefined {
   const totalPercent = shares.reduce((sum, {sharePercent}) => sum + sharePercent, 0);
   let drawnPercent = random() * totalPercent;
-  for (const {version, sharePercent} of shares) {
+  for (const {name, sharePercent} of shares) {
     drawnPercent -= sharePercent;
-    if (drawnPercent < 0) return version;
+    if (drawnPercent < 0) return name;
   }
-  return shares.at(-1)?.version;
+  return shares.at(-1)?.name;
 }
 
 function hasFreeSlot(view: RoutingView, service: Service, server: BackendServer): boolean {
-  const {entries, ownInstanceId} = view;
-  const limit = getWarmthLimit({server, service, entries, ownInstanceId});
+  const {entries, ownInstanceId, getConcurrencyLimit} = view;
+  const limit = getConcurrencyLimit
+    ? getConcurrencyLimit(server, service)
+    : getWarmthLimit({server, service, entries, ownInstanceId});
   return view.getOpenRequests(server.instanceId) < limit;
 }
 
--- a/src/controllers/routing/index.ts
+++ b/src/controllers/routing/index.ts
@@ -8,4 +8,5 @@
   type PrefixIndexOptions,
 } from './PrefixIndex.js';
 export type {RoutingDecision, RoutingRequest, RoutingView} from './RoutingTypes.js';
-export {getVersionShares, isBadVersion, type VersionShare} from './versionShares.js';
+export {getUsableVersions, isBadVersion} from './usableVersions.js';
+export {getAllowedServers} from './allowedServers.js';
--- a/src/engine/CompletionBody.ts
+++ b/src/engine/CompletionBody.ts
@@ -1,5 +1,6 @@
 /** Bodies of the OpenAI-compatible completion calls: their schema, and how an answer is resumed elsewhere. */
 import {z} from 'zod';
+import {renderChatPrompt} from '../utils/index.js';
 
 const messageSchema = z.looseObject({role: z.string(), content: z.string()});
 
@@ -8,7 +9,8 @@
   model: z.string().min(1),
   stream: z.boolean().optional(),
   stream_options: z.looseObject({include_usage: z.boolean().optional()}).optional(),
-  max_tokens: z.number().int().positive().optional(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
 };
 
 const chatBodySchema = z.looseObject({...commonFields, messages: z.array(messageSchema).min(1)});
@@ -48,6 +50,11 @@
   return {isValid: false, reason: z.prettifyError(parsed.error)};
 }
 
+/** Returns the most tokens that an answer may have; undefined where the caller named no limit. */
+export function getMaxTokens({body}: CompletionBody): number | undefined {
+  return body.max_completion_tokens ?? body.max_tokens ?? undefined;
+}
+
 /** Returns the path of a completion call. */
 export function getCompletionPath(format: CompletionFormat): string {
   return format === 'chat' ? '/v1/chat/completions' : '/v1/completions';
@@ -56,22 +63,26 @@
 /** Returns the text that an engine reads before it answers. */
 export function getPromptText(completion: CompletionBody): string {
   if (completion.format === 'text') return completion.body.prompt;
-  return completion.body.messages.map(({role, content}) => `${role} ${content}`).join(' ');
+  return renderChatPrompt(completion.body.messages);
 }
 
 /**
  * Returns the body that asks an engine to stream the rest of an answer.
  * @param completion - The caller's request.
  * @param passedTokens - Tokens of the answer that the caller has already got.
+ * @param priority - Priority of the request's class; lower goes first.
  */
 export function createEngineBody(
   completion: CompletionBody,
   passedTokens: readonly string[],
+  priority: number,
 ): string {
-  const streaming = {stream: true, stream_options: {include_usage: true}};
-  const {max_tokens: maxTokens} = completion.body;
+  const streaming = {stream: true, stream_options: {include_usage: true}, priority};
+  const maxTokens = getMaxTokens(completion);
   const remaining =
-    maxTokens === undefined ? {} : {max_tokens: Math.max(1, maxTokens - passedTokens.length)};
+    maxTokens === undefined
+      ? {}
+      : createLimit(completion, Math.max(1, maxTokens - passedTokens.length));
   const passedText = passedTokens.join('');
   if (completion.format === 'text') {
     const prompt = completion.body.prompt + passedText;
@@ -90,3 +101,8 @@
     add_generation_prompt: false,
   });
 }
+
+/** The limit goes out under the name that the caller used. */
+function createLimit({body}: CompletionBody, tokens: number) {
+  return body.max_completion_tokens ? {max_completion_tokens: tokens} : {max_tokens: tokens};
+}
--- a/src/engine/EngineClient.ts
+++ b/src/engine/EngineClient.ts
@@ -3,7 +3,9 @@
 import {Agent, request, type Dispatcher} from 'undici';
 import {z} from 'zod';
 import type {BackendServer, LoadReport} from '../blackboard/index.js';
-import {ServingError} from '../errors/index.js';
+import type {CacheEventSlice} from '../controllers/routing/index.js';
+import type {AttemptFailureKind} from '../controllers/retry/index.js';
+import {AttemptError} from './AttemptError.js';
 import {getCompletionPath, type CompletionFormat} from './CompletionBody.js';
 
 /** One try of a completion at one backend server. */
@@ -31,6 +33,30 @@
   | {readonly kind: 'finished'; readonly finishReason: string}
   | {readonly kind: 'usage'; readonly usage: EngineUsage};
 
+/** A move of KV cache. */
+export interface CacheMove {
+  readonly requestId: string;
+  readonly from: BackendServer;
+  readonly to: BackendServer;
+  readonly signal: AbortSignal;
+}
+
+const MAX_CACHE_EVENTS = 1_000;
+
+const cacheEventsSchema = z.object({
+  events: z.array(
+    z.object({
+      sequence: z.number().int(),
+      kind: z.enum(['stored', 'removed', 'cleared']),
+      blockHash: z.string().optional(),
+    }),
+  ),
+  nextSequence: z.number().int(),
+  earliestSequence: z.number().int(),
+});
+const kvExportSchema = z.object({kvId: z.string()});
+const kvImportSchema = z.object({tokens: z.number()});
+
 const END_OF_STREAM = '[DONE]';
 
 const chunkSchema = z.object({
@@ -92,7 +118,7 @@
   /**
    * Runs a try and yields its events until the engine says that the stream ended.
    * @param call - The try.
-   * @throws ServingError of kind `backend-failed` where the stream breaks or the engine refuses.
+   * @throws AttemptError where the stream breaks or the engine refuses.
    */
   async *streamCompletion(call: EngineCall): AsyncGenerator<EngineEvent, void, undefined> {
     const {body, statusCode} = await this.open(call);
@@ -154,11 +180,75 @@
     return {load, state, leavingAtMs};
   }
 
+  /**
+   * Asks over a new connection whether a backend server still answers at all.
+   * @param server - The backend server.
+   */
+  async isAnswering(server: BackendServer): Promise<boolean> {
+    try {
+      const response = await request(`${getOrigin(server)}/health`, {
+        dispatcher: this.agent,
+        reset: true,
+        signal: AbortSignal.timeout(this.options.reportTimeoutMs),
+      });
+      await response.body.dump();
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /**
+   * Reads a backend server's cache events.
+   * @param server - The backend server.
+   * @param fromSequence - First sequence to read.
+   */
+  async getCacheEvents(server: BackendServer, fromSequence: number): Promise<CacheEventSlice> {
+    const path = `/cache/events?from=${fromSequence}&max=${MAX_CACHE_EVENTS}`;
+    const response = await request(getOrigin(server) + path, {
+      dispatcher: this.agent,
+      signal: AbortSignal.timeout(this.options.reportTimeoutMs),
+    });
+    return {fromSequence, ...cacheEventsSchema.parse(await response.body.json())};
+  }
+
+  /**
+   * Takes the KV cache of a running request from one backend server to another.
+   * @param move - The request and both servers.
+   * @returns Tokens that were moved.
+   * @throws AttemptError where either server refuses.
+   */
+  async moveCache({requestId, from, to, signal}: CacheMove): Promise<number> {
+    const {kvId} = kvExportSchema.parse(
+      await this.post(from, '/cache/export', {requestId}, signal),
+    );
+    const source = {kvId, fromAddress: from.address, fromPort: from.port};
+    return kvImportSchema.parse(await this.post(to, '/cache/import', source, signal)).tokens;
+  }
+
   /** Closes all connections, also those in use. */
   async close(): Promise<void> {
     await this.agent.destroy();
   }
 
+  private async post(
+    server: BackendServer,
+    path: string,
+    body: object,
+    signal: AbortSignal,
+  ): Promise<unknown> {
+    const response = await request(getOrigin(server) + path, {
+      method: 'POST',
+      dispatcher: this.agent,
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(body),
+      signal,
+    });
+    const text = await response.body.text();
+    if (response.statusCode !== 200) throw createStatusError(server, response.statusCode, text);
+    return JSON.parse(text) as unknown;
+  }
+
   private async open(call: EngineCall): Promise<Dispatcher.ResponseData> {
     try {
       return await request(getOrigin(call.server) + getCompletionPath(call.format), {
@@ -207,18 +297,51 @@
   return events;
 }
 
-function createStatusError(server: BackendServer, status: number, text: string): ServingError {
-  return new ServingError(
+const STATUS_NOT_FOUND = 404;
+const STATUS_TOO_MANY = 429;
+const STATUS_UNAVAILABLE = 503;
+const FIRST_SERVER_ERROR = 500;
+/** Errors that come before a connection stands, so that nothing can have been sent. */
+const UNCONNECTED_ERROR_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/**
+ * Returns whether an error shows that no connection stood.
+ * @param error - What a call threw.
+ */
+export function isUnconnected(error: unknown): boolean {
+  const code = (error as {readonly code?: unknown}).code;
+  return typeof code === 'string' && UNCONNECTED_ERROR_CODES.has(code);
+}
+
+function createStatusError(server: BackendServer, status: number, text: string): AttemptError {
+  const failure = getStatusFailure(status);
+  return new AttemptError(
     `backend server ${server.instanceId} answered ${status}: ${text.slice(0, 200)}`,
-    {kind: 'backend-failed', run: status === 429 || status === 503 ? 'not-run' : 'unknown'},
+    {
+      failure,
+      kind: failure === 'rejected' ? 'bad-request' : 'backend-failed',
+      run: failure === 'refused' ? 'not-run' : 'unknown',
+    },
   );
 }
 
-function createBrokenError(server: BackendServer, cause: unknown): ServingError {
-  if (cause instanceof ServingError) return cause;
+/** A model that isn't served here any more is served elsewhere. */
+function getStatusFailure(status: number): AttemptFailureKind {
+  if ([STATUS_NOT_FOUND, STATUS_TOO_MANY, STATUS_UNAVAILABLE].includes(status)) return 'refused';
+  return status >= FIRST_SERVER_ERROR ? 'failed' : 'rejected';
+}
+
+function createBrokenError(server: BackendServer, cause: unknown): AttemptError {
+  if (cause instanceof AttemptError) return cause;
   const reason = cause instanceof Error ? cause.message : String(cause);
-  return new ServingError(`backend server ${server.instanceId} failed: ${reason}`, {
+  return new AttemptError(`backend server ${server.instanceId} failed: ${reason}`, {
     kind: 'backend-failed',
+    failure: isUnconnected(cause) ? 'not-connected' : 'broken',
     cause,
   });
 }
--- a/src/engine/index.ts
+++ b/src/engine/index.ts
@@ -1,14 +1,18 @@
 export {
   createEngineBody,
   getCompletionPath,
+  getMaxTokens,
   getPromptText,
   readCompletionBody,
   type CompletionBody,
   type CompletionBodyResult,
   type CompletionFormat,
 } from './CompletionBody.js';
+export {AttemptError, toAttemptError, type AttemptErrorOptions} from './AttemptError.js';
 export {
   EngineClient,
+  isUnconnected,
+  type CacheMove,
   type EngineCall,
   type EngineClientOptions,
   type EngineEvent,
@@ -16,3 +20,4 @@
   type PlainAnswer,
   type ServerReport,
 } from './EngineClient.js';
+export {ServerTracker, type FirstTokenSample, type ServerTrackerOptions} from './ServerTracker.js';
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -3,10 +3,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Blackboard} from '../blackboard/index.js';
 import {ClaimService} from '../claims/index.js';
-import {AdmissionQueue, type AdmissionLimits} from '../controllers/admission/index.js';
 import {EngineClient} from '../engine/index.js';
 import {ConfigurationFold, FleetFold} from '../folds/index.js';
-import {AdmissionGate, CallersServer, OpenRequests, type HandlerContext} from '../http/index.js';
+import {CallersServer, ServingParts, type HandlerContext} from '../http/index.js';
 import {LogClient, StreamFollower} from '../log/index.js';
 import type {Logger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
@@ -38,6 +37,7 @@
   private readonly metrics: Metrics;
   private readonly claims: ClaimService;
   private readonly followers: readonly StreamFollower[];
+  private readonly serving: ServingParts;
   private readonly watcher: ServerWatcher;
   private readonly server: CallersServer;
   private isStopping = false;
@@ -64,8 +64,17 @@
       isClaimantLive: () => true,
     });
     this.followers = [this.createConfigurationFollower(), this.createFleetFollower()];
+    this.serving = new ServingParts({
+      blackboard: this.blackboard,
+      metrics: this.metrics,
+      ownInstanceId: settings.instanceId,
+      getNowMs,
+      maxRunningRequests: settings.maxRunningRequests,
+      maxQueuedRequests: settings.maxQueuedRequests,
+    });
     this.watcher = new ServerWatcher({
       blackboard: this.blackboard,
+      tracker: this.serving.tracker,
       list: this.list,
       engine: this.engine,
       listIntervalMs: settings.listIntervalMs,
@@ -80,6 +89,7 @@
     for (const follower of this.followers) follower.start();
     this.claims.start();
     await this.watcher.start();
+    this.serving.start();
     await this.server.start();
     this.writeOwnMember();
     this.options.logger.info({port: this.server.getPort()}, 'entry listens');
@@ -100,6 +110,7 @@
     const endAtMs = Date.now() + settings.drainTimeoutMs;
     while (this.server.getOpenCount() > 0 && Date.now() < endAtMs) await sleep(DRAIN_POLL_MS);
     this.watcher.stop();
+    this.serving.stop();
     await this.server.stop();
     await this.claims.stop();
     await Promise.all(this.followers.map(follower => follower.stop()));
@@ -142,13 +153,18 @@
 
   private createContext(getNowMs: () => number): HandlerContext {
     const {settings} = this.options;
-    const queue = new AdmissionQueue({getLimits: () => this.getAdmissionLimits()});
+    const {tracker, retryBudget, quarantine, evidence, runs, admission} = this.serving;
     return {
       blackboard: this.blackboard,
       engine: this.engine,
       claims: this.claims,
-      admission: new AdmissionGate({queue, getNowMs}),
-      openRequests: new OpenRequests(),
+      admission,
+      tracker,
+      retryBudget,
+      quarantine,
+      evidence,
+      runs,
+      reportIncidents: this.serving.getReporter(),
       metrics: this.metrics,
       bodyLimits: {maxBytes: settings.maxBodyBytes, timeoutMs: settings.bodyTimeoutMs},
       deploymentKeys: settings.deploymentKeys,
@@ -161,17 +177,6 @@
     };
   }
 
-  private getAdmissionLimits(): AdmissionLimits {
-    const {maxRunningRequests, maxQueuedRequests} = this.options.settings;
-    const {configuration} = this.blackboard.getSection('configuration');
-    return {
-      workspaces: configuration?.workspaces ?? [],
-      requestClasses: configuration?.requestClasses ?? [],
-      maxRunningRequests,
-      maxQueuedRequests,
-    };
-  }
-
   private writeOwnMember(): void {
     const {instanceId, address, peerPort, failureDomain} = this.options.settings;
     const {revision} = this.blackboard.getSection('configuration');
--- a/src/entry/ServerWatcher.ts
+++ b/src/entry/ServerWatcher.ts
@@ -1,13 +1,14 @@
 /** Keeps the sections of instances and backend servers up to date. */
 import type {BackendServer, Blackboard, Instance} from '../blackboard/index.js';
-import type {EngineClient, ServerReport} from '../engine/index.js';
+import type {EngineClient, ServerReport, ServerTracker} from '../engine/index.js';
 import type {InstanceListClient} from '../platform/index.js';
 
 /** Options of a `ServerWatcher`. */
 export interface ServerWatcherOptions {
   readonly blackboard: Blackboard;
   readonly list: Pick<InstanceListClient, 'getInstances'>;
-  readonly engine: Pick<EngineClient, 'getReport'>;
+  readonly engine: Pick<EngineClient, 'getReport' | 'getCacheEvents'>;
+  readonly tracker: ServerTracker;
   readonly listIntervalMs: number;
   readonly reportIntervalMs: number;
 }
@@ -53,6 +54,19 @@
   private async readReport(server: BackendServer): Promise<void> {
     const report = await this.options.engine.getReport(server).catch(() => undefined);
     if (report) this.reports.set(server.instanceId, report);
+    if (report && this.hasCache(server)) await this.readCacheEvents(server);
+  }
+
+  private hasCache({service}: BackendServer): boolean {
+    const {configuration} = this.options.blackboard.getSection('configuration');
+    return configuration?.services.find(({name}) => name === service)?.kind === 'model';
+  }
+
+  private async readCacheEvents(server: BackendServer): Promise<void> {
+    const {engine, tracker} = this.options;
+    const fromSequence = tracker.prefixes.getNextSequence(server.instanceId);
+    const slice = await engine.getCacheEvents(server, fromSequence).catch(() => undefined);
+    if (slice) tracker.addCacheEvents(server.instanceId, slice);
   }
 
   private forgetMissing(instances: readonly Instance[]): void {
@@ -67,6 +81,7 @@
     const {instances} = blackboard.getSection('instances');
     const servers = instances.flatMap(instance => this.createServer(instance) ?? []);
     blackboard.setSection('backendServers', {servers});
+    this.options.tracker.observeServers(servers);
   }
 
   private createServer(instance: Instance): BackendServer | undefined {
@@ -83,7 +98,7 @@
       failureDomain,
       state: isLeaving ? 'leaving' : instance.state,
       leavingAtMs: instance.leavingAtMs ?? report?.leavingAtMs,
-      warmth: 'warm',
+      warmth: this.options.tracker.getWarmth(instanceId),
       load: report?.load,
     };
   }
--- a/src/http/AdmissionGate.ts
+++ b/src/http/AdmissionGate.ts
@@ -32,6 +32,9 @@
     if (decision.kind === 'refused') {
       throw new ServingError(decision.reason, {kind: decision.errorKind});
     }
+    if (decision.kind === 'queued' && decision.displacedRequestId !== undefined) {
+      this.waiters.get(decision.displacedRequestId)?.(createDisplacement());
+    }
     const release = () => this.admit(queue.removeRequest(request.requestId, getNowMs()));
     if (decision.kind === 'admitted') return release;
     try {
@@ -43,6 +46,11 @@
     return release;
   }
 
+  /** Admits waiting requests where there is more room than before. */
+  admitWaiting(): void {
+    this.admit(this.options.queue.admitWaiting(this.options.getNowMs()));
+  }
+
   private waitForTurn(request: AdmissionRequest, signal: AbortSignal): Promise<void> {
     const {requestId, deadlineAtMs} = request;
     return new Promise((resolve, reject) => {
@@ -66,6 +74,12 @@
   }
 }
 
+function createDisplacement(): ServingError {
+  return new ServingError('the queue is full and the place went to a workspace below its share', {
+    kind: 'overloaded',
+  });
+}
+
 function createRefusal(message: string): ServingError {
   return new ServingError(message, {kind: 'deadline-unreachable'});
 }
--- a/src/http/CompletionHandler.ts
+++ b/src/http/CompletionHandler.ts
@@ -1,8 +1,10 @@
 /** Handles the OpenAI-compatible completion calls, streamed and whole. */
 import type {RequestClass} from '../configuration/index.js';
+import {getFingerprint} from '../controllers/quarantine/index.js';
 import {getPromptText, readCompletionBody, type CompletionBody} from '../engine/index.js';
 import type {CompletionFormat} from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
+import {hashBlocks, splitTokens} from '../utils/index.js';
 import {sendJson} from './Answers.js';
 import {CompletionRun, type CompletionResult} from './CompletionRun.js';
 import {parseJsonBody, readBody} from './RequestBody.js';
@@ -31,11 +33,13 @@
     const body = await readBody(caller.request, context.bodyLimits);
     const completion = readCompletionOrThrow(format, body);
     const service = getServiceOrThrow(caller, completion.body.model, 'model');
-    const promptTokens = countTokens(getPromptText(completion));
+    const promptTokenTexts = splitTokens(getPromptText(completion));
+    const promptTokens = promptTokenTexts.length;
     const requestClass = getRequestClassOrThrow(caller, promptTokens);
     const tags = {workspace: caller.workspace.name, class: requestClass.name};
     const deadlineAtMs = startedAtMs + service.requestTimeoutMs;
     const release = await context.admission.enter(
+      service.name,
       {
         requestId: caller.requestId,
         workspace: caller.workspace.name,
@@ -46,18 +50,24 @@
     );
     try {
       context.metrics.addCount('request.accepted', tags);
-      const run = new CompletionRun({
-        context,
-        caller,
+      context.metrics.addDuration('request.queued', context.getNowMs() - startedAtMs, tags);
+      const run = new CompletionRun(context, {
+        requestId: caller.requestId,
+        workspace: caller.workspace.name,
+        service,
+        requestClass,
         completion,
-        routing: {
-          service: service.name,
+        fingerprint: getFingerprint({
           workspace: caller.workspace.name,
-          requestClass: requestClass.name,
-          promptTokens,
-          blockHashes: [],
-          deadlineAtMs,
-        },
+          method: 'POST',
+          path: caller.url.pathname,
+          body,
+        }),
+        promptTokens,
+        blockHashes: hashBlocks(promptTokenTexts),
+        deadlineAtMs,
+        passedTokens: [],
+        signal: caller.signal,
       });
       await this.answer(caller, completion, run, startedAtMs, tags);
       context.metrics.addDuration('request.total', context.getNowMs() - startedAtMs, tags);
@@ -76,15 +86,18 @@
     const {context} = this;
     const createdAtSeconds = Math.floor(startedAtMs / MS_PER_SECOND);
     const writer = new StreamWriter({caller, completion, createdAtSeconds});
-    let isFirst = true;
-    const result = await run.run(token => {
-      if (isFirst) {
-        context.metrics.addDuration('request.first_token', context.getNowMs() - startedAtMs, tags);
-      }
-      isFirst = false;
-      if (completion.body.stream) writer.addToken(token);
-    });
-    if (completion.body.stream) writer.finish(result);
+    const isStreamed = completion.body.stream === true;
+    let previousAtMs: number | undefined;
+    const onToken = (token: string) => {
+      const nowMs = context.getNowMs();
+      const name = previousAtMs === undefined ? 'request.first_token' : 'request.inter_token';
+      context.metrics.addDuration(name, nowMs - (previousAtMs ?? startedAtMs), tags);
+      previousAtMs = nowMs;
+      if (isStreamed) writer.addToken(token);
+    };
+    if (isStreamed) writer.startHeartbeats();
+    const result = await run.run(onToken).finally(() => writer.stopHeartbeats());
+    if (isStreamed) writer.finish(result);
     else
       sendJson(
         caller.response,
@@ -94,11 +107,6 @@
   }
 }
 
-/** Estimates the tokens of a text: its words. */
-export function countTokens(text: string): number {
-  return text.split(/\s+/).filter(word => word.length > 0).length;
-}
-
 function readCompletionOrThrow(format: CompletionFormat, body: Buffer): CompletionBody {
   const result = readCompletionBody(format, parseJsonBody(body));
   if (!result.isValid) throw new ServingError(result.reason, {kind: 'bad-request'});
--- a/src/http/CompletionRun.ts
+++ b/src/http/CompletionRun.ts
@@ -1,21 +1,39 @@
 /** Runs one completion to its end, over as many backend servers as it takes. */
-import {chooseBackendServer, type RoutingRequest} from '../controllers/routing/index.js';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {BackendServer} from '../blackboard/index.js';
+import type {RequestClass, Service} from '../configuration/index.js';
+import {decideDrain} from '../controllers/drain/index.js';
+import {AnswerAssembly, decideRetry, getSilenceTimeouts} from '../controllers/retry/index.js';
 import {
+  AttemptError,
   createEngineBody,
+  getMaxTokens,
+  toAttemptError,
   type CompletionBody,
   type EngineEvent,
   type EngineUsage,
 } from '../engine/index.js';
-import {ServingError, toServingError} from '../errors/index.js';
-import type {BackendServer} from '../blackboard/index.js';
-import {getRoutingView, type CallerRequest, type HandlerContext} from './RequestContext.js';
+import {ServingError} from '../errors/index.js';
+import {CompletionAttempt} from './CompletionAttempt.js';
+import {CompletionObserver} from './CompletionObserver.js';
+import type {HandlerContext} from './RequestContext.js';
+import {ServerChooser, type ChosenServer} from './ServerChooser.js';
 
-/** What a completion needs beside its caller's request. */
-export interface CompletionRunOptions {
-  readonly context: HandlerContext;
-  readonly caller: CallerRequest;
+/** A completion that was accepted, from a caller or from another entry. */
+export interface AcceptedCompletion {
+  readonly requestId: string;
+  readonly workspace: string;
+  readonly service: Service;
+  readonly requestClass: RequestClass;
   readonly completion: CompletionBody;
-  readonly routing: Omit<RoutingRequest, 'excludedInstanceIds'>;
+  readonly fingerprint: string;
+  readonly promptTokens: number;
+  readonly blockHashes: readonly string[];
+  readonly deadlineAtMs: number;
+  /** Tokens that another entry has already passed on. */
+  readonly passedTokens: readonly string[];
+  /** Aborted when the caller has gone, or the request was handed over. */
+  readonly signal: AbortSignal;
 }
 
 /** How a completion ended. */
@@ -25,18 +43,35 @@
   readonly tokens: readonly string[];
 }
 
-const MAX_ATTEMPTS = 5;
+/** Rate of prefill that a move of KV cache is weighed against where none was reported. */
+const DEFAULT_PREFILL_TOKENS_PER_SECOND = 4_000;
 
 /** Passes on each token once and in order; a broken try is resumed elsewhere from the passed tokens. */
 export class CompletionRun {
-  private readonly options: CompletionRunOptions;
-  private readonly passedTokens: string[] = [];
-  private readonly excludedInstanceIds = new Set<string>();
-  private finishReason: string | undefined;
+  /** The request. */
+  readonly accepted: AcceptedCompletion;
+  private readonly context: HandlerContext;
+  private readonly assembly: AnswerAssembly;
+  private readonly chooser: ServerChooser;
+  private readonly observer: CompletionObserver;
   private usage: EngineUsage = {promptTokens: 0, cachedTokens: 0};
+  private current:
+    {readonly attempt: CompletionAttempt; readonly server: BackendServer} | undefined;
+  private isMoving = false;
+  private preferred: BackendServer | undefined;
+  private failures = 0;
+  private silences = 0;
 
-  constructor(options: CompletionRunOptions) {
-    this.options = options;
+  /**
+   * @param context - Parts of the daemon.
+   * @param accepted - The request.
+   */
+  constructor(context: HandlerContext, accepted: AcceptedCompletion) {
+    this.context = context;
+    this.accepted = accepted;
+    this.assembly = new AnswerAssembly(accepted.requestId, accepted.passedTokens);
+    this.chooser = new ServerChooser(context, accepted);
+    this.observer = new CompletionObserver(context, accepted);
   }
 
   /**
@@ -45,78 +80,199 @@
    * @throws ServingError where no try could end it.
    */
   async run(onToken: (token: string) => void): Promise<CompletionResult> {
-    for (let attempt = 1; this.finishReason === undefined; attempt += 1) {
-      const server = this.chooseServer();
-      try {
-        await this.runAttempt(server, attempt, onToken);
-      } catch (error) {
-        this.excludedInstanceIds.add(server.instanceId);
-        this.checkRetry(toServingError(error), attempt);
-        this.options.context.metrics.addCount('request.retries', this.getTags());
-      }
+    const {context, accepted} = this;
+    context.runs.addRun(this);
+    context.retryBudget.addFirstTry(context.getNowMs());
+    const cancel = () => this.current?.attempt.cancel(createGoneError());
+    accepted.signal.addEventListener('abort', cancel, {once: true});
+    try {
+      while (!this.isFinished()) await this.runNext(onToken);
+      return this.getResult();
+    } finally {
+      accepted.signal.removeEventListener('abort', cancel);
+      context.runs.removeRun(this);
     }
-    return {finishReason: this.finishReason, usage: this.usage, tokens: this.passedTokens};
   }
 
-  private chooseServer(): BackendServer {
-    const {context, caller, routing} = this.options;
-    const decision = chooseBackendServer(
-      getRoutingView(context, caller.configuration),
-      {...routing, excludedInstanceIds: this.excludedInstanceIds},
+  /** Returns the tokens passed on so far. */
+  getPassedTokens(): readonly string[] {
+    return this.assembly.getPassedTokens();
+  }
+
+  /** Returns the tokens that may still come; undefined where the caller named no limit. */
+  getRemainingTokens(): number | undefined {
+    const maxTokens = getMaxTokens(this.accepted.completion);
+    return maxTokens === undefined ? undefined : maxTokens - this.getPassedTokens().length;
+  }
+
+  /** Moves the running try away where its backend server leaves. */
+  checkDrain(): void {
+    const {current, context, accepted} = this;
+    if (!current || this.isMoving) return;
+    const {backendServers, failureDomains} = context.blackboard.getSections();
+    const {instanceId} = current.server;
+    const server = backendServers.servers.find(known => known.instanceId === instanceId);
+    if (!server) return;
+    const decision = decideDrain(
+      {
+        server,
+        failureDomains: failureDomains.domains,
+        promptTokens: accepted.promptTokens,
+        passedTokens: this.getPassedTokens().length,
+        remainingTokens: this.getRemainingTokens(),
+        interTokenMs: current.attempt.getInterTokenMs() ?? accepted.requestClass.interTokenTargetMs,
+        prefillTokensPerSecond:
+          server.load?.prefillTokensPerSecond || DEFAULT_PREFILL_TOKENS_PER_SECOND,
+        cacheTokensPerSecond:
+          current.attempt.getFirstTokenMs() === undefined
+            ? 0
+            : context.tracker.getCacheTokensPerSecond(),
+      },
       context.getNowMs(),
-      context.random,
     );
-    if (decision.kind === 'chosen') return decision.server;
-    const hasStarted = this.excludedInstanceIds.size > 0;
-    throw new ServingError(decision.reason, {
-      kind: decision.errorKind,
-      ...(hasStarted ? {run: 'unknown' as const} : {}),
-    });
+    if (decision.kind === 'stay') return;
+    this.isMoving = true;
+    void this.move(current, server, decision.kind === 'move-cache');
+  }
+
+  private isFinished(): boolean {
+    if (this.assembly.getFinishReason() !== undefined) return true;
+    const remaining = this.getRemainingTokens();
+    return remaining !== undefined && remaining <= 0;
+  }
+
+  private getResult(): CompletionResult {
+    const finishReason = this.assembly.getFinishReason() ?? 'length';
+    return {finishReason, usage: this.usage, tokens: this.getPassedTokens()};
+  }
+
+  private async runNext(onToken: (token: string) => void): Promise<void> {
+    const chosen = await this.chooser.choose(this.preferred, this.assembly.getAttempts() > 0);
+    this.preferred = undefined;
+    const error = await this.runAttempt(chosen, onToken);
+    if (!error || this.isFinished()) return;
+    if (this.accepted.signal.aborted) throw error;
+    await this.prepareRetry(chosen.server, error);
   }
 
   private async runAttempt(
-    server: BackendServer,
-    attempt: number,
+    {server, expectedFirstTokenMs}: ChosenServer,
     onToken: (token: string) => void,
-  ): Promise<void> {
-    const {context, caller, completion} = this.options;
-    context.openRequests.addRequest(server.instanceId);
-    const cancelling = new AbortController();
+  ): Promise<AttemptError | undefined> {
+    const {context, accepted, assembly, observer} = this;
+    const {requestId, completion, requestClass, workspace} = accepted;
+    const {attemptId, passedTokens} = assembly.startAttempt();
+    const attempt = new CompletionAttempt({
+      engine: context.engine,
+      server,
+      format: completion.format,
+      requestId,
+      attemptId,
+      workspace,
+      body: createEngineBody(completion, passedTokens, requestClass.priority),
+      timeouts: getSilenceTimeouts({
+        expectedFirstTokenMs,
+        firstTokenTargetMs: requestClass.firstTokenTargetMs,
+        interTokenTargetMs: requestClass.interTokenTargetMs,
+        earlierSilences: this.silences,
+      }),
+      getNowMs: context.getNowMs,
+    });
+    this.current = {attempt, server};
+    const observed = observer.startAttempt({attempt, attemptId, server, expectedFirstTokenMs});
     try {
-      const events = context.engine.streamCompletion({
-        server,
-        format: completion.format,
-        requestId: caller.requestId,
-        attemptId: `${caller.requestId}.${attempt}`,
-        workspace: caller.workspace.name,
-        body: createEngineBody(completion, this.passedTokens),
-        signal: AbortSignal.any([caller.signal, cancelling.signal]),
-      });
-      for await (const event of events) this.applyEvent(event, onToken);
+      await attempt.run(event => this.applyEvent(attemptId, passedTokens.length, event, onToken));
+      assembly.finish(attemptId, 'stop');
+      observed.end(undefined);
+      return undefined;
+    } catch (cause) {
+      const error = toAttemptError(cause);
+      observed.end(this.isFinished() ? undefined : error);
+      return error;
     } finally {
-      cancelling.abort();
-      context.openRequests.removeRequest(server.instanceId);
+      assembly.abandon(attemptId);
+      this.current = undefined;
+      this.isMoving = false;
     }
   }
 
-  private applyEvent(event: EngineEvent, onToken: (token: string) => void): void {
+  private applyEvent(
+    attemptId: string,
+    passedBefore: number,
+    event: EngineEvent,
+    onToken: (token: string) => void,
+  ): void {
     if (event.kind === 'token') {
-      this.passedTokens.push(event.text);
-      onToken(event.text);
+      if (this.assembly.addToken(attemptId, event.text)) onToken(event.text);
     } else if (event.kind === 'finished') {
-      this.finishReason = event.finishReason;
+      this.assembly.finish(attemptId, event.finishReason);
     } else {
-      this.usage = event.usage;
+      const {promptTokens, cachedTokens} = event.usage;
+      this.usage = {promptTokens: promptTokens - passedBefore, cachedTokens};
+      this.observer.addUsage(event.usage, passedBefore > 0);
+    }
+  }
+
+  private async prepareRetry(server: BackendServer, error: AttemptError): Promise<void> {
+    const {context, accepted} = this;
+    const nowMs = context.getNowMs();
+    if (error.failure !== 'moved') this.failures += 1;
+    if (error.failure === 'silent') this.silences += 1;
+    await this.observer.noteFailure(server, error);
+    const decision = decideRetry(
+      {
+        failure: error.failure,
+        isIdempotent: true,
+        attempts: this.failures,
+        deadlineAtMs: accepted.deadlineAtMs,
+        hasBudget: context.retryBudget.hasRetry(nowMs),
+      },
+      nowMs,
+      context.random,
+    );
+    if (decision.kind === 'fail') {
+      if (error.failure === 'rejected') throw error;
+      throw new ServingError(error.message, {kind: decision.errorKind, run: decision.run});
     }
+    if (decision.usesBudget) context.retryBudget.addRetry(nowMs);
+    this.chooser.noteFailure(server, error.failure);
+    if (decision.delayMs > 0) await sleep(decision.delayMs);
   }
 
-  private checkRetry(error: ServingError, attempt: number): void {
-    if (this.options.caller.signal.aborted || attempt >= MAX_ATTEMPTS) throw error;
-    if (error.kind !== 'backend-failed') throw error;
+  private async move(
+    current: {readonly attempt: CompletionAttempt; readonly server: BackendServer},
+    server: BackendServer,
+    movesCache: boolean,
+  ): Promise<void> {
+    const hasMoved = movesCache && (await this.moveCache(server));
+    this.context.metrics.addCount('request.moves', {way: hasMoved ? 'cache' : 'replay'});
+    current.attempt.cancel(
+      new AttemptError(`backend server ${server.instanceId} is leaving`, {
+        kind: 'backend-failed',
+        failure: 'moved',
+      }),
+    );
   }
 
-  private getTags() {
-    const {caller, routing} = this.options;
-    return {workspace: caller.workspace.name, class: routing.requestClass};
+  private async moveCache(from: BackendServer): Promise<boolean> {
+    const {context, accepted} = this;
+    const to = this.chooser.getFreeServer(from.instanceId);
+    if (!to) return false;
+    const startedAtMs = context.getNowMs();
+    const timeoutMs = Math.max(1, (from.leavingAtMs ?? accepted.deadlineAtMs) - startedAtMs);
+    const signal = AbortSignal.timeout(timeoutMs);
+    try {
+      const {requestId} = accepted;
+      const tokens = await context.engine.moveCache({requestId, from, to, signal});
+      context.tracker.addCacheMove(tokens, context.getNowMs() - startedAtMs);
+      this.preferred = to;
+      return true;
+    } catch {
+      return false;
+    }
   }
 }
+
+function createGoneError(): AttemptError {
+  return new AttemptError('the caller has gone', {kind: 'backend-failed', failure: 'moved'});
+}
--- a/src/http/PlainHandler.ts
+++ b/src/http/PlainHandler.ts
@@ -67,6 +67,7 @@
     const tags = {workspace: caller.workspace.name, class: PLAIN_CLASS};
     const {requestId, workspace, signal} = caller;
     const release = await context.admission.enter(
+      service.name,
       {requestId, workspace: workspace.name, requestClass: PLAIN_CLASS, deadlineAtMs},
       signal,
     );
@@ -170,7 +171,7 @@
   ): Promise<PlainAnswer> {
     const {context} = this;
     const {caller, method, path, body, deadlineAtMs} = call;
-    context.openRequests.addRequest(server.instanceId);
+    context.tracker.addRequest(server.instanceId);
     try {
       return await context.engine.callPlain(server, {
         method: method as 'GET',
@@ -185,7 +186,7 @@
         signal: AbortSignal.timeout(Math.max(1, deadlineAtMs - context.getNowMs())),
       });
     } finally {
-      context.openRequests.removeRequest(server.instanceId);
+      context.tracker.removeRequest(server.instanceId);
     }
   }
 }
--- a/src/http/RequestContext.ts
+++ b/src/http/RequestContext.ts
@@ -1,23 +1,32 @@
 /** What the handlers of callers' requests share. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Blackboard} from '../blackboard/index.js';
+import type {Blackboard, Incident} from '../blackboard/index.js';
 import type {ClaimService} from '../claims/index.js';
 import type {Configuration, Service, Workspace} from '../configuration/index.js';
+import type {EvidenceRecorder} from '../controllers/moves/index.js';
+import type {QuarantineLedger} from '../controllers/quarantine/index.js';
+import type {RetryBudget} from '../controllers/retry/index.js';
 import type {RoutingView} from '../controllers/routing/index.js';
-import type {EngineClient} from '../engine/index.js';
+import type {EngineClient, ServerTracker} from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {AdmissionGate} from './AdmissionGate.js';
+import type {AdmissionGates} from './AdmissionGates.js';
 import type {BodyLimits} from './RequestBody.js';
-import type {OpenRequests} from './OpenRequests.js';
+import type {RunRegistry} from './RunRegistry.js';
 
 /** Parts of the daemon that handlers use. */
 export interface HandlerContext {
   readonly blackboard: Blackboard;
   readonly engine: EngineClient;
   readonly claims: Pick<ClaimService, 'claim' | 'recordOutcome'>;
-  readonly admission: AdmissionGate;
-  readonly openRequests: OpenRequests;
+  readonly admission: AdmissionGates;
+  readonly tracker: ServerTracker;
+  readonly retryBudget: RetryBudget;
+  readonly quarantine: QuarantineLedger;
+  readonly evidence: EvidenceRecorder;
+  readonly runs: RunRegistry;
+  /** Tells peers and this entry itself of evidence; resolves when the peers that answer in time have it. */
+  readonly reportIncidents: (incidents: readonly Incident[]) => Promise<void>;
   readonly metrics: Metrics;
   readonly bodyLimits: BodyLimits;
   readonly deploymentKeys: readonly string[];
@@ -43,19 +52,21 @@
 
 /** Returns the view by which requests are routed now. */
 export function getRoutingView(context: HandlerContext, configuration: Configuration): RoutingView {
-  const {blackboard, openRequests, ownInstanceId, ownFailureDomain} = context;
+  const {blackboard, tracker, ownInstanceId, ownFailureDomain, getNowMs} = context;
   const sections = blackboard.getSections();
   return {
     configuration,
-    servers: sections.backendServers.servers,
+    servers: sections.backendServers.servers.filter(({instanceId}) => !tracker.isDown(instanceId)),
     failureDomains: sections.failureDomains.domains,
     moves: sections.moves.moves,
     incidents: sections.incidents.incidents,
     entries: sections.peers.members,
     ownInstanceId,
     ownFailureDomain,
-    getOpenRequests: instanceId => openRequests.getCount(instanceId),
-    getCachedTokens: () => 0,
+    getOpenRequests: instanceId => tracker.getOpenRequests(instanceId),
+    getConcurrencyLimit: (server, service) => tracker.getLimit(server, service),
+    getCachedTokens: (instanceId, blockHashes) =>
+      tracker.prefixes.getCachedTokens(instanceId, blockHashes, getNowMs()),
   };
 }
 
--- /dev/null
+++ b/src/http/ServerChooser.ts
@@ -0,0 +1,150 @@
+/** Finds the backend server of a request's next try, and waits for a place where all are busy. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {BackendServer} from '../blackboard/index.js';
+import type {AttemptFailureKind} from '../controllers/retry/index.js';
+import {chooseBackendServer, type RoutingDecision} from '../controllers/routing/index.js';
+import {ServingError} from '../errors/index.js';
+import {getRoutingView, type HandlerContext} from './RequestContext.js';
+
+/** What the choice depends on. */
+export interface RoutedRequest {
+  readonly workspace: string;
+  readonly service: {readonly name: string};
+  readonly requestClass: {readonly name: string};
+  readonly fingerprint: string;
+  readonly promptTokens: number;
+  readonly blockHashes: readonly string[];
+  readonly deadlineAtMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** A chosen backend server. */
+export interface ChosenServer {
+  readonly server: BackendServer;
+  readonly expectedFirstTokenMs: number;
+}
+
+/** Longest wait for a place before the choice is made again. */
+const SLOT_WAIT_MS = 100;
+/** Time for which a request that has been sent before waits for any backend server at all. */
+const NO_SERVER_WAIT_MS = 250;
+
+/** Chooses by routing and quarantine; remembers where the request has failed. */
+export class ServerChooser {
+  private readonly context: HandlerContext;
+  private readonly request: RoutedRequest;
+  private readonly excluded = new Set<string>();
+  private draw: number;
+
+  constructor(context: HandlerContext, request: RoutedRequest) {
+    this.context = context;
+    this.request = request;
+    this.draw = context.random();
+  }
+
+  /**
+   * Returns the backend server of the next try, as soon as one has a place.
+   * @param preferred - Backend server that holds the request's KV cache, if any.
+   * @param wasSent - Whether the request was sent before, so that it waits instead of being refused.
+   * @throws ServingError where there is none before the deadline.
+   */
+  async choose(preferred: BackendServer | undefined, wasSent: boolean): Promise<ChosenServer> {
+    const {request} = this;
+    for (;;) {
+      const busyInstanceIds = await this.passQuarantine();
+      if (request.signal.aborted) throw new ServingError('the caller has gone', {kind: 'internal'});
+      const isBusy = preferred !== undefined && busyInstanceIds.has(preferred.instanceId);
+      if (preferred && !isBusy) return {server: preferred, expectedFirstTokenMs: 0};
+      const decision = this.decide(busyInstanceIds);
+      if (decision.kind === 'chosen') return decision;
+      await this.waitOrThrow(decision, wasSent, busyInstanceIds.size > 0);
+    }
+  }
+
+  /**
+   * Returns a free backend server for the request's KV cache.
+   * @param leavingInstanceId - Backend server that it leaves.
+   */
+  getFreeServer(leavingInstanceId: string): BackendServer | undefined {
+    const decision = this.decide(new Set([leavingInstanceId]));
+    return decision.kind === 'chosen' ? decision.server : undefined;
+  }
+
+  /**
+   * Notes that a try failed.
+   * @param server - Where.
+   * @param failure - How.
+   */
+  noteFailure(server: BackendServer, failure: AttemptFailureKind): void {
+    if (failure !== 'silent') this.excluded.add(server.instanceId);
+    // A version that fails a request gets no second try of it by its share alone.
+    if (failure === 'failed') this.draw = this.context.random();
+  }
+
+  private async passQuarantine(): Promise<ReadonlySet<string>> {
+    const {context, request} = this;
+    for (;;) {
+      const decision = context.quarantine.decide(request.fingerprint, context.getNowMs());
+      if (decision.kind === 'run') return new Set();
+      if (decision.kind === 'run-watched') return decision.busyInstanceIds;
+      if (decision.kind === 'refused') {
+        throw new ServingError('the request has crashed backend servers', {
+          kind: 'poison-quarantined',
+        });
+      }
+      if (context.getNowMs() + decision.delayMs >= request.deadlineAtMs) {
+        throw new ServingError('the request waits for the verdict on a crash', {
+          kind: 'overloaded',
+          run: 'unknown',
+        });
+      }
+      await sleep(decision.delayMs);
+    }
+  }
+
+  private decide(alsoExcluded: ReadonlySet<string>): RoutingDecision {
+    const {context, request, draw} = this;
+    const {configuration} = context.blackboard.getSection('configuration');
+    if (!configuration) {
+      return {kind: 'refused', errorKind: 'configuration-unknown', reason: 'no configuration'};
+    }
+    const {workspace, service, requestClass, promptTokens, blockHashes, deadlineAtMs} = request;
+    return chooseBackendServer(
+      getRoutingView(context, configuration),
+      {
+        service: service.name,
+        workspace,
+        requestClass: requestClass.name,
+        promptTokens,
+        blockHashes,
+        excludedInstanceIds: new Set([...this.excluded, ...alsoExcluded]),
+        deadlineAtMs,
+      },
+      context.getNowMs(),
+      () => draw,
+    );
+  }
+
+  private async waitOrThrow(
+    decision: Extract<RoutingDecision, {kind: 'refused'}>,
+    wasSent: boolean,
+    isWatched: boolean,
+  ): Promise<void> {
+    const {context, request} = this;
+    const {errorKind, reason} = decision;
+    const hasTime = context.getNowMs() + SLOT_WAIT_MS < request.deadlineAtMs;
+    if (errorKind === 'overloaded' && hasTime) {
+      await context.tracker.waitForSlot(SLOT_WAIT_MS);
+      return;
+    }
+    if (errorKind === 'no-backend-server' && (wasSent || isWatched) && hasTime) {
+      this.excluded.clear();
+      await sleep(NO_SERVER_WAIT_MS);
+      return;
+    }
+    throw new ServingError(reason, {
+      kind: errorKind,
+      ...(wasSent ? {run: 'unknown' as const} : {}),
+    });
+  }
+}
--- /dev/null
+++ b/src/http/ServingParts.ts
@@ -0,0 +1,137 @@
+/** The parts of an entry that serve callers' requests, built and run together. */
+import type {Blackboard, Incident} from '../blackboard/index.js';
+import type {Service} from '../configuration/index.js';
+import {EvidenceRecorder, decideLocalBrake} from '../controllers/moves/index.js';
+import {DEFAULT_QUARANTINE, QuarantineLedger} from '../controllers/quarantine/index.js';
+import {RetryBudget} from '../controllers/retry/index.js';
+import {ServerTracker} from '../engine/index.js';
+import type {Metrics} from '../metrics/index.js';
+import {AdmissionGates} from './AdmissionGates.js';
+import {IncidentBoard} from './IncidentBoard.js';
+import {RunRegistry} from './RunRegistry.js';
+import {getServiceCapacity} from './serviceCapacity.js';
+
+/** Options of `ServingParts`. */
+export interface ServingPartsOptions {
+  readonly blackboard: Blackboard;
+  readonly metrics: Metrics;
+  readonly ownInstanceId: string;
+  readonly getNowMs: () => number;
+  readonly maxRunningRequests: number;
+  readonly maxQueuedRequests: number;
+}
+
+const DRAIN_CHECK_MS = 100;
+const UPKEEP_MS = 250;
+/** Time for which a brake holds unless the evidence goes on. */
+const BRAKE_MS = 30_000;
+
+/** Builds tracker, budget, quarantine, evidence, runs and admission over one blackboard. */
+export class ServingParts {
+  readonly tracker: ServerTracker;
+  readonly retryBudget = new RetryBudget();
+  readonly quarantine: QuarantineLedger;
+  readonly evidence = new EvidenceRecorder();
+  readonly runs = new RunRegistry();
+  readonly admission: AdmissionGates;
+  readonly incidents: IncidentBoard;
+  private readonly options: ServingPartsOptions;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(options: ServingPartsOptions) {
+    this.options = options;
+    const {blackboard, ownInstanceId, getNowMs} = options;
+    this.tracker = new ServerTracker({
+      ownInstanceId,
+      getEntries: () => blackboard.getSection('peers').members,
+      getService: name => this.getService(name),
+      getNowMs,
+    });
+    this.quarantine = new QuarantineLedger({
+      ...DEFAULT_QUARANTINE,
+      ownInstanceId,
+      isAlive: entry => this.isAlive(entry),
+    });
+    this.incidents = new IncidentBoard({blackboard, quarantine: this.quarantine, getNowMs});
+    this.admission = new AdmissionGates({
+      getLimits: service => this.getAdmissionLimits(service),
+      getNowMs,
+    });
+  }
+
+  /** Starts what runs at intervals. */
+  start(): void {
+    this.runs.start(DRAIN_CHECK_MS);
+    this.timer ??= setInterval(() => this.keepUp(), UPKEEP_MS);
+  }
+
+  /** Stops what runs at intervals. */
+  stop(): void {
+    this.runs.stop();
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+
+  /** Returns a function that takes this entry's own evidence and spreads it. */
+  getReporter(): (incidents: readonly Incident[]) => Promise<void> {
+    return incidents => this.incidents.reportIncidents(incidents);
+  }
+
+  private keepUp(): void {
+    this.admission.admitWaiting();
+    this.incidents.removeExpired();
+    this.checkBrakes();
+  }
+
+  private checkBrakes(): void {
+    const {blackboard, getNowMs, metrics, ownInstanceId} = this.options;
+    const nowMs = getNowMs();
+    const {moves, incidents} = blackboard.getSections();
+    const running = moves.moves.filter(({phase}) => phase === 'running' || phase === 'soaking');
+    for (const move of running) {
+      const isBraked = incidents.incidents.some(
+        ({kind, service, subject, reporter}) =>
+          kind === 'bad-version' &&
+          service === move.service &&
+          subject === move.toVersion &&
+          reporter === ownInstanceId,
+      );
+      if (isBraked || !decideLocalBrake(this.evidence.getEvidence(0), move, nowMs)) continue;
+      const {service, toVersion} = move;
+      metrics.addCount('version.braked', {service, version: toVersion});
+      void this.incidents.reportIncidents([
+        {
+          kind: 'bad-version',
+          subject: toVersion,
+          service,
+          reporter: ownInstanceId,
+          observedAtMs: nowMs,
+          expiresAtMs: nowMs + BRAKE_MS,
+        },
+      ]);
+    }
+  }
+
+  private getService(name: string): Service | undefined {
+    const {configuration} = this.options.blackboard.getSection('configuration');
+    return configuration?.services.find(service => service.name === name);
+  }
+
+  private isAlive(entryInstanceId: string): boolean {
+    const {members} = this.options.blackboard.getSection('peers');
+    const member = members.find(({instanceId}) => instanceId === entryInstanceId);
+    return member?.state === 'alive' || member?.state === 'suspect';
+  }
+
+  private getAdmissionLimits(service: string) {
+    const {blackboard, maxRunningRequests, maxQueuedRequests, getNowMs} = this.options;
+    const {configuration} = blackboard.getSection('configuration');
+    const capacity = getServiceCapacity(blackboard, this.tracker, service, getNowMs());
+    return {
+      workspaces: configuration?.workspaces ?? [],
+      requestClasses: configuration?.requestClasses ?? [],
+      maxRunningRequests: Math.min(maxRunningRequests, capacity),
+      maxQueuedRequests,
+    };
+  }
+}
--- a/src/http/StreamWriter.ts
+++ b/src/http/StreamWriter.ts
@@ -11,15 +11,32 @@
   readonly createdAtSeconds: number;
 }
 
+/** Time between the comments that keep a silent stream open. */
+const HEARTBEAT_MS = 5_000;
+
 /** Sends the head with the first token, so that a refusal before it keeps its own status. */
 export class StreamWriter {
   private readonly options: StreamWriterOptions;
   private tokenCount = 0;
+  private heartbeat: NodeJS.Timeout | undefined;
 
   constructor(options: StreamWriterOptions) {
     this.options = options;
   }
 
+  /** Starts to send a comment at intervals; the first one sends the head, so that it comes late. */
+  startHeartbeats(): void {
+    this.heartbeat = setInterval(() => {
+      this.writeHead();
+      this.options.caller.response.write(': waiting\n\n');
+    }, HEARTBEAT_MS);
+  }
+
+  /** Stops sending comments. */
+  stopHeartbeats(): void {
+    clearInterval(this.heartbeat);
+  }
+
   /**
    * Sends a token. Its event id is the number of tokens sent so far, by which a caller resumes.
    * @param token - Text of the token.
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,7 +1,10 @@
 export {rankAddresses, type AddressAnswer, type EntryAddress} from './AddressHandler.js';
-export {AdmissionGate, type AdmissionGateOptions} from './AdmissionGate.js';
+export {AdmissionGates, type AdmissionGatesOptions} from './AdmissionGates.js';
+export {getServiceCapacity} from './serviceCapacity.js';
 export {CallersServer, type CallersServerOptions} from './CallersServer.js';
-export {OpenRequests} from './OpenRequests.js';
+export {IncidentBoard, type IncidentSpreader} from './IncidentBoard.js';
+export {RunRegistry} from './RunRegistry.js';
+export {ServingParts, type ServingPartsOptions} from './ServingParts.js';
 export type {StatusAnswer} from './OperatorHandler.js';
 export type {BodyLimits} from './RequestBody.js';
 export type {HandlerContext} from './RequestContext.js';
