Entries know each other: membership, configuration through peers, evidence spread, quarantines in the log

Cause: membership and the configuration's follower had no daemon around them; the look-up named one entry, and a repeat at an entry that had not yet heard of the claimant was answered 'outcome unknown' for good (seen in the quickstart). Ruled out: taking every unknown claimant for running, which would leave the keys of replaced entries 'under way' for ever.

--- a/scenarios/bin/quickstart.ts
+++ b/scenarios/bin/quickstart.ts
@@ -101,7 +101,7 @@
   }
 }
 
-/** Waits until every entry has the configuration and sees all backend servers. */
+/** Waits until every entry has the configuration and sees all entries and backend servers. */
 async function waitUntilServing(deployment: Deployment): Promise<void> {
   const endAtMs = Date.now() + READY_TIMEOUT_MS;
   for (const url of deployment.getEntryUrls()) {
@@ -118,10 +118,14 @@
   });
   const status = (await response.body.json()) as {
     readonly configurationRevision: number;
+    readonly members: readonly unknown[];
     readonly backendServers: readonly unknown[];
   };
-  const expectedServers = MODEL_SERVERS + PLAIN_SERVERS;
-  return status.configurationRevision > 0 && status.backendServers.length >= expectedServers;
+  return (
+    status.configurationRevision > 0 &&
+    status.members.length >= DAEMONS_PER_ROLE &&
+    status.backendServers.length >= MODEL_SERVERS + PLAIN_SERVERS
+  );
 }
 
 async function runChecks(entryUrls: readonly string[]): Promise<readonly Check[]> {
@@ -148,7 +152,7 @@
     readonly addresses: readonly {readonly address: string; readonly port: number}[];
   };
   const shown = answer.addresses.map(({address, port}) => `${address}:${port}`).join(' ');
-  return {name: 'address look-up', isRight: answer.addresses.length > 0, detail: shown};
+  return {name: 'address look-up', isRight: answer.addresses.length === DAEMONS_PER_ROLE, detail: shown};
 }
 
 async function checkStream(url: string): Promise<Check> {
--- a/src/bin/buckthorn-entry.ts
+++ b/src/bin/buckthorn-entry.ts
@@ -15,7 +15,8 @@
   const logger = createLogger({name: 'buckthorn-entry', instanceId, level: logLevel});
   const daemon = new EntryDaemon({settings, logger});
   await daemon.start();
-  process.stdout.write(`${JSON.stringify({ready: true, instanceId, port: daemon.getPort()})}\n`);
+  const ready = {ready: true, instanceId, port: daemon.getPort(), peerPort: daemon.getPeerPort()};
+  process.stdout.write(`${JSON.stringify(ready)}\n`);
   await waitForStopSignal();
   await daemon.stop();
 }
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -1,22 +1,26 @@
 /** The entry daemon: wires blackboard, adapters and handlers, and stops gracefully. */
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Blackboard} from '../blackboard/index.js';
+import {Blackboard, type Incident} from '../blackboard/index.js';
 import {ClaimService} from '../claims/index.js';
 import {EngineClient} from '../engine/index.js';
-import {ConfigurationFold, FleetFold} from '../folds/index.js';
+import {ServingError} from '../errors/index.js';
+import {FleetFold} from '../folds/index.js';
 import {CallersServer, ServingParts, type HandlerContext} from '../http/index.js';
-import {LogClient, StreamFollower} from '../log/index.js';
+import {LogClient, LogWriter, StreamFollower} from '../log/index.js';
 import type {Logger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
 import {InstanceListClient} from '../platform/index.js';
+import {ClaimantWatch, createClaimant} from './ClaimantWatch.js';
 import type {EntrySettings} from './EntrySettings.js';
+import {PeerParts} from './PeerParts.js';
 import {ServerWatcher} from './ServerWatcher.js';
 
 const LOG_TIMEOUT_MS = 2_000;
 const LIST_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 const REPORT_TIMEOUT_MS = 1_000;
+const QUARANTINE_TIMEOUT_MS = 10_000;
 const DRAIN_POLL_MS = 50;
 
 /** Options of an `EntryDaemon`. */
@@ -29,23 +33,26 @@
 export class EntryDaemon {
   private readonly options: EntryDaemonOptions;
   private readonly blackboard = new Blackboard();
-  private readonly configurationFold = new ConfigurationFold();
   private readonly fleetFold = new FleetFold();
   private readonly log: LogClient;
   private readonly list: InstanceListClient;
   private readonly engine: EngineClient;
   private readonly metrics: Metrics;
   private readonly claims: ClaimService;
-  private readonly followers: readonly StreamFollower[];
+  private readonly fleetWriter: LogWriter;
+  private readonly fleetFollower: StreamFollower;
+  private readonly peers: PeerParts;
   private readonly serving: ServingParts;
   private readonly watcher: ServerWatcher;
   private readonly server: CallersServer;
+  private readonly claimantWatch = new ClaimantWatch();
   private isStopping = false;
 
   constructor(options: EntryDaemonOptions) {
     this.options = options;
     const {settings} = options;
     const getNowMs = () => Date.now();
+    const writer = createClaimant(settings.instanceId, randomUUID());
     this.log = new LogClient({url: settings.logUrl, timeoutMs: LOG_TIMEOUT_MS});
     this.list = new InstanceListClient({url: settings.listUrl, timeoutMs: LIST_TIMEOUT_MS});
     this.engine = new EngineClient({
@@ -59,11 +66,26 @@
     });
     this.claims = new ClaimService({
       log: this.log,
-      claimant: `${settings.instanceId}/${randomUUID()}`,
+      claimant: writer,
       getNowMs,
-      isClaimantLive: () => true,
+      isClaimantLive: claimant => this.isClaimantLive(claimant, getNowMs()),
+    });
+    this.fleetWriter = new LogWriter({
+      stream: 'fleet',
+      log: this.log,
+      writer,
+      timeoutMs: QUARANTINE_TIMEOUT_MS,
+    });
+    this.fleetFollower = this.createFleetFollower();
+    this.peers = new PeerParts({
+      settings,
+      blackboard: this.blackboard,
+      log: this.log,
+      writer,
+      getNowMs,
+      random: Math.random,
+      onIncidents: incidents => this.serving.incidents.addIncidents(incidents),
     });
-    this.followers = [this.createConfigurationFollower(), this.createFleetFollower()];
     this.serving = new ServingParts({
       blackboard: this.blackboard,
       metrics: this.metrics,
@@ -86,13 +108,15 @@
 
   /** Starts all parts and listens. */
   async start(): Promise<void> {
-    for (const follower of this.followers) follower.start();
+    this.logRevisions();
+    this.fleetFollower.start();
     this.claims.start();
     await this.watcher.start();
     this.serving.start();
+    this.serving.incidents.setSpreader(incidents => this.spreadIncidents(incidents));
     await this.server.start();
-    this.writeOwnMember();
-    this.options.logger.info({port: this.server.getPort()}, 'entry listens');
+    await this.peers.start(this.server.getPort());
+    this.options.logger.info({port: this.getPort(), peerPort: this.getPeerPort()}, 'entry listens');
   }
 
   /** Returns the port for callers. */
@@ -100,12 +124,17 @@
     return this.server.getPort();
   }
 
+  /** Returns the port for peers. */
+  getPeerPort(): number {
+    return this.peers.getPort();
+  }
+
   /** Leaves the look-up, waits for open requests within the drain timeout, and stops. */
   async stop(): Promise<void> {
     if (this.isStopping) return;
     const {settings, logger} = this.options;
     this.isStopping = true;
-    this.writeOwnMember();
+    this.peers.leave();
     logger.info({open: this.server.getOpenCount()}, 'entry drains');
     const endAtMs = Date.now() + settings.drainTimeoutMs;
     while (this.server.getOpenCount() > 0 && Date.now() < endAtMs) await sleep(DRAIN_POLL_MS);
@@ -113,41 +142,74 @@
     this.serving.stop();
     await this.server.stop();
     await this.claims.stop();
-    await Promise.all(this.followers.map(follower => follower.stop()));
+    await this.peers.stop();
+    await this.fleetFollower.stop();
     await Promise.all([this.log.close(), this.list.close(), this.engine.close()]);
     await this.metrics.close();
     logger.info({}, 'entry stopped');
   }
 
-  private createConfigurationFollower(): StreamFollower {
-    return new StreamFollower({
-      stream: 'configuration',
-      log: this.log,
-      getNowMs: () => Date.now(),
-      fold: this.configurationFold,
-      onApplied: () => this.writeConfiguration(),
+  private logRevisions(): void {
+    const {logger} = this.options;
+    this.blackboard.addListener('configuration', ({revision}, previous) => {
+      if (revision !== previous.revision) logger.info({revision}, 'configuration in force');
     });
   }
 
-  private writeConfiguration(): void {
-    const revision = this.configurationFold.getRevision();
-    const configuration = this.configurationFold.getConfiguration();
-    const isNew = revision !== this.blackboard.getSection('configuration').revision;
-    const confirmedAtMs = Date.now();
-    this.blackboard.setSection('configuration', {revision, configuration, confirmedAtMs});
-    if (isNew) this.options.logger.info({revision}, 'configuration in force');
-  }
-
   private createFleetFollower(): StreamFollower {
     return new StreamFollower({
       stream: 'fleet',
       log: this.log,
       getNowMs: () => Date.now(),
       fold: this.fleetFold,
-      onApplied: () => {
-        this.blackboard.setSection('moves', {moves: this.fleetFold.getMoves()});
-        this.blackboard.setSection('failureDomains', {domains: this.fleetFold.getFailureDomains()});
-      },
+      writer: this.fleetWriter,
+      onApplied: () => this.writeFleetSections(),
+    });
+  }
+
+  private writeFleetSections(): void {
+    const {fleetFold, blackboard} = this;
+    blackboard.setSection('moves', {moves: fleetFold.getMoves()});
+    blackboard.setSection('failureDomains', {domains: fleetFold.getFailureDomains()});
+    const quarantines = fleetFold.getQuarantines(Date.now());
+    this.serving.incidents.addIncidents(
+      quarantines.map(({fingerprint, service, reporter, observedAtMs, expiresAtMs}) => ({
+        kind: 'poison-quarantined' as const,
+        subject: fingerprint,
+        service,
+        reporter,
+        observedAtMs,
+        expiresAtMs,
+      })),
+    );
+  }
+
+  /** Peers hear of evidence at once; a quarantine also goes into the log, so that later entries know it. */
+  private async spreadIncidents(incidents: readonly Incident[]): Promise<void> {
+    for (const incident of incidents) {
+      if (incident.kind === 'poison-quarantined') this.recordQuarantine(incident);
+    }
+    await this.peers.spreadIncidents(incidents);
+  }
+
+  private recordQuarantine(incident: Incident): void {
+    const {subject: fingerprint, service, reporter, observedAtMs, expiresAtMs} = incident;
+    this.fleetWriter
+      .propose({kind: 'quarantine', fingerprint, service, reporter, observedAtMs, expiresAtMs})
+      .catch(() => this.metrics.addCount('quarantine.not_recorded'));
+  }
+
+  private isClaimantLive(claimant: string, nowMs: number): boolean {
+    const {members} = this.blackboard.getSection('peers');
+    return this.claimantWatch.isLive(claimant, members, nowMs);
+  }
+
+  private checkAccepting(): void {
+    if (this.isStopping) throw new ServingError('this entry is stopping', {kind: 'stopping'});
+    const {mayAcceptWork, currency} = this.peers.getCurrency();
+    if (mayAcceptWork) return;
+    throw new ServingError(`this entry may not accept work: its configuration is ${currency}`, {
+      kind: 'configuration-unknown',
     });
   }
 
@@ -174,23 +236,7 @@
       random: Math.random,
       createId: randomUUID,
       isStopping: () => this.isStopping,
+      checkAccepting: () => this.checkAccepting(),
     };
   }
-
-  private writeOwnMember(): void {
-    const {instanceId, address, peerPort, failureDomain} = this.options.settings;
-    const {revision} = this.blackboard.getSection('configuration');
-    const member = {
-      instanceId,
-      state: this.isStopping ? ('leaving' as const) : ('alive' as const),
-      incarnation: 0,
-      address,
-      peerPort,
-      callersPort: this.getPort(),
-      failureDomain,
-      configurationRevision: revision,
-      changedAtMs: Date.now(),
-    };
-    this.blackboard.setSection('peers', {members: [member]});
-  }
 }
--- /dev/null
+++ b/src/entry/PeerParts.ts
@@ -0,0 +1,128 @@
+/** The parts of an entry that talk to its peers: membership, configuration and evidence. */
+import type {Blackboard, Incident, Member} from '../blackboard/index.js';
+import type {ConfigurationCurrencyVerdict} from '../controllers/configuration/index.js';
+import type {LogAccess} from '../log/index.js';
+import {
+  ConfigurationFollower,
+  MembershipLoop,
+  PeerClient,
+  PeerKeys,
+  PeerServer,
+  fromWireIncidents,
+  toWireIncident,
+} from '../peer/index.js';
+import type {EntrySettings} from './EntrySettings.js';
+
+const PEER_TIMEOUT_MS = 1_000;
+
+/** Options of `PeerParts`. */
+export interface PeerPartsOptions {
+  readonly settings: EntrySettings;
+  readonly blackboard: Blackboard;
+  readonly log: LogAccess;
+  /** Incarnation of this process in the log. */
+  readonly writer: string;
+  readonly getNowMs: () => number;
+  readonly random: () => number;
+  /** Called with evidence that a peer sent. */
+  readonly onIncidents: (incidents: readonly Incident[]) => void;
+}
+
+/** Builds and runs the peer server, the membership protocol and the configuration's follower. */
+export class PeerParts {
+  private readonly options: PeerPartsOptions;
+  private readonly client: PeerClient;
+  private readonly server: PeerServer;
+  private readonly configuration: ConfigurationFollower;
+  private membership: MembershipLoop | undefined;
+  private peerPort = 0;
+
+  constructor(options: PeerPartsOptions) {
+    this.options = options;
+    const {settings, blackboard, log, writer, getNowMs, random} = options;
+    const keys = new PeerKeys(settings.deploymentKeys);
+    const {address} = settings;
+    this.client = new PeerClient({keys, timeoutMs: PEER_TIMEOUT_MS});
+    this.server = new PeerServer({address, port: settings.peerPort, keys});
+    this.configuration = new ConfigurationFollower({
+      log,
+      client: this.client,
+      blackboard,
+      writer,
+      getNowMs,
+      random,
+    });
+  }
+
+  /**
+   * Listens for peers and starts to probe them.
+   * @param callersPort - Port that callers of this entry use.
+   */
+  async start(callersPort: number): Promise<void> {
+    this.peerPort = await this.server.start();
+    this.membership = this.createMembership(callersPort);
+    this.server.addHandlers({
+      ...this.configuration.getHandlers(),
+      ...this.membership.getHandlers(),
+      reportIncidents: ({incidents}) => {
+        this.options.onIncidents(fromWireIncidents(incidents));
+        return {};
+      },
+    });
+    this.configuration.start();
+    this.membership.start();
+  }
+
+  /** Returns the port for peers; 0 before the start. */
+  getPort(): number {
+    return this.peerPort;
+  }
+
+  /** Returns whether the configuration known here may be worked with. */
+  getCurrency(): ConfigurationCurrencyVerdict {
+    return this.configuration.getCurrency();
+  }
+
+  /** Tells peers that this entry takes no new work. */
+  leave(): void {
+    this.membership?.leave();
+  }
+
+  /**
+   * Sends evidence to all live peers; resolves when each has answered or failed.
+   * @param incidents - The evidence.
+   */
+  async spreadIncidents(incidents: readonly Incident[]): Promise<void> {
+    const message = {incidents: incidents.map(toWireIncident)};
+    await Promise.allSettled(
+      this.getLivePeers().map(peer => this.client.getCalls(peer).reportIncidents(message)),
+    );
+  }
+
+  /** Stops probing and closes the port. */
+  async stop(): Promise<void> {
+    await this.membership?.stop();
+    await this.configuration.stop();
+    await this.server.stop();
+    this.client.close();
+  }
+
+  private createMembership(callersPort: number): MembershipLoop {
+    const {settings, blackboard, getNowMs, random} = this.options;
+    const {instanceId, address, failureDomain} = settings;
+    return new MembershipLoop({
+      self: {instanceId, address, failureDomain, callersPort, peerPort: this.peerPort},
+      client: this.client,
+      blackboard,
+      getNowMs,
+      random,
+      onReading: (reading, member) => this.configuration.observePeer(reading, member),
+    });
+  }
+
+  private getLivePeers(): readonly Member[] {
+    const {members} = this.options.blackboard.getSection('peers');
+    const {instanceId} = this.options.settings;
+    return members.filter(member => member.instanceId !== instanceId && member.state !== 'dead');
+  }
+}
--- a/src/http/CallersServer.ts
+++ b/src/http/CallersServer.ts
@@ -129,9 +129,7 @@
       this.addresses.handle(caller);
       return;
     }
-    if (this.options.context.isStopping()) {
-      throw new ServingError('this entry is stopping', {kind: 'stopping'});
-    }
+    this.options.context.checkAccepting();
     this.openCount += 1;
     try {
       await this.serveWork(caller, pathname, search);
--- a/src/http/RequestContext.ts
+++ b/src/http/RequestContext.ts
@@ -36,6 +36,8 @@
   readonly random: () => number;
   readonly createId: () => string;
   readonly isStopping: () => boolean;
+  /** Throws a ServingError where this entry may not accept new work. */
+  readonly checkAccepting: () => void;
 }
 
 /** A caller's request with the workspace it belongs to. */
