Scenario language and runner; ledgers outlive their processes

Scenarios are YAML, checked with zod, and refused with file and line where unknown; verdicts come from ledger files and the callers' records, and a ledger file outlives a killed backend server.

--- /dev/null
+++ b/scenarios/callers/CallerLoad.ts
@@ -0,0 +1,139 @@
+/** Callers that send requests at a rate, whatever becomes of the earlier ones. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createAnswer} from '../../standins/index.js';
+import type {LoadPlan} from '../language/index.js';
+import {AddressBook} from './AddressBook.js';
+import {getAnswer, type CallAttempt, type CallRecord} from './CallRecord.js';
+import {sendCallerRequest, type CallerRequest} from './CallerRequest.js';
+
+/** Options of a `CallerLoad`. */
+export interface CallerLoadOptions {
+  readonly plan: LoadPlan;
+  readonly workspaceKey: string;
+  /** Returns the entries that a caller may ask first. */
+  readonly getSeedUrls: () => readonly string[];
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+}
+
+const MS_PER_SECOND = 1_000;
+const RETRY_DELAY_MS = 200;
+const WORDS = 5_000;
+
+/** Sends the calls of one load and keeps their records. */
+export class CallerLoad {
+  private readonly options: CallerLoadOptions;
+  private readonly book: AddressBook;
+  private readonly records: CallRecord[] = [];
+  private ended: Promise<void> | undefined;
+
+  constructor(options: CallerLoadOptions) {
+    this.options = options;
+    this.book = new AddressBook(options.getSeedUrls, options.workspaceKey);
+  }
+
+  /** Starts sending. */
+  start(): void {
+    this.ended ??= this.run();
+  }
+
+  /** Waits until every call has ended. */
+  async waitForEnd(): Promise<void> {
+    await this.ended;
+  }
+
+  /** Returns the name of the load. */
+  getName(): string {
+    return this.options.plan.name;
+  }
+
+  /** Returns the calls that have ended. */
+  getRecords(): readonly CallRecord[] {
+    return this.records;
+  }
+
+  private async run(): Promise<void> {
+    const {ratePerSecond, durationMs} = this.options.plan;
+    const startedAtMs = Date.now();
+    const count = Math.max(Math.round((ratePerSecond * durationMs) / MS_PER_SECOND), 1);
+    const calls: Array<Promise<void>> = [];
+    for (let index = 0; index < count; index++) {
+      const dueAtMs = startedAtMs + (index / ratePerSecond) * MS_PER_SECOND;
+      await sleep(Math.max(dueAtMs - Date.now(), 0));
+      calls.push(this.runCall(index));
+    }
+    await Promise.all(calls);
+  }
+
+  private async runCall(index: number): Promise<void> {
+    const {name, isRepeated} = this.options.plan;
+    const marker = `${name}-call-${index}.`;
+    const {request, expectedText} = this.createRequest(marker);
+    const attempts = this.tryUntilAnswered(request, 0);
+    const repeats = isRepeated ? this.tryUntilAnswered(request, 1) : Promise.resolve([]);
+    this.records.push({
+      load: name,
+      marker,
+      expectedText,
+      attempts: await attempts,
+      repeatAttempts: await repeats,
+    });
+  }
+
+  /** A caller tries the next entry when one refuses or breaks off, unless a repeat can't help. */
+  private async tryUntilAnswered(
+    request: CallerRequest,
+    firstEntry: number,
+  ): Promise<readonly CallAttempt[]> {
+    const attempts: CallAttempt[] = [];
+    for (let index = 0; index <= this.options.plan.maxRetries; index++) {
+      if (index > 0) await sleep(RETRY_DELAY_MS * index);
+      const urls = await this.book.getUrls(Date.now());
+      const url = urls[(firstEntry + index) % urls.length];
+      const attempt = await sendCallerRequest(url, request);
+      attempts.push(attempt);
+      if (getAnswer([attempt]) || isFinalRefusal(attempt)) break;
+      this.book.forget();
+    }
+    return attempts;
+  }
+
+  private createRequest(marker: string) {
+    const {plan, workspaceKey} = this.options;
+    const headers = {
+      authorization: `Bearer ${workspaceKey}`,
+      'idempotency-key': marker,
+      'x-request-class': plan.requestClass,
+    };
+    const common = {headers, timeoutMs: plan.timeoutMs};
+    if (plan.kind === 'booking') {
+      const body = JSON.stringify({call: marker, note: plan.bodyText});
+      const path = `/v1/services/${plan.service}/bookings`;
+      return {request: {...common, path, body, isStreamed: false}, expectedText: undefined};
+    }
+    const content = this.createPrompt(marker);
+    const isStreamed = plan.kind === 'stream';
+    const body = JSON.stringify({
+      model: plan.service,
+      messages: [{role: 'user', content}],
+      max_tokens: plan.tokens,
+      stream: isStreamed,
+    });
+    const expectedText = createAnswer(`<user>\n${content}\n<assistant>\n`, plan.tokens);
+    const request = {...common, path: '/v1/chat/completions', body, isStreamed};
+    return {request, expectedText};
+  }
+
+  private createPrompt(marker: string): string {
+    const {promptWords, sharedPrefixWords, bodyText} = this.options.plan;
+    const shared = Array.from({length: sharedPrefixWords}, (unused, index) => `shared${index}`);
+    const own = Array.from({length: Math.max(promptWords - sharedPrefixWords, 0)}, () => {
+      return `word${Math.floor(this.options.random() * WORDS)}`;
+    });
+    return [...shared, marker, ...own, bodyText].join(' ').trim();
+  }
+}
+
+function isFinalRefusal({status}: CallAttempt): boolean {
+  return status !== undefined && status >= 400 && status < 500 && ![409, 429].includes(status);
+}
--- /dev/null
+++ b/scenarios/language/index.ts
@@ -0,0 +1,10 @@
+export {parseScenario, readScenario, ScenarioError} from './ScenarioParser.js';
+export type {
+  Expectation,
+  LoadPlan,
+  Scenario,
+  ServicePlan,
+  StartPlan,
+  Step,
+  Target,
+} from './scenarioSchema.js';
--- /dev/null
+++ b/scenarios/runner/ExpectationChecker.ts
@@ -0,0 +1,123 @@
+/** Checks the expectations of a scenario. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {RunEntry} from '../../standins/index.js';
+import type {Expectation} from '../language/index.js';
+import {
+  checkAnsweredPercent,
+  checkAnswers,
+  checkNotRun,
+  checkRepeats,
+  checkRuns,
+  type Findings,
+} from './CallExpectations.js';
+import {checkInForce, checkRace} from './ConfigurationExpectations.js';
+import {selectRuns} from './Evidence.js';
+import {readLedgers} from './LedgerReader.js';
+import type {ScenarioWorld} from './ScenarioWorld.js';
+
+type ExpectationName = keyof Expectation;
+type FieldsOf<Name extends ExpectationName> = NonNullable<Expectation[Name]>;
+type Checks = {
+  readonly [Name in ExpectationName]-?: (fields: FieldsOf<Name>) => Findings | Promise<Findings>;
+};
+
+/** An expectation with what speaks against it. */
+export interface Verdict {
+  readonly name: string;
+  readonly findings: Findings;
+}
+
+const POLL_MS = 100;
+const PERCENT = 100;
+
+/** Reads ledgers and records. */
+export class ExpectationChecker {
+  private readonly world: ScenarioWorld;
+  private runs: readonly RunEntry[] = [];
+  private readonly checks: Checks = {
+    answersAreWhole: ({load, mayBeRefused}) => checkAnswers(this.getRecords(load), mayBeRefused),
+    runsAtMostOnce: ({load}) => checkRuns(this.getRecords(load), this.runs),
+    notRunIsTrue: ({load}) => checkNotRun(this.getRecords(load), this.runs),
+    repeatsGetSameAnswer: ({load}) => checkRepeats(this.getRecords(load)),
+    answeredPercent: ({load, min}) => checkAnsweredPercent(this.getRecords(load), min),
+    noNewWork: fields => this.checkNoNewWork(fields),
+    newWork: fields => this.checkNewWork(fields),
+    coldLoad: fields => this.checkColdLoad(fields),
+    crashes: ({max}) => this.checkCrashes(max),
+    versionShare: fields => this.checkVersionShare(fields),
+    moveEnds: fields => this.waitForMove(fields),
+    configurationInForce: ({withinMs}) => checkInForce(this.world, withinMs),
+    oneOperatorWins: () => checkRace(this.world.getOperators().getPublications()),
+    exitsGracefully: ({instance}) => this.checkExit(instance),
+  };
+
+  constructor(world: ScenarioWorld) {
+    this.world = world;
+  }
+
+  /** Checks one expectation. */
+  async check(expectation: Expectation): Promise<Verdict> {
+    const [name] = Object.keys(expectation) as readonly ExpectationName[];
+    this.runs = await readLedgers(this.world.folder);
+    // The parser has checked that the one key of an expectation is a name with its fields.
+    const run = this.checks[name] as (fields: unknown) => Findings | Promise<Findings>;
+    const fields = expectation[name];
+    return {name: `${name} ${JSON.stringify(fields)}`, findings: await run(fields)};
+  }
+
+  private getRecords(load: string) {
+    return this.world.getLoadOrThrow(load).getRecords();
+  }
+
+  private checkNoNewWork({after, withinMs, until, ...target}: FieldsOf<'noNewWork'>): Findings {
+    const fromMs = this.world.getMarkOrThrow(after) + withinMs;
+    const untilMs = until === undefined ? Infinity : this.world.getMarkOrThrow(until);
+    return selectRuns(this.runs, target)
+      .filter(({startedAtMs}) => startedAtMs > fromMs && startedAtMs < untilMs)
+      .map(({instanceId, startedAtMs}) => `${instanceId} got work ${startedAtMs - fromMs} ms late`);
+  }
+
+  private checkNewWork({after, withinMs, ...target}: FieldsOf<'newWork'>): Findings {
+    const fromMs = this.world.getMarkOrThrow(after);
+    const found = selectRuns(this.runs, target).some(
+      ({startedAtMs}) => startedAtMs > fromMs && startedAtMs <= fromMs + withinMs,
+    );
+    return found ? [] : [`no work within ${withinMs} ms of "${after}"`];
+  }
+
+  private checkColdLoad({service, maxOpenRequests}: FieldsOf<'coldLoad'>): Findings {
+    return selectRuns(this.runs, {service})
+      .filter(run => run.wasCold && run.openRequests > maxOpenRequests)
+      .map(run => `${run.instanceId} was cold with ${run.openRequests} requests open`);
+  }
+
+  private checkCrashes(max: number): Findings {
+    const crashed = this.world.getCrashedIds();
+    return crashed.length > max ? [`crashed: ${crashed.join(', ')}`] : [];
+  }
+
+  private checkVersionShare(fields: FieldsOf<'versionShare'>): Findings {
+    const {service, version, maxPercent, after} = fields;
+    const fromMs = this.world.getMarkOrThrow(after);
+    const runs = selectRuns(this.runs, {service}).filter(run => run.startedAtMs > fromMs);
+    const got = selectRuns(runs, {version}).length;
+    const percent = (got / Math.max(runs.length, 1)) * PERCENT;
+    return percent > maxPercent ? [`${version} got ${got} of ${runs.length} runs`] : [];
+  }
+
+  private async waitForMove({service, phase, withinMs}: FieldsOf<'moveEnds'>): Promise<Findings> {
+    const endAtMs = Date.now() + withinMs;
+    for (;;) {
+      const moves = await this.world.getOperators().getMoves();
+      const move = moves.find(item => item.service === service);
+      if (move?.phase === phase) return [];
+      if (Date.now() > endAtMs) return [`the move of ${service} is ${move?.phase ?? 'unknown'}`];
+      await sleep(POLL_MS);
+    }
+  }
+
+  private checkExit(instance: string): Findings {
+    const exitCode = this.world.deployment.getProcessOrThrow(instance).getExitCode();
+    return exitCode === 0 ? [] : [`${instance} ended with ${exitCode ?? 'a signal or not at all'}`];
+  }
+}
--- /dev/null
+++ b/src/controllers/admission/index.ts
@@ -0,0 +1,15 @@
+export {AdmissionQueue, type AdmissionQueueOptions} from './AdmissionQueue.js';
+export type {
+  AdmissionDecision,
+  AdmissionLimits,
+  AdmissionRequest,
+  ClassPriority,
+  WorkspaceLimit,
+} from './AdmissionTypes.js';
+export {
+  createConcurrencyLimit,
+  updateConcurrencyLimit,
+  type ConcurrencyBounds,
+  type ConcurrencyLimitState,
+  type LatencySample,
+} from './concurrencyLimit.js';
--- /dev/null
+++ b/src/controllers/moves/index.ts
@@ -0,0 +1,16 @@
+export {
+  EVIDENCE_KEPT_MS,
+  EVIDENCE_WINDOW_MS,
+  EvidenceRecorder,
+  getLoadBand,
+  getPrefillBand,
+  type TrySample,
+} from './EvidenceRecorder.js';
+export type {Fault} from './EvidenceComparison.js';
+export {getVersionShares} from './VersionShares.js';
+export {
+  decideLocalBrake,
+  getShownFault,
+  type ShownFault,
+  type VersionPair,
+} from './VersionVerdict.js';
--- /dev/null
+++ b/src/controllers/warmth/warmthLimit.ts
@@ -0,0 +1,44 @@
+/** How many requests this entry may have open at a backend server, by the server's warmth. */
+import type {BackendServer, Member, Warmth} from '../../blackboard/index.js';
+import type {Service} from '../../configuration/index.js';
+import {rankByRendezvous} from '../../utils/index.js';
+
+/** What the limit depends on. */
+export interface WarmthLimitView {
+  readonly server: BackendServer;
+  readonly service: Service;
+  readonly entries: readonly Member[];
+  readonly ownInstanceId: string;
+  /** From 0, cold, to 1, warm; absent where only the name of the warmth is known. */
+  readonly levelPart?: number;
+}
+
+const LEVEL_PARTS: Readonly<Record<Warmth, number>> = {cold: 0, suspect: 0, warming: 0.25, warm: 1};
+
+/**
+ * Returns how many requests this entry may have open at the server.
+ *
+ * The total over all entries grows with warmth from the cold limit to the warm one and is cut into slices of the cold
+ * limit: the first entry by rendezvous hash owns the first slice, the second one the next. A slice depends on the rank and
+ * on the total only, and grows with the total; so all entries together keep to the highest total that any of them sees,
+ * without asking each other. A warm server is free to all, up to what the service allows.
+ * @param view - The server, its service and the entries known here.
+ */
+export function getWarmthLimit(view: WarmthLimitView): number {
+  const {server, service} = view;
+  const levelPart = view.levelPart ?? LEVEL_PARTS[server.warmth];
+  const {maxConcurrentRequests, coldConcurrentRequests} = service;
+  if (levelPart >= 1) return maxConcurrentRequests;
+  const sliceRequests = Math.min(coldConcurrentRequests, maxConcurrentRequests);
+  const growth = Math.floor((maxConcurrentRequests - sliceRequests) * levelPart);
+  const ownStart = getOwnRank(view) * sliceRequests;
+  return Math.min(sliceRequests, Math.max(0, sliceRequests + growth - ownStart));
+}
+
+function getOwnRank({server, entries, ownInstanceId}: WarmthLimitView): number {
+  const candidates = entries
+    .filter(({state}) => state === 'alive' || state === 'suspect')
+    .map(({instanceId}) => instanceId);
+  if (!candidates.includes(ownInstanceId)) candidates.push(ownInstanceId);
+  return rankByRendezvous(server.instanceId, candidates, id => id).indexOf(ownInstanceId);
+}
--- a/src/log/LogTailer.ts
+++ b/src/log/LogTailer.ts
@@ -1,7 +1,7 @@
 /** Follows a stream of the log and hands each record to a fold, in order, once. */
-import {setTimeout as sleep} from 'node:timers/promises';
-import type {LogAccess, StoredRecord} from './LogClient.js';
+import type {LogAccess, LogSlice, StoredRecord} from './LogClient.js';
 import type {LogStream} from '../records/index.js';
+import {systemSleep, type Sleep} from './Sleep.js';
 
 /** Options of a `LogTailer`. */
 export interface LogTailerOptions {
@@ -14,9 +14,12 @@
   readonly onGap?: (missedFrom: number, earliestOffset: number) => void;
   readonly longPollMs?: number;
   readonly retryDelayMs?: number;
+  /** Waits for a time; the system's timer where absent. */
+  readonly sleep?: Sleep;
 }
 
-const DEFAULT_LONG_POLL_MS = 10_000;
+/** Short, so that a connection that has gone silent under a poll is noticed within a few seconds. */
+const DEFAULT_LONG_POLL_MS = 2_000;
 const DEFAULT_RETRY_DELAY_MS = 250;
 const MAX_RECORDS_PER_READ = 1_000;
 
@@ -48,6 +51,14 @@
     return this.nextOffset;
   }
 
+  /**
+   * Goes on after records that were learnt from elsewhere; never back.
+   * @param nextOffset - Offset of the next record to read.
+   */
+  skipTo(nextOffset: number): void {
+    this.nextOffset = Math.max(this.nextOffset, nextOffset);
+  }
+
   /** Returns the instant at which a read last reached the end of the stream; undefined before. */
   getCaughtUpAtMs(): number | undefined {
     return this.caughtUpAtMs;
@@ -59,28 +70,38 @@
       try {
         await this.readOnce(signal);
       } catch {
-        await sleep(this.options.retryDelayMs ?? DEFAULT_RETRY_DELAY_MS, undefined, {
-          signal,
-        }).catch(() => undefined);
+        const {retryDelayMs = DEFAULT_RETRY_DELAY_MS, sleep = systemSleep} = this.options;
+        await sleep(retryDelayMs, signal);
       }
     }
   }
 
   private async readOnce(signal: AbortSignal): Promise<void> {
-    const {stream, log, getNowMs, onRecords, onGap, longPollMs} = this.options;
+    const {stream, log, getNowMs, longPollMs = DEFAULT_LONG_POLL_MS} = this.options;
     const askedAtMs = getNowMs();
+    const waitMs = this.caughtUpAtMs === undefined ? 0 : longPollMs;
     const slice = await log.read(stream, {
       fromOffset: this.nextOffset,
       maxRecords: MAX_RECORDS_PER_READ,
-      waitMs: this.caughtUpAtMs === undefined ? 0 : (longPollMs ?? DEFAULT_LONG_POLL_MS),
+      waitMs,
       signal,
     });
-    if (slice.earliestOffset > this.nextOffset) onGap?.(this.nextOffset, slice.earliestOffset);
-    if (slice.records.length > 0) onRecords(slice.records);
-    this.nextOffset = slice.nextOffset;
-    // A long poll that ends without records proves the end as of its end, not only of its start.
-    if (slice.nextOffset >= slice.endOffset) {
-      this.caughtUpAtMs = slice.records.length > 0 ? askedAtMs : getNowMs();
-    }
+    if (signal.aborted) return;
+    this.takeSlice(slice);
+    if (slice.nextOffset < slice.endOffset) return;
+    // An empty long poll proves the end as of its end, but a pause may lie between its end and this line.
+    const provenAtMs = slice.records.length > 0 ? askedAtMs : askedAtMs + waitMs;
+    this.caughtUpAtMs = Math.min(getNowMs(), provenAtMs);
+  }
+
+  /** Passes on what is new; the offset moves first, so that a callback that throws sees no record twice. */
+  private takeSlice(slice: LogSlice): void {
+    const {onRecords, onGap} = this.options;
+    const expected = this.nextOffset;
+    const records = slice.records.filter(({offset}) => offset >= expected);
+    const firstKept = Math.max(slice.earliestOffset, records[0]?.offset ?? 0);
+    this.nextOffset = Math.max(expected, slice.nextOffset);
+    if (firstKept > expected) onGap?.(expected, firstKept);
+    if (records.length > 0) onRecords(records);
   }
 }
--- a/src/records/LogRecord.ts
+++ b/src/records/LogRecord.ts
@@ -31,6 +31,8 @@
   coversOffset: z.number().int(),
   revision: z.number().int().positive(),
   configuration: configurationSchema,
+  /** Who published the revision. */
+  publishedBy: z.string().optional(),
 });
 
 /** Claims the lease after the lease record at `followsOffset`; accepted where that is the newest. */
@@ -195,6 +197,8 @@
 export interface PlacedRecord {
   readonly offset: number;
   readonly record: LogRecord;
+  /** Instant at which the log stored the record, by the log's clock; the same for every reader. */
+  readonly atMs?: number;
 }
 
 /** Encodes a record as the payload of an append. */
--- /dev/null
+++ b/src/utils/index.ts
@@ -0,0 +1,9 @@
+export {
+  BLOCK_TOKENS,
+  hashBlocks,
+  renderChatPrompt,
+  splitTokens,
+  type PromptMessage,
+} from './promptBlocks.js';
+export {hashText, rankByRendezvous} from './rendezvous.js';
+export {waitForStopSignal} from './stopSignal.js';
--- a/standins/ledger/RunLedger.ts
+++ b/standins/ledger/RunLedger.ts
@@ -1,11 +1,14 @@
 /** What a backend server ran, when and for whom; the verdicts of tests are read from it. */
 import {createHash} from 'node:crypto';
+import {closeSync, openSync, writeSync} from 'node:fs';
 
 /** How a run ended. */
 export type RunEnd = 'running' | 'finished' | 'cancelled' | 'failed' | 'crashed';
 
 /** One execution of a request by a backend server. */
 export interface RunEntry {
+  /** Number of the run at its backend server's process. */
+  readonly runNumber: number;
   readonly instanceId: string;
   readonly service: string;
   readonly version: string;
@@ -39,19 +42,53 @@
   return body.length <= MAX_KEPT_BODY_LENGTH ? {bodySha256, body} : {bodySha256};
 }
 
-/** Keeps the last runs in order of their start. */
+/** Keeps the last runs in order of their start, and writes them to a file that outlives the process. */
 export class RunLedger {
   private readonly entries: RunEntry[] = [];
+  private readonly file: number | undefined;
+  private nextRunNumber = 1;
+
+  /**
+   * @param path - File that gets a line of JSON at the start and at the end of each run; absent for none.
+   */
+  constructor(path?: string) {
+    this.file = path === undefined ? undefined : openSync(path, 'a');
+  }
 
   /** Adds a run that starts. */
-  addEntry(entry: RunEntry): RunEntry {
+  addEntry(fields: Omit<RunEntry, 'runNumber'>): RunEntry {
     if (this.entries.length >= MAX_ENTRIES) this.entries.shift();
+    const entry = {runNumber: this.nextRunNumber++, ...fields};
     this.entries.push(entry);
+    this.write(entry);
     return entry;
   }
 
+  /** Ends a run. */
+  endEntry(entry: RunEntry, end: RunEnd, nowMs: number): void {
+    entry.end = end;
+    entry.endedAtMs = nowMs;
+    this.write(entry);
+  }
+
+  /** Ends all runs that are still running. */
+  endAll(end: RunEnd, nowMs: number): void {
+    for (const entry of this.entries) {
+      if (entry.end === 'running') this.endEntry(entry, end, nowMs);
+    }
+  }
+
   /** Returns the runs. */
   getEntries(): readonly RunEntry[] {
     return this.entries;
   }
+
+  /** Closes the file. */
+  close(): void {
+    if (this.file !== undefined) closeSync(this.file);
+  }
+
+  private write(entry: RunEntry): void {
+    if (this.file !== undefined) writeSync(this.file, `${JSON.stringify(entry)}\n`);
+  }
 }
--- a/standins/platform/InstanceRegistry.ts
+++ b/standins/platform/InstanceRegistry.ts
@@ -8,6 +8,7 @@
   role: z.enum(['entry', 'fleet', 'backend']),
   address: z.string(),
   port: z.number().int(),
+  peerPort: z.number().int().optional(),
   failureDomain: z.string(),
   machineClass: z.string().default('standard'),
   market: z.enum(['reclaimable', 'on-demand']).default('reclaimable'),
