--- /dev/null
+++ b/scenarios/runner/LedgerReader.ts
@@ -0,0 +1,36 @@
+/** Reads the ledgers that the stand-ins of backend servers wrote, also those of servers that are gone. */
+import {readdir, readFile} from 'node:fs/promises';
+import {join} from 'node:path';
+import type {RunEntry} from '../../standins/index.js';
+
+const EXTENSION = '.ledger';
+
+/** Returns the path of a backend server's ledger. */
+export function getLedgerPath(folder: string, instanceId: string, startNumber: number): string {
+  return join(folder, `${instanceId}.${startNumber}${EXTENSION}`);
+}
+
+/** Returns the runs of all ledgers in a folder in order of their start. */
+export async function readLedgers(folder: string): Promise<readonly RunEntry[]> {
+  const names = (await readdir(folder)).filter(name => name.endsWith(EXTENSION));
+  const ledgers = await Promise.all(names.map(name => readLedger(join(folder, name))));
+  return ledgers.flat().sort((a, b) => a.startedAtMs - b.startedAtMs);
+}
+
+/** A later line of a run replaces the earlier one; a process that was killed may leave half a line. */
+async function readLedger(path: string): Promise<readonly RunEntry[]> {
+  const runs = new Map<number, RunEntry>();
+  for (const line of (await readFile(path, 'utf8')).split('\n')) {
+    const entry = parseLine(line);
+    if (entry) runs.set(entry.runNumber, entry);
+  }
+  return [...runs.values()];
+}
+
+function parseLine(line: string): RunEntry | undefined {
+  try {
+    return JSON.parse(line) as RunEntry;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/scenarios/runner/ScenarioRunner.ts
@@ -0,0 +1,80 @@
+/** Runs a scenario with real processes and gives its verdicts. */
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import type {Scenario} from '../language/index.js';
+import {ExpectationChecker, type Verdict} from './ExpectationChecker.js';
+import {createConfiguration} from './ScenarioConfiguration.js';
+import {DEPLOYMENT_KEY, ScenarioWorld} from './ScenarioWorld.js';
+import {StepRunner} from './StepRunner.js';
+
+/** What became of a scenario. */
+export interface ScenarioResult {
+  readonly verdicts: readonly Verdict[];
+  readonly isPassed: boolean;
+  /** Folder with ledgers and logs; kept where the scenario failed. */
+  readonly folder: string;
+}
+
+const READY_TIMEOUT_MS = 15_000;
+const POLL_MS = 50;
+
+/** Runs a scenario from start to verdict. */
+export async function runScenario(
+  scenario: Scenario,
+  writeLine: (line: string) => void,
+): Promise<ScenarioResult> {
+  const folder = await mkdtemp(join(tmpdir(), 'buckthorn-scenario-'));
+  const world = new ScenarioWorld(scenario, folder);
+  const verdicts: Verdict[] = [];
+  try {
+    await world.start();
+    await world.getOperators().publish([createConfiguration(scenario)]);
+    await waitUntilServing(world);
+    await runSteps(world, writeLine);
+    const checker = new ExpectationChecker(world);
+    for (const expectation of scenario.expect) verdicts.push(await checker.check(expectation));
+  } finally {
+    await world.stop();
+  }
+  const isPassed = verdicts.every(({findings}) => findings.length === 0);
+  if (isPassed) await rm(folder, {recursive: true});
+  return {verdicts, isPassed, folder};
+}
+
+async function runSteps(world: ScenarioWorld, writeLine: (line: string) => void): Promise<void> {
+  const runner = new StepRunner(world);
+  const startedAtMs = Date.now();
+  for (const step of world.scenario.steps) {
+    writeLine(`  ${Date.now() - startedAtMs} ms: ${JSON.stringify(step)}`);
+    await runner.runStep(step);
+  }
+  await world.waitForLoads();
+  await runner.finish();
+}
+
+/** Waits until every entry has the configuration and sees all backend servers. */
+async function waitUntilServing(world: ScenarioWorld): Promise<void> {
+  const expected = world.getBackends({}).length;
+  const endAtMs = Date.now() + READY_TIMEOUT_MS;
+  for (const {instanceId, url} of world.getLiveEntries()) {
+    while (!(await isServing(url, expected))) {
+      if (Date.now() > endAtMs) throw new Error(`${instanceId} does not serve`);
+      await sleep(POLL_MS);
+    }
+  }
+}
+
+async function isServing(url: string, expectedServers: number): Promise<boolean> {
+  const {body} = await request(`${url}/v1/status`, {
+    headers: {authorization: `Bearer ${DEPLOYMENT_KEY}`},
+  });
+  const status = (await body.json()) as {
+    readonly configurationRevision?: number;
+    readonly backendServers?: readonly unknown[];
+  };
+  const servers = status.backendServers?.length ?? 0;
+  return (status.configurationRevision ?? 0) > 0 && servers >= expectedServers;
+}
--- a/standins/plain/PlainService.ts
+++ b/standins/plain/PlainService.ts
@@ -11,6 +11,8 @@
   readonly port: number;
   readonly identity: BackendIdentity;
   readonly listUrl?: string;
+  /** File that the ledger is written to as well; absent for none. */
+  readonly ledgerPath?: string;
   /** Time that a call takes. */
   readonly serviceTimeMs: number;
   readonly random: () => number;
@@ -25,11 +27,12 @@
   private readonly options: PlainServiceOptions;
   private readonly server: StandinServer;
   private readonly lifecycle: BackendLifecycle;
-  private readonly ledger = new RunLedger();
+  private readonly ledger: RunLedger;
   private openRequests = 0;
 
   constructor(options: PlainServiceOptions) {
     this.options = options;
+    this.ledger = new RunLedger(options.ledgerPath);
     this.lifecycle = new BackendLifecycle({
       ...options,
       onTakenAway: () => void this.goDown('taken-away'),
@@ -110,7 +113,7 @@
       const factor = badEffect === 'slow' ? (badVersion?.slowdownFactor ?? 1) : 1;
       await sleep(this.options.serviceTimeMs * factor);
       const isFailed = badEffect === 'fail';
-      endRun(entry, isFailed ? 'failed' : 'finished');
+      this.ledger.endEntry(entry, isFailed ? 'failed' : 'finished', Date.now());
       const {status, value} = isFailed ? FAILED_ANSWER : answer(body);
       exchange.sendJson(status, value);
     } finally {
@@ -169,9 +172,7 @@
 
   private async goDown(reason: 'crashed' | 'taken-away'): Promise<void> {
     this.lifecycle.abandon();
-    for (const entry of this.ledger.getEntries()) {
-      if (entry.end === 'running') endRun(entry, 'crashed');
-    }
+    this.ledger.endAll('crashed', Date.now());
     await this.server.stop();
     this.options.onDown(reason);
   }
@@ -184,11 +185,6 @@
 
 const FAILED_ANSWER: PlainAnswer = {status: 500, value: {error: 'version failed'}};
 
-function endRun(entry: RunEntry, end: RunEntry['end']): void {
-  entry.end = end;
-  entry.endedAtMs = Date.now();
-}
-
 function createBooking(body: string): PlainAnswer {
   const bookingId = BOOKING_PREFIX + Buffer.from(body).toString('base64url');
   return {status: 201, value: {bookingId, state: 'confirmed'}};
