--- /dev/null
+++ b/bench/capacity/CapacityBench.ts
@@ -0,0 +1,84 @@
+/** Measures all slopes and writes the tables of docs/CAPACITY.md. */
+import {readFileSync, writeFileSync} from 'node:fs';
+import {
+  formatNumber,
+  formatRows,
+  formatSlopes,
+  replaceBetweenMarkers,
+  toPageSlope,
+  toTable,
+  workOut,
+  type MeasuredSlope,
+  type PageRow,
+} from './CapacityPage.js';
+import {CLAIM_SLOPES} from './ClaimSlopes.js';
+import {CONFIGURATION_SLOPES} from './ConfigurationSlopes.js';
+import {fitLine} from './LeastSquares.js';
+import {MEMBER_SLOPES} from './MemberSlopes.js';
+import {measureProcessMemory} from './ProcessMemory.js';
+import {REPLICA_SLOPES} from './ReplicaSlopes.js';
+import type {SlopeDefinition} from './SlopeDefinition.js';
+import {WORKED_ROWS} from './WorkedRows.js';
+
+/** All slopes that the page uses. */
+export const SLOPE_DEFINITIONS: readonly SlopeDefinition[] = [
+  ...CONFIGURATION_SLOPES,
+  ...CLAIM_SLOPES,
+  ...MEMBER_SLOPES,
+  ...REPLICA_SLOPES,
+];
+
+/** Options of `runCapacityBench`. */
+export interface CapacityBenchOptions {
+  /** Page whose tables are replaced; absent to print only. */
+  readonly pagePath?: string;
+  readonly writeLine: (line: string) => void;
+}
+
+/** Measures, prints each slope with its residuals, and writes the page. */
+export function runCapacityBench({pagePath, writeLine}: CapacityBenchOptions): void {
+  const slopes = SLOPE_DEFINITIONS.map(definition => {
+    const measured = measureSlope(definition);
+    writeLine(describe(measured));
+    return measured;
+  });
+  const rows = workOutAll(slopes);
+  const memory = toTable(
+    ['process, idle', 'resident MB'],
+    measureProcessMemory().map(({name, residentMb}) => [name, formatNumber(residentMb, 3)]),
+  );
+  const tables: ReadonlyArray<readonly [string, string]> = [
+    ['slopes', formatSlopes(slopes)],
+    ['today', formatRows('today', rows)],
+    ['replacement', formatRows('replacement', rows)],
+    ['memory', memory],
+  ];
+  tables.forEach(([, text]) => writeLine(text));
+  if (pagePath === undefined) return;
+  const page = tables.reduce(
+    (text, [name, table]) => replaceBetweenMarkers(text, name, table),
+    readFileSync(pagePath, 'utf8'),
+  );
+  writeFileSync(pagePath, page);
+}
+
+/** Works out all rows from slopes as the page prints them. */
+export function workOutAll(slopes: readonly MeasuredSlope[]): readonly PageRow[] {
+  const byId = new Map(slopes.map(slope => [slope.definition.id, toPageSlope(slope)]));
+  return WORKED_ROWS.map(row => {
+    const slope = byId.get(row.slopeId);
+    if (!slope) throw new Error(`no slope "${row.slopeId}"`);
+    return workOut(row, slope);
+  });
+}
+
+function measureSlope(definition: SlopeDefinition): MeasuredSlope {
+  const samples = definition.sizes.map(size => ({size, value: definition.measure(size)}));
+  return {definition, samples, fit: fitLine(samples)};
+}
+
+function describe({definition, samples, fit}: MeasuredSlope): string {
+  const points = samples.map(({size, value}) => `${size}:${formatNumber(value)}`).join(' ');
+  const residuals = fit.residuals.map(residual => formatNumber(residual, 3)).join(' ');
+  return `${definition.id} (${definition.valueUnit}) ${points} | residuals ${residuals}`;
+}
--- /dev/null
+++ b/bench/capacity/MemberSlopes.ts
@@ -0,0 +1,141 @@
+/** Slopes of membership, look-up and the operators' client, against the number of entries. */
+import {create, toBinary} from '@bufbuild/protobuf';
+import {
+  applyProbeAnswer,
+  applyRumours,
+  createMembershipState,
+  takeRumours,
+  tickMembership,
+  type MembershipState,
+} from '../../src/controllers/membership/index.js';
+import {rankAddresses} from '../../src/http/index.js';
+import {ProbeRequestSchema} from '../../src/peer/generated/buckthorn/peer/v1/peer_pb.js';
+import {toWireRumour} from '../../src/peer/rumours.js';
+import {createBackendServer, createMember, FIXTURE_NOW_MS} from './Fixtures.js';
+import {measureCpuMicros, measureHeapBytes} from './Measure.js';
+import type {SlopeDefinition} from './SlopeDefinition.js';
+
+const MEMBER_COUNTS = [10, 200, 800, 1_600, 3_200];
+const RUMOUR_COUNTS = [0, 2, 4, 8];
+const RANDOM = () => 0.5;
+
+function createState(memberCount: number): MembershipState {
+  const rumours = Array.from({length: memberCount}, (_, index) => createMember(index + 1));
+  const state = applyRumours(
+    createMembershipState(createMember(0), FIXTURE_NOW_MS),
+    rumours,
+    FIXTURE_NOW_MS,
+  );
+  const settled = [...state.others].map(
+    ([instanceId, member]) => [instanceId, {...member, rumourBudget: 0}] as const,
+  );
+  return {...state, others: new Map(settled)};
+}
+
+/** One probe sent with its answer taken, and one probe of another daemon answered. */
+function runProbeRound(before: MembershipState): MembershipState {
+  const nowMs = FIXTURE_NOW_MS + 1;
+  const {state, effects} = tickMembership(before, nowMs, RANDOM);
+  const target = effects.find(effect => effect.kind === 'probe')?.target ?? state.self;
+  const sent = takeRumours(state, target.instanceId).state;
+  const probe = {instanceId: target.instanceId, configurationRevision: 1, rumours: []};
+  const answered = applyProbeAnswer(sent, probe, nowMs);
+  return takeRumours(applyRumours(answered, [], nowMs), target.instanceId).state;
+}
+
+/** Slopes against entries. */
+export const MEMBER_SLOPES: readonly SlopeDefinition[] = [
+  {
+    id: 'member-heap',
+    description: 'membership state',
+    sizeUnit: 'entries',
+    valueUnit: 'bytes',
+    sizes: MEMBER_COUNTS,
+    measure: count => measureHeapBytes(() => createState(count)),
+  },
+  {
+    id: 'probe-cpu',
+    description: 'decisions of one probe sent and one answered, without rumours',
+    sizeUnit: 'entries',
+    valueUnit: 'us',
+    sizes: MEMBER_COUNTS,
+    measure: count => {
+      let state = createState(count);
+      return measureCpuMicros(() => {
+        state = runProbeRound(state);
+      });
+    },
+  },
+  {
+    id: 'rumour-cpu',
+    description: 'one rumour that changes a member',
+    sizeUnit: 'entries',
+    valueUnit: 'us',
+    sizes: MEMBER_COUNTS,
+    measure: count => {
+      const state = createState(count);
+      const member = createMember(1);
+      const rumour = {...member, incarnation: member.incarnation + 1};
+      return measureCpuMicros(() => void applyRumours(state, [rumour], FIXTURE_NOW_MS + 1));
+    },
+  },
+  {
+    id: 'probe-bytes',
+    description: 'a probe on the wire as protobuf, headers not counted',
+    sizeUnit: 'rumours',
+    valueUnit: 'bytes',
+    sizes: RUMOUR_COUNTS,
+    measure: count => {
+      const rumours = Array.from({length: count}, (_, index) => toWireRumour(createMember(index)));
+      const probe = create(ProbeRequestSchema, {
+        fromInstanceId: createMember(0).instanceId,
+        sequence: 1_000_000n,
+        rumours,
+        configurationRevision: 1_000_000n,
+        logReadAgeMs: 500n,
+      });
+      return toBinary(ProbeRequestSchema, probe).length;
+    },
+  },
+  {
+    id: 'look-up-cpu',
+    description: 'one address look-up ranked and written as JSON',
+    sizeUnit: 'entries',
+    valueUnit: 'us',
+    sizes: MEMBER_COUNTS,
+    measure: count => {
+      const members = Array.from({length: count}, (_, index) => createMember(index));
+      return measureCpuMicros(() => void JSON.stringify(rankAddresses(members, 'workspace-1')));
+    },
+  },
+  {
+    id: 'look-up-bytes',
+    description: 'answer of one address look-up',
+    sizeUnit: 'entries',
+    valueUnit: 'bytes',
+    sizes: MEMBER_COUNTS,
+    measure: count => {
+      const members = Array.from({length: count}, (_, index) => createMember(index));
+      return JSON.stringify(rankAddresses(members, 'workspace-1')).length;
+    },
+  },
+  {
+    id: 'status-bytes',
+    description: "an entry's status for operators, three backend servers an entry",
+    sizeUnit: 'entries',
+    valueUnit: 'bytes',
+    sizes: MEMBER_COUNTS,
+    measure: count => {
+      const members = Array.from({length: count}, (_, index) => {
+        const {instanceId, state} = createMember(index);
+        return {instanceId, state};
+      });
+      const backendServers = Array.from({length: count * 3}, (_, index) => {
+        const server = createBackendServer(index);
+        const {instanceId, service, version, failureDomain, state, warmth} = server;
+        return {instanceId, service, version, failureDomain, state, warmth};
+      });
+      return JSON.stringify({members, backendServers}).length;
+    },
+  },
+];
--- /dev/null
+++ b/bench/capacity/SlopeDefinition.ts
@@ -0,0 +1,15 @@
+/** One measured quantity as a function of a size. */
+
+/** What is measured, at which sizes. */
+export interface SlopeDefinition {
+  /** Short id that the worked-out rows name. */
+  readonly id: string;
+  readonly description: string;
+  /** What the size counts. */
+  readonly sizeUnit: string;
+  readonly valueUnit: 'us' | 'bytes';
+  /** At least four. */
+  readonly sizes: readonly number[];
+  /** Returns the quantity at a size. */
+  readonly measure: (size: number) => number;
+}
--- /dev/null
+++ b/bench/capacity/Target.ts
@@ -0,0 +1,54 @@
+/** The size that the letter asks for, what it follows from, and what is assumed beside it. */
+
+const SECONDS_PER_DAY = 86_400;
+const ENTRIES = 3_200;
+const REQUESTS_PER_SECOND = 58_000;
+const NON_IDEMPOTENT_SHARE = 0.01;
+const CLAIM_KEEP_DAYS = 7;
+const LOOK_UPS_PER_SECOND = 4_000;
+const FAILURE_DOMAINS = 12;
+const INSTANCE_CHANGES_PER_DAY = 220 + 1_400;
+/** Leaving, gone and started again. */
+const STATES_PER_CHANGE = 3;
+
+/** Sizes and rates at the target. */
+export const TARGET = {
+  entries: ENTRIES,
+  backendServers: 10_000,
+  instances: ENTRIES + 10_000,
+  workspaces: 5_000,
+  services: 40,
+  failureDomains: FAILURE_DOMAINS,
+  entriesPerDomain: Math.ceil(ENTRIES / FAILURE_DOMAINS),
+  configurationChangesPerDay: 38_000,
+  configurationChangesPerSecond: 38_000 / SECONDS_PER_DAY,
+  memberChangesPerSecond: (INSTANCE_CHANGES_PER_DAY * STATES_PER_CHANGE) / SECONDS_PER_DAY,
+  requestsPerSecondPerEntry: REQUESTS_PER_SECOND / ENTRIES,
+  claimsPerSecond: REQUESTS_PER_SECOND * NON_IDEMPOTENT_SHARE,
+  claimsKept: REQUESTS_PER_SECOND * NON_IDEMPOTENT_SHARE * CLAIM_KEEP_DAYS * SECONDS_PER_DAY,
+  claimsPerSecondPerEntry: (REQUESTS_PER_SECOND * NON_IDEMPOTENT_SHARE) / ENTRIES,
+  claimsKeptPerEntryOneDay: Math.ceil(
+    (REQUESTS_PER_SECOND * NON_IDEMPOTENT_SHARE * SECONDS_PER_DAY) / ENTRIES,
+  ),
+  lookUpsPerSecondPerEntry: LOOK_UPS_PER_SECOND / ENTRIES,
+} as const;
+
+/** Control budget of one daemon. */
+export const BUDGET = {cpu: 3.9, memory: 32, network: 21} as const;
+
+/** A resource of the budget. */
+export type Resource = keyof typeof BUDGET;
+
+/** Units in which the page gives a resource. */
+export const RESOURCE_UNITS: Readonly<Record<Resource, string>> = {
+  cpu: '% of a core',
+  memory: 'MB',
+  network: 'KB/s',
+};
+
+/** Microseconds a second, bytes, or bytes a second in one unit of the resource. */
+export const RESOURCE_DIVISORS: Readonly<Record<Resource, number>> = {
+  cpu: 10_000,
+  memory: 1_000_000,
+  network: 1_000,
+};
