Streams survive reclaim, death, silence and poison: tests over in-process engines

Cause: the wiring had no test. Verdicts come from the answers and the engines' ledgers. Plain calls go through the same chooser, budget, silence limit and quarantine. Connections to a server are renewed after a silent one, since idle ones beside it may be lost too. Found on the way: a request that sees two unannounced deaths is refused as poison, by the rule of at most two crashes; noted in the design.

--- a/src/engine/EngineClient.ts
+++ b/src/engine/EngineClient.ts
@@ -1,6 +1,6 @@
 /** Client of model engines: opens answer streams and reads their tokens. */
 import {createParser} from 'eventsource-parser';
-import {Agent, request, type Dispatcher} from 'undici';
+import {Pool, request, type Dispatcher} from 'undici';
 import {z} from 'zod';
 import type {BackendServer, LoadReport} from '../blackboard/index.js';
 import type {CacheEventSlice} from '../controllers/routing/index.js';
@@ -103,16 +103,35 @@
 /** Talks to backend servers over HTTP. */
 export class EngineClient {
   private readonly options: EngineClientOptions;
-  private readonly agent: Agent;
+  private readonly pools = new Map<string, Pool>();
 
   constructor(options: EngineClientOptions) {
     this.options = options;
-    this.agent = new Agent({
-      connect: {timeout: options.connectTimeoutMs},
-      bodyTimeout: 0,
-      headersTimeout: 0,
-      pipelining: 1,
-    });
+  }
+
+  /**
+   * Lets the next calls to a backend server go over new connections; calls under way keep theirs. Where one connection
+   * went silent, the idle ones beside it may have too.
+   * @param server - The backend server.
+   */
+  renewConnections(server: BackendServer): void {
+    const origin = getOrigin(server);
+    const pool = this.pools.get(origin);
+    this.pools.delete(origin);
+    void pool?.close().catch(() => undefined);
+  }
+
+  /**
+   * Closes the connections to backend servers that are gone.
+   * @param servers - The backend servers known now.
+   */
+  keepOnly(servers: readonly BackendServer[]): void {
+    const known = new Set(servers.map(getOrigin));
+    for (const [origin, pool] of this.pools) {
+      if (known.has(origin)) continue;
+      this.pools.delete(origin);
+      void pool.close().catch(() => undefined);
+    }
   }
 
   /**
@@ -156,7 +175,7 @@
     server: BackendServer,
     options: Omit<Dispatcher.RequestOptions, 'origin'>,
   ): Promise<PlainAnswer> {
-    const response = await this.agent.request({...options, origin: getOrigin(server)});
+    const response = await this.getPool(server).request(options);
     const body = Buffer.from(await response.body.arrayBuffer());
     const contentType = response.headers['content-type'];
     return {
@@ -172,7 +191,7 @@
    */
   async getReport(server: BackendServer): Promise<ServerReport> {
     const response = await request(`${getOrigin(server)}/load`, {
-      dispatcher: this.agent,
+      dispatcher: this.getPool(server),
       signal: AbortSignal.timeout(this.options.reportTimeoutMs),
     });
     const value = loadSchema.parse(await response.body.json());
@@ -187,7 +206,7 @@
   async isAnswering(server: BackendServer): Promise<boolean> {
     try {
       const response = await request(`${getOrigin(server)}/health`, {
-        dispatcher: this.agent,
+        dispatcher: this.getPool(server),
         reset: true,
         signal: AbortSignal.timeout(this.options.reportTimeoutMs),
       });
@@ -206,7 +225,7 @@
   async getCacheEvents(server: BackendServer, fromSequence: number): Promise<CacheEventSlice> {
     const path = `/cache/events?from=${fromSequence}&max=${MAX_CACHE_EVENTS}`;
     const response = await request(getOrigin(server) + path, {
-      dispatcher: this.agent,
+      dispatcher: this.getPool(server),
       signal: AbortSignal.timeout(this.options.reportTimeoutMs),
     });
     return {fromSequence, ...cacheEventsSchema.parse(await response.body.json())};
@@ -228,7 +247,22 @@
 
   /** Closes all connections, also those in use. */
   async close(): Promise<void> {
-    await this.agent.destroy();
+    await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
+    this.pools.clear();
+  }
+
+  private getPool(server: BackendServer): Pool {
+    const origin = getOrigin(server);
+    const kept = this.pools.get(origin);
+    if (kept) return kept;
+    const pool = new Pool(origin, {
+      connect: {timeout: this.options.connectTimeoutMs},
+      bodyTimeout: 0,
+      headersTimeout: 0,
+      pipelining: 1,
+    });
+    this.pools.set(origin, pool);
+    return pool;
   }
 
   private async post(
@@ -239,7 +273,7 @@
   ): Promise<unknown> {
     const response = await request(getOrigin(server) + path, {
       method: 'POST',
-      dispatcher: this.agent,
+      dispatcher: this.getPool(server),
       headers: {'content-type': 'application/json'},
       body: JSON.stringify(body),
       signal,
@@ -253,7 +287,7 @@
     try {
       return await request(getOrigin(call.server) + getCompletionPath(call.format), {
         method: 'POST',
-        dispatcher: this.agent,
+        dispatcher: this.getPool(call.server),
         headers: {
           'content-type': 'application/json',
           'x-request-id': call.requestId,
--- a/src/http/PlainHandler.ts
+++ b/src/http/PlainHandler.ts
@@ -1,49 +1,23 @@
 /** Handles calls to plain services, idempotent or claimed. */
-import {createHash} from 'node:crypto';
 import type {IncomingHttpHeaders} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendServer} from '../blackboard/index.js';
 import type {ClaimAnswer, ClaimRequest} from '../claims/index.js';
 import type {Service, ServiceRoute} from '../configuration/index.js';
-import {chooseBackendServer} from '../controllers/routing/index.js';
-import type {PlainAnswer} from '../engine/index.js';
+import {isUnconnected, type PlainAnswer} from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
 import type {StoredAnswer} from '../records/index.js';
+import {PLAIN_CLASS, PlainSender, createPlainFailure, type PlainCall} from './PlainSender.js';
 import {readBody} from './RequestBody.js';
-import {
-  getRoutingView,
-  getServiceOrThrow,
-  type CallerRequest,
-  type HandlerContext,
-} from './RequestContext.js';
+import {getServiceOrThrow, type CallerRequest, type HandlerContext} from './RequestContext.js';
 
 const IDEMPOTENCY_HEADER = 'idempotency-key';
 const MAX_KEY_LENGTH = 200;
-const MAX_ATTEMPTS = 4;
 /** A larger answer is not kept for repeats, since the log is small. */
 const MAX_KEPT_ANSWER_BYTES = 16_384;
-const PLAIN_CLASS = 'plain';
-/** Longest wait for the outcome of another attempt that holds the key. */
+/** Time for which a repeat waits for the outcome of the attempt that holds its key. */
 const HELD_WAIT_MS = 2_000;
 const HELD_POLL_MS = 25;
-/** Errors that come before a connection stands, so that nothing can have been sent. */
-const UNCONNECTED_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-const FORWARDED_HEADERS = ['content-type', 'accept', 'accept-language', 'user-agent'] as const;
-
-/** A call to a plain service as it is sent to a backend server. */
-interface PlainCall {
-  readonly caller: CallerRequest;
-  readonly service: Service;
-  readonly method: string;
-  readonly path: string;
-  readonly body: Buffer;
-  readonly deadlineAtMs: number;
-}
 
 /** A claim as it was last asked for, and its verdict. */
 interface ClaimAttempt {
@@ -74,7 +48,9 @@
     const key = route.isIdempotent ? undefined : getIdempotencyKeyOrThrow(caller.request.headers);
     const body = await readBody(caller.request, context.bodyLimits);
     const deadlineAtMs = startedAtMs + service.requestTimeoutMs;
-    const call: PlainCall = {caller, service, method, path, body, deadlineAtMs};
+    const {pathPrefix} = route;
+    const call = {caller, service, method, path, route: pathPrefix, body, deadlineAtMs};
+    const sender = new PlainSender(context, call);
     const tags = {workspace: caller.workspace.name, class: PLAIN_CLASS};
     const {requestId, workspace, signal} = caller;
     const release = await context.admission.enter(
@@ -85,7 +61,7 @@
     try {
       context.metrics.addCount('request.accepted', tags);
       const answer =
-        key === undefined ? await this.callIdempotent(call) : await this.callOnce(call, key);
+        key === undefined ? await sender.sendIdempotent() : await this.callOnce(call, sender, key);
       sendPlain(caller, answer);
       context.metrics.addDuration('request.total', context.getNowMs() - startedAtMs, tags);
     } finally {
@@ -93,36 +69,23 @@
     }
   }
 
-  private async callIdempotent(call: PlainCall): Promise<PlainAnswer> {
-    const excluded = new Set<string>();
-    for (let attempt = 1; ; attempt += 1) {
-      const server = this.chooseServer(call, excluded);
-      try {
-        return await this.send(call, server, `${call.caller.requestId}.${attempt}`);
-      } catch (cause) {
-        excluded.add(server.instanceId);
-        if (attempt >= MAX_ATTEMPTS || call.caller.signal.aborted) {
-          throw createFailure(server, cause, 'unknown');
-        }
-        this.context.metrics.addCount('request.retries', {class: PLAIN_CLASS});
-      }
-    }
-  }
-
-  private async callOnce(call: PlainCall, key: string): Promise<PlainAnswer> {
-    const {caller} = call;
-    const server = this.chooseServer(call, new Set());
+  private async callOnce(
+    {caller, service}: PlainCall,
+    sender: PlainSender,
+    key: string,
+  ): Promise<PlainAnswer> {
+    const {server} = await sender.chooseServer();
     const claim = {
       workspace: caller.workspace.name,
       key,
       attemptId: `${caller.requestId}.once`,
-      fingerprint: hashCall(call),
+      fingerprint: sender.getFingerprint(),
     };
     const {attempt, claimAnswer} = await this.claimOrWait(claim);
     const {verdict, answer, isKnownNotRun} = claimAnswer;
     if (verdict === 'done' && answer) return decodeAnswer(answer);
     if (verdict !== 'granted') throw createClaimRefusal(verdict, isKnownNotRun);
-    return this.sendClaimed(call, server, attempt);
+    return this.sendClaimed(sender, server, attempt, service.requestTimeoutMs);
   }
 
   /** Claims a key; where another attempt holds it, waits a while for that one's outcome. */
@@ -139,27 +102,27 @@
   }
 
   private async sendClaimed(
-    call: PlainCall,
+    sender: PlainSender,
     firstServer: BackendServer,
     claim: {readonly workspace: string; readonly key: string; readonly attemptId: string},
+    timeoutMs: number,
   ): Promise<PlainAnswer> {
     const {workspace, key, attemptId} = claim;
-    const excluded = new Set<string>();
     let server = firstServer;
     for (;;) {
       try {
-        const answer = await this.send(call, server, attemptId);
+        const answer = await sender.send(server, attemptId, timeoutMs);
         const kept = answer.body.length <= MAX_KEPT_ANSWER_BYTES ? encodeAnswer(answer) : undefined;
         this.record({workspace, key, attemptId, run: 'ran', answer: kept});
         return answer;
       } catch (cause) {
-        excluded.add(server.instanceId);
         if (!isUnconnected(cause)) {
           this.record({workspace, key, attemptId, run: 'unknown'});
-          throw createFailure(server, cause, 'unknown');
+          throw createPlainFailure(server, cause, 'unknown');
         }
+        sender.noteUnreached(server);
         try {
-          server = this.chooseServer(call, excluded);
+          server = (await sender.chooseServer()).server;
         } catch (error) {
           this.record({workspace, key, attemptId, run: 'not-run'});
           throw error;
@@ -172,52 +135,6 @@
     const {claims, metrics} = this.context;
     claims.recordOutcome(outcome).catch(() => metrics.addCount('claims.outcome_lost'));
   }
-
-  private chooseServer(call: PlainCall, excludedInstanceIds: ReadonlySet<string>): BackendServer {
-    const {context} = this;
-    const decision = chooseBackendServer(
-      getRoutingView(context, call.caller.configuration),
-      {
-        service: call.service.name,
-        workspace: call.caller.workspace.name,
-        requestClass: PLAIN_CLASS,
-        promptTokens: 0,
-        blockHashes: [],
-        excludedInstanceIds,
-        deadlineAtMs: call.deadlineAtMs,
-      },
-      context.getNowMs(),
-      context.random,
-    );
-    if (decision.kind === 'chosen') return decision.server;
-    throw new ServingError(decision.reason, {kind: decision.errorKind});
-  }
-
-  private async send(
-    call: PlainCall,
-    server: BackendServer,
-    attemptId: string,
-  ): Promise<PlainAnswer> {
-    const {context} = this;
-    const {caller, method, path, body, deadlineAtMs} = call;
-    context.tracker.addRequest(server.instanceId);
-    try {
-      return await context.engine.callPlain(server, {
-        method: method as 'GET',
-        path,
-        body: body.length > 0 ? body : undefined,
-        headers: {
-          ...pickHeaders(caller.request.headers),
-          'x-request-id': caller.requestId,
-          'x-attempt-id': attemptId,
-          'x-workspace': caller.workspace.name,
-        },
-        signal: AbortSignal.timeout(Math.max(1, deadlineAtMs - context.getNowMs())),
-      });
-    } finally {
-      context.tracker.removeRequest(server.instanceId);
-    }
-  }
 }
 
 function getRouteOrThrow(service: Service, method: string, path: string): ServiceRoute {
@@ -239,31 +156,6 @@
   );
 }
 
-function hashCall({caller, method, path, body}: PlainCall): string {
-  const hash = createHash('sha256');
-  hash.update(`${caller.workspace.name}\n${method}\n${path}\n`);
-  return hash.update(body).digest('hex');
-}
-
-function isUnconnected(error: unknown): boolean {
-  const code = (error as {readonly code?: unknown}).code;
-  return typeof code === 'string' && UNCONNECTED_ERROR_CODES.has(code);
-}
-
-function createFailure(
-  server: BackendServer,
-  cause: unknown,
-  run: 'unknown' | 'not-run',
-): ServingError {
-  const isTimeout = cause instanceof Error && cause.name === 'TimeoutError';
-  const reason = cause instanceof Error ? cause.message : String(cause);
-  return new ServingError(`backend server ${server.instanceId} failed: ${reason}`, {
-    kind: isTimeout ? 'backend-timeout' : 'backend-failed',
-    run,
-    cause,
-  });
-}
-
 function createClaimRefusal(verdict: string, isKnownNotRun: boolean): ServingError {
   const run = isKnownNotRun ? ('not-run' as const) : ('unknown' as const);
   switch (verdict) {
@@ -292,15 +184,6 @@
   }
 }
 
-function pickHeaders(headers: IncomingHttpHeaders): Readonly<Record<string, string>> {
-  const picked: Record<string, string> = {};
-  for (const name of FORWARDED_HEADERS) {
-    const value = headers[name];
-    if (value !== undefined) picked[name] = value;
-  }
-  return picked;
-}
-
 function encodeAnswer({status, contentType, body}: PlainAnswer): StoredAnswer {
   return {status, contentType, bodyBase64: body.toString('base64')};
 }
--- a/src/http/serverFailures.ts
+++ b/src/http/serverFailures.ts
@@ -18,6 +18,7 @@
   failure: AttemptFailureKind,
 ): Promise<void> {
   const {tracker, engine, metrics} = context;
+  if (failure === 'silent') engine.renewConnections(server);
   if (failure === 'silent' && tracker.addSilence(server.instanceId)) {
     metrics.addCount('server.silent', {service: server.service});
     await context.reportIncidents([createColdIncident(context, server)]);
--- /dev/null
+++ b/tests/support/ServingHarness.ts
@@ -0,0 +1,257 @@
+/** An entry's serving parts before in-process stand-in engines, without log and peers. */
+import {createHash, randomUUID} from 'node:crypto';
+import {request} from 'undici';
+import {Blackboard, type Instance} from '../../src/blackboard/index.js';
+import type {Configuration, Service} from '../../src/configuration/index.js';
+import {EngineClient} from '../../src/engine/index.js';
+import {ServerWatcher} from '../../src/entry/ServerWatcher.js';
+import {CallersServer, ServingParts} from '../../src/http/index.js';
+import {Metrics} from '../../src/metrics/index.js';
+import {DEFAULT_ENGINE_PROFILE, ModelEngine, type EngineProfile} from '../../standins/index.js';
+import {CONFIGURATION, GUIDANCE} from './deployment.js';
+
+/** Key of the workspace named `small`. */
+export const CALLER_KEY = 'key-of-the-small-workspace';
+
+/** An engine to start. */
+export interface EnginePlan {
+  readonly instanceId: string;
+  readonly version?: string;
+  readonly failureDomain?: string;
+  readonly isColdAtStart?: boolean;
+  readonly profile?: Partial<EngineProfile>;
+}
+
+/** What the harness is built from. */
+export interface ServingHarnessOptions {
+  readonly engines: readonly EnginePlan[];
+  readonly service?: Partial<Service>;
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly tokens: readonly string[];
+  readonly body: string;
+}
+
+const LOOPBACK = '127.0.0.1';
+const FAST_PROFILE: EngineProfile = {...DEFAULT_ENGINE_PROFILE, timeScale: 4};
+
+/** Starts engines and one entry, and calls it. */
+export class ServingHarness {
+  readonly blackboard = new Blackboard();
+  readonly metrics = new Metrics({globalTags: {}});
+  readonly engine = new EngineClient({connectTimeoutMs: 500, reportTimeoutMs: 500});
+  readonly serving: ServingParts;
+  private readonly options: ServingHarnessOptions;
+  private readonly engines = new Map<string, ModelEngine>();
+  private readonly instances = new Map<string, Instance>();
+  private readonly watcher: ServerWatcher;
+  private readonly server: CallersServer;
+
+  constructor(options: ServingHarnessOptions) {
+    this.options = options;
+    const {blackboard, metrics, engine} = this;
+    const getNowMs = () => Date.now();
+    this.serving = new ServingParts({
+      blackboard,
+      metrics,
+      ownInstanceId: 'entry-1',
+      getNowMs,
+      maxRunningRequests: 1_000,
+      maxQueuedRequests: 1_000,
+    });
+    this.watcher = new ServerWatcher({
+      blackboard,
+      engine,
+      tracker: this.serving.tracker,
+      list: {
+        getInstances: async () => ({instances: [...this.instances.values()], readAtMs: getNowMs()}),
+      },
+      listIntervalMs: 50,
+      reportIntervalMs: 50,
+    });
+    const {tracker, retryBudget, quarantine, evidence, runs, admission} = this.serving;
+    this.server = new CallersServer({
+      address: LOOPBACK,
+      port: 0,
+      context: {
+        blackboard,
+        engine,
+        metrics,
+        tracker,
+        retryBudget,
+        quarantine,
+        evidence,
+        runs,
+        admission,
+        reportIncidents: this.serving.getReporter(),
+        claims: {
+          claim: () => Promise.reject(new Error('no claims here')),
+          recordOutcome: () => Promise.reject(new Error('no claims here')),
+        },
+        bodyLimits: {maxBytes: 1_000_000, timeoutMs: 5_000},
+        deploymentKeys: ['deployment-key-of-tests'],
+        ownInstanceId: 'entry-1',
+        ownFailureDomain: 'oslo-a',
+        getNowMs,
+        random: () => 0,
+        createId: randomUUID,
+        isStopping: () => false,
+      },
+    });
+  }
+
+  /** Starts all parts. */
+  async start(): Promise<void> {
+    this.blackboard.setSection('configuration', {
+      revision: 1,
+      configuration: this.createConfiguration(),
+      confirmedAtMs: Date.now(),
+    });
+    for (const plan of this.options.engines) await this.startEngine(plan);
+    await this.watcher.start();
+    this.serving.start();
+    await this.server.start();
+  }
+
+  /** Stops all parts. */
+  async stop(): Promise<void> {
+    this.watcher.stop();
+    this.serving.stop();
+    await this.server.stop();
+    await this.engine.close();
+    await Promise.all(
+      [...this.engines.values()].map(engine => engine.stop().catch(() => undefined)),
+    );
+  }
+
+  /** Returns an engine. */
+  getEngine(instanceId: string): ModelEngine {
+    const found = this.engines.get(instanceId);
+    if (!found) throw new Error(`no engine ${instanceId}`);
+    return found;
+  }
+
+  /** Returns the instances of the engines that still run. */
+  getRunning(): readonly string[] {
+    return [...this.engines.keys()];
+  }
+
+  /** Changes what the platform lists of an instance. */
+  changeInstance(instanceId: string, changes: Partial<Instance>): void {
+    const known = this.instances.get(instanceId);
+    if (known) this.instances.set(instanceId, {...known, ...changes});
+  }
+
+  /** Stops an engine as a kill does. */
+  async kill(instanceId: string): Promise<void> {
+    const engine = this.getEngine(instanceId);
+    this.engines.delete(instanceId);
+    await engine.stop();
+  }
+
+  /** Switches faults of an engine on. */
+  async setFaults(instanceId: string, faults: object): Promise<void> {
+    const url = `http://${LOOPBACK}:${this.getEngine(instanceId).getPort()}/standin/faults`;
+    const answer = await request(url, {method: 'PUT', body: JSON.stringify(faults)});
+    await answer.body.dump();
+  }
+
+  /**
+   * Streams a chat.
+   * @param content - Text of the user's message.
+   * @param maxTokens - Tokens of the answer.
+   * @param onToken - Called with the number of tokens got so far.
+   */
+  async chat(
+    content: string,
+    maxTokens: number,
+    onToken: (count: number) => void = () => undefined,
+  ): Promise<CallerAnswer> {
+    const answer = await request(
+      `http://${LOOPBACK}:${this.server.getPort()}/v1/chat/completions`,
+      {
+        method: 'POST',
+        headers: {authorization: `Bearer ${CALLER_KEY}`, 'content-type': 'application/json'},
+        body: JSON.stringify({
+          model: 'guidance',
+          stream: true,
+          max_tokens: maxTokens,
+          messages: [{role: 'user', content}],
+        }),
+        bodyTimeout: 0,
+        headersTimeout: 0,
+      },
+    );
+    const tokens: string[] = [];
+    let rest = '';
+    let body = '';
+    for await (const bytes of answer.body) {
+      const text = (bytes as Buffer).toString('utf8');
+      body += text;
+      const lines = (rest + text).split('\n');
+      rest = lines.pop() ?? '';
+      for (const line of lines) {
+        const token = readToken(line);
+        if (token === undefined) continue;
+        tokens.push(token);
+        onToken(tokens.length);
+      }
+    }
+    return {status: answer.statusCode, tokens, body};
+  }
+
+  private async startEngine(plan: EnginePlan): Promise<void> {
+    const {instanceId, version = 'v1', failureDomain = 'oslo-a', isColdAtStart = false} = plan;
+    const identity = {
+      instanceId,
+      service: 'guidance',
+      version,
+      failureDomain,
+      machineClass: 'small',
+      market: 'reclaimable' as const,
+    };
+    const engine = new ModelEngine({
+      address: LOOPBACK,
+      port: 0,
+      identity,
+      profile: {...FAST_PROFILE, ...plan.profile},
+      isColdAtStart,
+      honoursFencingTokens: true,
+      loadLagMs: 50,
+      cacheEventDelayMs: 50,
+      loadVersionMs: 50,
+      random: () => 0.5,
+      onDown: () => void this.engines.delete(instanceId),
+    });
+    await engine.start();
+    this.engines.set(instanceId, engine);
+    const port = engine.getPort();
+    const state = 'live' as const;
+    this.instances.set(instanceId, {...identity, role: 'backend', address: LOOPBACK, port, state});
+  }
+
+  private createConfiguration(): Configuration {
+    const sha256 = createHash('sha256').update(CALLER_KEY).digest('hex');
+    const service = {...GUIDANCE, coldConcurrentRequests: 16, ...this.options.service};
+    return {
+      ...CONFIGURATION,
+      workspaces: CONFIGURATION.workspaces.map(workspace => ({
+        ...workspace,
+        keys: workspace.name === 'small' ? [{sha256}] : [],
+      })),
+      services: [service],
+    };
+  }
+}
+
+function readToken(line: string): string | undefined {
+  if (!line.startsWith('data: {')) return undefined;
+  const chunk = JSON.parse(line.slice('data: '.length)) as {
+    readonly choices?: ReadonlyArray<{readonly delta?: {readonly content?: string}}>;
+  };
+  const content = chunk.choices?.[0]?.delta?.content;
+  return content === undefined || content === '' ? undefined : content;
+}
