--- a/src/claims/ClaimService.ts
+++ b/src/claims/ClaimService.ts
@@ -2,11 +2,31 @@
 import {decideClaim, type ClaimAnswer, type ClaimRequest} from '../controllers/claims/index.js';
 import {ServingError} from '../errors/index.js';
 import {ClaimsFold} from '../folds/index.js';
-import {LogWriter, StreamFollower, systemSleep, type LogAccess, type Sleep} from '../log/index.js';
-import type {OutcomeProposal, PlacedRecord} from '../records/index.js';
+import {
+  LogWriter,
+  SnapshotPublisher,
+  StreamFollower,
+  systemSleep,
+  type LogAccess,
+  type Sleep,
+} from '../log/index.js';
+import type {ClaimProposal, OutcomeProposal, PlacedRecord} from '../records/index.js';
+import {BoundedSet} from './BoundedSet.js';
 import {ClaimBatcher} from './ClaimBatcher.js';
 import {KeyWaiters} from './KeyWaiters.js';
 
+/** Entries at which claims and outcomes are gathered; calls reject where the entry doesn't answer. */
+export interface ClaimGathering {
+  /** Returns the entry that gathers for a key; undefined where this one does. */
+  readonly getGatherer: (workspace: string, key: string) => ClaimGatherer | undefined;
+}
+
+/** Another entry that claims for this one. */
+export interface ClaimGatherer {
+  claim(proposal: ClaimProposal, timeoutMs: number): Promise<ClaimAnswer>;
+  recordOutcome(outcome: OutcomeProposal, timeoutMs: number): Promise<boolean>;
+}
+
 /** Options of a `ClaimService`. */
 export interface ClaimServiceOptions {
   readonly log: LogAccess;
@@ -19,15 +39,29 @@
   readonly batchIntervalMs?: number;
   /** Time after which a claim that wasn't read back is refused. */
   readonly claimTimeoutMs?: number;
+  /** Other entries that gather claims; without them this one claims for itself. */
+  readonly gathering?: ClaimGathering;
+  /** Time after which this entry claims for itself, where another one gathers. */
+  readonly gathererTimeoutMs?: number;
   /** Time for which claims are kept; the same at every entry. */
   readonly keepMs?: number;
+  /** Longest time without a snapshot of the claims; well below the log's retention. */
+  readonly snapshotIntervalMs?: number;
+  /** Returns a number from 0 up to 1; spreads the snapshots of a deployment. */
+  readonly random?: () => number;
   /** Waits for a time; the system's timer where absent. */
   readonly sleep?: Sleep;
 }
 
 const DEFAULT_BATCH_INTERVAL_MS = 20;
 const DEFAULT_CLAIM_TIMEOUT_MS = 3_000;
+const DEFAULT_SNAPSHOT_INTERVAL_MS = 3_600_000;
+const DEFAULT_GATHERER_TIMEOUT_MS = 500;
 
+/** Age up to which a read of the log's end counts as standing at its end. */
+const LOG_READ_WINDOW_MS = 4_000;
+/** Attempts that are remembered so that none claims twice. */
+const MAX_USED_ATTEMPTS = 50_000;
 /** Refused attempts that are remembered in case their claims turn up in the log. */
 const MAX_ABANDONED_ATTEMPTS = 50_000;
 
@@ -41,9 +75,10 @@
   private readonly writer: LogWriter;
   private readonly follower: StreamFollower;
   private readonly batcher: ClaimBatcher;
+  private readonly publisher: SnapshotPublisher;
   private readonly waiters: KeyWaiters;
-  private readonly openAttempts = new Set<string>();
-  private readonly abandonedAttempts = new Set<string>();
+  private readonly usedAttempts = new BoundedSet(MAX_USED_ATTEMPTS);
+  private readonly abandonedAttempts = new BoundedSet(MAX_ABANDONED_ATTEMPTS);
   private isStopped = false;
 
   constructor(options: ClaimServiceOptions) {
@@ -74,18 +109,29 @@
       sleep,
       onApplied: placed => this.handleRecord(placed),
     });
+    this.publisher = new SnapshotPublisher({
+      fold: this.fold,
+      writer: this.writer,
+      getNowMs,
+      sleep,
+      random: options.random ?? Math.random,
+      intervalMs: options.snapshotIntervalMs ?? DEFAULT_SNAPSHOT_INTERVAL_MS,
+      getNextOffset: () => this.follower.getNextOffset(),
+      isCaughtUp: () => this.isLogRead(),
+    });
   }
 
   /** Starts reading the claims stream. */
   start(): void {
     this.follower.start();
+    this.publisher.start();
   }
 
   /** Refuses open claims and stops. */
   async stop(): Promise<void> {
     this.isStopped = true;
     this.waiters.wakeAll();
-    await this.batcher.stop();
+    await Promise.all([this.batcher.stop(), this.publisher.stop()]);
     await this.follower.stop();
   }
 
@@ -94,24 +140,26 @@
    * @param request - The request; its attempt id serves for this call only.
    */
   async claim(request: ClaimRequest): Promise<ClaimAnswer> {
-    const {workspace, key, attemptId, fingerprint} = request;
-    if (this.openAttempts.has(attemptId)) {
+    const {attemptId} = request;
+    if (!this.usedAttempts.add(attemptId)) {
       throw new ServingError(`attempt ${attemptId} claims twice`, {kind: 'internal'});
     }
-    if (this.isStopped) return UNAVAILABLE;
-    const earlier = this.getVerdict(request);
-    if (earlier) return earlier.verdict === 'granted' ? {...earlier, verdict: 'held'} : earlier;
-    this.openAttempts.add(attemptId);
-    try {
-      const {claimant} = this.options;
-      this.batcher.addClaim({workspace, key, attemptId, fingerprint, claimant});
-      await this.waiters.wait(workspace, key, this.claimTimeoutMs);
-      const verdict = this.isStopped ? undefined : this.getVerdict(request);
-      if (!verdict) this.abandonAttempt(attemptId);
-      return verdict ?? UNAVAILABLE;
-    } finally {
-      this.openAttempts.delete(attemptId);
-    }
+    const proposal = {...request, claimant: this.options.claimant};
+    const earlier = this.isStopped ? UNAVAILABLE : this.getVerdict(proposal);
+    if (earlier) return earlier;
+    const answer = (await this.claimAtGatherer(proposal)) ?? (await this.claimHere(proposal));
+    if (answer) return answer;
+    if (!this.batcher.removeClaim(attemptId)) this.abandonedAttempts.add(attemptId);
+    return UNAVAILABLE;
+  }
+
+  /**
+   * Claims a key for another entry.
+   * @param proposal - The other's claim.
+   */
+  async claimFor(proposal: ClaimProposal): Promise<ClaimAnswer> {
+    if (this.isStopped || !this.fold.isComplete()) return UNAVAILABLE;
+    return this.getVerdict(proposal) ?? (await this.claimHere(proposal)) ?? UNAVAILABLE;
   }
 
   /**
@@ -120,8 +168,17 @@
    * @returns Whether the outcome was read back in time.
    */
   async recordOutcome(outcome: OutcomeProposal): Promise<boolean> {
-    const {workspace, key} = outcome;
     if (this.isStopped) return false;
+    if (await this.recordAtGatherer(outcome)) return true;
+    return this.recordOutcomeHere(outcome);
+  }
+
+  /**
+   * Records an outcome without asking another entry to.
+   * @param outcome - The outcome, of this entry's attempt or another's.
+   */
+  async recordOutcomeHere(outcome: OutcomeProposal): Promise<boolean> {
+    const {workspace, key} = outcome;
     this.batcher.addOutcome(outcome);
     const giveUpAtMs = this.options.getNowMs() + this.claimTimeoutMs;
     while (!this.isOutcomeKept(outcome) && !this.isStopped) {
@@ -132,25 +189,46 @@
     return this.isOutcomeKept(outcome);
   }
 
-  private abandonAttempt(attemptId: string): void {
-    if (this.batcher.removeClaim(attemptId)) return;
-    this.abandonedAttempts.add(attemptId);
-    if (this.abandonedAttempts.size <= MAX_ABANDONED_ATTEMPTS) return;
-    for (const oldest of this.abandonedAttempts) {
-      this.abandonedAttempts.delete(oldest);
-      return;
+  private async claimAtGatherer(proposal: ClaimProposal): Promise<ClaimAnswer | undefined> {
+    const {workspace, key} = proposal;
+    const gatherer = this.options.gathering?.getGatherer(workspace, key);
+    if (!gatherer) return undefined;
+    const {gathererTimeoutMs = DEFAULT_GATHERER_TIMEOUT_MS} = this.options;
+    try {
+      const answer = await gatherer.claim(proposal, gathererTimeoutMs);
+      return answer.verdict === 'unavailable' ? undefined : answer;
+    } catch {
+      return undefined;
     }
   }
 
-  private getVerdict(request: ClaimRequest): ClaimAnswer | undefined {
+  private async recordAtGatherer(outcome: OutcomeProposal): Promise<boolean> {
+    const gatherer = this.options.gathering?.getGatherer(outcome.workspace, outcome.key);
+    if (!gatherer) return false;
+    const {gathererTimeoutMs = DEFAULT_GATHERER_TIMEOUT_MS} = this.options;
+    return gatherer.recordOutcome(outcome, gathererTimeoutMs).catch(() => false);
+  }
+
+  private async claimHere(proposal: ClaimProposal): Promise<ClaimAnswer | undefined> {
+    const earlier = this.getVerdict(proposal);
+    if (earlier || this.isStopped) return earlier;
+    const {workspace, key} = proposal;
+    this.batcher.addClaim(proposal);
+    await this.waiters.wait(workspace, key, this.claimTimeoutMs);
+    return this.isStopped ? undefined : this.getVerdict(proposal);
+  }
+
+  private getVerdict(proposal: ClaimProposal): ClaimAnswer | undefined {
     const {fold, options} = this;
-    const claim = fold.getClaim(request.workspace, request.key);
+    const {claimant} = proposal;
+    const claim = fold.getClaim(proposal.workspace, proposal.key);
     const isClaimantLive =
       claim !== undefined &&
       (claim.claimant === options.claimant || options.isClaimantLive(claim.claimant));
     const isHistoryWhole = fold.isComplete();
     const forgottenBeforeMs = fold.getForgottenBeforeMs();
-    return decideClaim({claim, isClaimantLive, isHistoryWhole, forgottenBeforeMs}, request);
+    const view = {claim, claimant, isClaimantLive, isHistoryWhole, forgottenBeforeMs};
+    return decideClaim(view, proposal);
   }
 
   private isOutcomeKept({workspace, key, attemptId, run}: OutcomeProposal): boolean {
@@ -158,8 +236,14 @@
     return claim?.attemptId === attemptId && claim.outcome?.run === run;
   }
 
-  private handleRecord({record}: PlacedRecord): void {
-    const {body} = record;
+  private isLogRead(): boolean {
+    const readAtMs = this.follower.getCaughtUpAtMs();
+    return readAtMs !== undefined && this.options.getNowMs() - readAtMs <= LOG_READ_WINDOW_MS;
+  }
+
+  private handleRecord(placed: PlacedRecord): void {
+    this.publisher.observe(placed);
+    const {body} = placed.record;
     if (body.kind === 'claim-batch') {
       for (const {workspace, key} of body.claims) {
         this.releaseAbandonedClaim(workspace, key);
--- a/src/claims/index.ts
+++ b/src/claims/index.ts
@@ -5,4 +5,9 @@
   type ClaimRequest,
   type ClaimVerdict,
 } from '../controllers/claims/index.js';
-export {ClaimService, type ClaimServiceOptions} from './ClaimService.js';
+export {
+  ClaimService,
+  type ClaimGatherer,
+  type ClaimGathering,
+  type ClaimServiceOptions,
+} from './ClaimService.js';
--- a/src/controllers/claims/decideClaim.ts
+++ b/src/controllers/claims/decideClaim.ts
@@ -33,7 +33,9 @@
   readonly isHistoryWhole: boolean;
   /** Instant by the log's clock before which claims are forgotten. */
   readonly forgottenBeforeMs: number;
-  /** Whether the claimant's process is known to run. */
+  /** Process that asks. */
+  readonly claimant: string;
+  /** Whether the process that holds the key is known to run. */
   readonly isClaimantLive: boolean;
 }
 
@@ -77,7 +79,7 @@
 
 function decideHeldKey(
   claim: KeptClaim,
-  {isClaimantLive, forgottenBeforeMs}: ClaimView,
+  {claimant, isClaimantLive, forgottenBeforeMs}: ClaimView,
   request: ClaimRequest,
 ): ClaimAnswer {
   if (claim.fingerprint !== request.fingerprint) {
@@ -93,7 +95,7 @@
     default:
       break;
   }
-  if (claim.attemptId === request.attemptId) {
+  if (claim.attemptId === request.attemptId && claim.claimant === claimant) {
     if (isKeyForgotten(request.key, forgottenBeforeMs)) return UNKNOWN;
     return {verdict: 'granted', isKnownNotRun: false};
   }
--- a/src/controllers/membership/MembershipState.ts
+++ b/src/controllers/membership/MembershipState.ts
@@ -89,15 +89,17 @@
 /**
  * Returns the state of a daemon that knows only itself.
  * @param self - Where it listens.
- * @param nowMs - Present time; the first incarnation, so that a restarted daemon outranks its predecessor.
+ * @param incarnation - First incarnation; higher than that of any earlier process of the instance.
+ * @param nowMs - Present time.
  * @param options - Timing and bounds.
  */
 export function createMembershipState(
   self: MemberAddress,
+  incarnation: number,
   nowMs: number,
   options: MembershipOptions = DEFAULT_MEMBERSHIP_OPTIONS,
 ): MembershipState {
-  const alive = {state: 'alive', incarnation: nowMs, changedAtMs: nowMs} as const;
+  const alive = {state: 'alive', incarnation, changedAtMs: nowMs} as const;
   return {
     options,
     self: {...self, ...alive, configurationRevision: 0, rumourBudget: 0},
--- a/src/folds/ClaimsFold.ts
+++ b/src/folds/ClaimsFold.ts
@@ -16,6 +16,11 @@
   readonly keepMs: number;
 }
 
+interface PlacedOutcome {
+  readonly offset: number;
+  readonly outcome: OutcomeProposal;
+}
+
 interface GapEnd {
   readonly offset: number;
   /** Instant of the first record after the gap by the log's clock, once it was read. */
@@ -38,7 +43,7 @@
   private readonly claims = new Map<string, KeptClaim>();
   private readonly parts = new SnapshotParts();
   /** Outcomes after a gap whose claims may lie before its end. */
-  private unmatchedOutcomes: OutcomeProposal[] = [];
+  private unmatchedOutcomes: PlacedOutcome[] = [];
   private gapEnd: GapEnd | undefined;
   private logTimeMs = 0;
 
@@ -55,7 +60,7 @@
       for (const claim of body.claims) this.applyClaim(claim, offset);
     }
     if (body.kind === 'outcome-batch') {
-      for (const outcome of body.outcomes) this.applyOutcome(outcome);
+      for (const outcome of body.outcomes) this.applyOutcome(outcome, offset);
     }
     if (body.kind === 'claims-snapshot' && this.gapEnd) this.applyPart(body, record.writer);
   }
@@ -103,11 +108,12 @@
     this.claims.set(claimId, {...proposal, offset, claimedAtMs: this.logTimeMs});
   }
 
-  private applyOutcome({workspace, key, attemptId, run, answer}: OutcomeProposal): void {
+  private applyOutcome(outcome: OutcomeProposal, offset: number): void {
+    const {workspace, key, attemptId, run, answer} = outcome;
     const claimId = toClaimId(workspace, key);
     const claim = this.claims.get(claimId);
-    if (claim?.attemptId !== attemptId) {
-      if (this.gapEnd) this.unmatchedOutcomes.push({workspace, key, attemptId, run, answer});
+    if (claim?.attemptId !== attemptId || offset < claim.offset) {
+      if (this.gapEnd) this.unmatchedOutcomes.push({offset, outcome});
       return;
     }
     const isOpen = claim.outcome === undefined || claim.outcome.run === 'unknown';
@@ -127,7 +133,7 @@
     for (const [claimId, claim] of this.claims) {
       const other = merged.get(claimId);
       if (!other || claim.offset < other.offset) merged.set(claimId, claim);
-      else if (claim.offset === other.offset) merged.set(claimId, mergeOutcomes(other, claim));
+      else if (claim.attemptId === other.attemptId) merged.set(claimId, addOutcome(other, claim));
     }
     const ordered = [...merged].sort(([, a], [, b]) => a.offset - b.offset);
     this.claims.clear();
@@ -140,7 +146,7 @@
     this.parts.clear();
     const outcomes = this.unmatchedOutcomes;
     this.unmatchedOutcomes = [];
-    for (const outcome of outcomes) this.applyOutcome(outcome);
+    for (const {outcome, offset} of outcomes) this.applyOutcome(outcome, offset);
   }
 
   /** A reader that has read for as long as claims are kept misses nothing that still matters. */
@@ -166,9 +172,10 @@
   return parsed.success ? parsed.data : [];
 }
 
-function mergeOutcomes(one: KeptClaim, other: KeptClaim): KeptClaim {
-  const isOneOpen = one.outcome === undefined || one.outcome.run === 'unknown';
-  return isOneOpen && other.outcome ? other : one;
+/** Returns a claim with what a later record of the same attempt says of its outcome. */
+function addOutcome(claim: KeptClaim, later: KeptClaim): KeptClaim {
+  const isOpen = claim.outcome === undefined || claim.outcome.run === 'unknown';
+  return isOpen && later.outcome ? {...claim, outcome: later.outcome} : claim;
 }
 
 function toClaimId(workspace: string, key: string): string {
--- a/src/peer/MembershipLoop.ts
+++ b/src/peer/MembershipLoop.ts
@@ -27,6 +27,8 @@
 /** Options of a `MembershipLoop`. */
 export interface MembershipLoopOptions {
   readonly self: MemberAddress;
+  /** Higher than that of any earlier process of the instance, such as the wall clock at the start in milliseconds. */
+  readonly incarnation: number;
   readonly client: PeerClient;
   readonly blackboard: Blackboard;
   readonly getNowMs: () => number;
@@ -51,7 +53,8 @@
 
   constructor(options: MembershipLoopOptions) {
     this.options = options;
-    this.state = createMembershipState(options.self, options.getNowMs(), options.protocol);
+    const {self, incarnation, getNowMs, protocol} = options;
+    this.state = createMembershipState(self, incarnation, getNowMs(), protocol);
   }
 
   /** Returns the handlers of the calls that belong to the protocol. */
--- /dev/null
+++ b/tests/claims/ClaimService.property.test.ts
@@ -0,0 +1,66 @@
+/** Property tests of claims: entries, callers and faults interleaved at random, in virtual time. */
+import fc from 'fast-check';
+import t from 'tap';
+import {ClaimsWorld} from '../support/ClaimsWorld.js';
+import {createRandom} from '../support/random.js';
+
+const KEYS = ['k', 'kk', 'kkk'];
+const STEP_COUNT = 25;
+const MAX_STEP_MS = 1_500;
+const RUNS = 1_000;
+const TIMEOUT_MS = 180_000;
+
+/** One random step of a world. */
+async function step(world: ClaimsWorld, random: () => number): Promise<void> {
+  const choice = random();
+  if (choice < 0.6) world.request(KEYS[Math.floor(random() * KEYS.length)]);
+  else if (choice < 0.68) world.replaceEntry();
+  else if (choice < 0.76) world.pauseEntry(random() * 15_000);
+  else if (choice < 0.84) world.log.setOut(random() < 0.5);
+  else if (choice < 0.92) world.setFaultShare(random() < 0.5 ? 0 : 0.3);
+  else world.log.dropBefore('claims', Math.floor(random() * world.log.getRecords('claims').length));
+  await world.time.advance(random() * MAX_STEP_MS);
+}
+
+/** Returns what is wrong with a world; undefined where nothing is. */
+function findFault({ledger}: ClaimsWorld): string | undefined {
+  for (const key of KEYS) {
+    const grants = ledger.grants.get(key) ?? [];
+    const runs = ledger.runs.get(key) ?? [];
+    if (grants.length > 1) return `${key} was granted to ${grants.join()}`;
+    if (runs.length > 1) return `${key} ran as ${runs.join()}`;
+    const answers = ledger.answers.filter(given => given.key === key);
+    if (runs.length > 0 && answers.some(({answer}) => answer.isKnownNotRun)) {
+      return `${key} ran though a caller was told it never would`;
+    }
+    const bodies = answers.flatMap(({answer}) => answer.answer?.bodyBase64 ?? []);
+    if (new Set([...bodies, ...(bodies.length > 0 ? runs : [])]).size > 1) {
+      return `${key} was answered as ${bodies.join()}`;
+    }
+  }
+  return undefined;
+}
+
+t.setTimeout(TIMEOUT_MS);
+
+t.test('ClaimService', async t => {
+  t.setTimeout(TIMEOUT_MS);
+  await fc.assert(
+    fc.asyncProperty(fc.integer(), fc.integer({min: 1, max: 4}), async (seed, entryCount) => {
+      const random = createRandom(seed);
+      const world = new ClaimsWorld(random, entryCount);
+      for (let count = 0; count < STEP_COUNT; count++) await step(world, random);
+      world.log.setOut(false);
+      world.setFaultShare(0);
+      await world.time.advance(30_000);
+      for (const key of KEYS) {
+        const answers = await world.repeatEverywhere(key);
+        world.ledger.answers.push(...answers.map(answer => ({key, answer})));
+      }
+      const fault = findFault(world);
+      if (fault) throw new Error(fault);
+    }),
+    {seed: 4_201, numRuns: RUNS},
+  );
+  t.pass('no key ran twice and no answer was false');
+});
--- a/tests/support/MembershipWorld.ts
+++ b/tests/support/MembershipWorld.ts
@@ -50,7 +50,7 @@
       failureDomain: 'fd-a',
     }));
     for (const self of addresses) {
-      const state = createMembershipState(self, this.nowMs);
+      const state = createMembershipState(self, 1, this.nowMs);
       const seeds = addresses.map(
         address => ({...address, state: 'alive', incarnation: 0}) as const,
       );
