--- a/src/operator/ConfigurationCommands.ts
+++ b/src/operator/ConfigurationCommands.ts
@@ -8,6 +8,7 @@
 import {throwUnlessAccepted} from './AnswersPublisher.js';
 import type {ConfigurationStream} from './ConfigurationStream.js';
 import {countInForce, waitUntilInForce, type InForceCount} from './InForceWait.js';
+import {formatConfiguration} from './ConfigurationTables.js';
 import {createOperatorCommand} from './OperatorCommand.js';
 import {
   withConfigurationStream,
@@ -16,6 +17,7 @@
 } from './OperatorContext.js';
 import {
   DAEMONS_SETTINGS,
+  JSON_FLAG,
   LOG_SETTINGS,
   PUBLISH_SETTINGS,
   type DaemonsSettings,
@@ -23,8 +25,6 @@
 } from './OperatorSettings.js';
 import {formatTable} from './Tables.js';
 
-const JSON_FLAG = {json: 'Prints JSON'} as const;
-
 /** Builds the `config` commands. */
 export function createConfigurationCommands(context: OperatorContext): RunnableCommand {
   return subcommands({
@@ -42,6 +42,8 @@
 /** What `publishAndWait` publishes, and what it tells on the way. */
 export interface PublishOrder {
   readonly configuration: Configuration;
+  /** The revision that the operator has seen in force. */
+  readonly replacesRevision: number;
   /** Called once the configuration is accepted, before the wait. */
   readonly onAccepted?: () => void;
 }
@@ -56,11 +58,10 @@
  */
 export async function publishAndWait(
   stream: ConfigurationStream,
-  {configuration, onAccepted}: PublishOrder,
+  {configuration, replacesRevision, onAccepted}: PublishOrder,
   settings: DaemonsSettings & PublishSettings,
   context: OperatorContext,
 ): Promise<void> {
-  const replacesRevision = stream.getInForce().revision;
   const result = await stream.publish(configuration, replacesRevision, settings.operator);
   throwUnlessAccepted(result, replacesRevision);
   context.writeLine(`accepted at offset ${result.offset} as revision ${result.revision}`);
@@ -110,9 +111,10 @@
     commandArguments: {file: 'A configuration in JSON, as `config show --json` prints it'},
     run: async settings => {
       const configuration = await readConfigurationFile(settings.commandArguments.file);
-      await withConfigurationStream(settings, context, stream =>
-        publishAndWait(stream, {configuration}, settings, context),
-      );
+      await withConfigurationStream(settings, context, stream => {
+        const replacesRevision = stream.getInForce().revision;
+        return publishAndWait(stream, {configuration, replacesRevision}, settings, context);
+      });
     },
   });
 }
@@ -179,44 +181,3 @@
     kind: 'invalid-settings',
   });
 }
-
-function formatConfiguration(revision: number, configuration: Configuration): readonly string[] {
-  const {deployment, failureDomains, workspaces, requestClasses, services} = configuration;
-  const serviceRows = services.map(service => [
-    service.name,
-    service.kind,
-    service.versions.map(({name, sharePercent}) => `${name} ${sharePercent}%`).join(', '),
-    service.targetReplicas,
-    service.maxConcurrentRequests,
-    service.workspaces?.join(', ') ?? 'all',
-  ]);
-  const workspaceRows = workspaces.map(({name, shareWeight, maxOpenRequests, keys}) => [
-    name,
-    shareWeight,
-    maxOpenRequests,
-    keys.length,
-  ]);
-  const classRows = requestClasses.map(requestClass => [
-    requestClass.name,
-    requestClass.priority,
-    requestClass.maxPromptTokens,
-    requestClass.firstTokenTargetMs,
-    requestClass.interTokenTargetMs,
-  ]);
-  return [
-    `deployment ${deployment}, revision ${revision}`,
-    `failure domains: ${failureDomains.map(({name, region}) => `${name} (${region})`).join(', ')}`,
-    '',
-    ...formatTable(
-      ['SERVICE', 'KIND', 'VERSIONS', 'REPLICAS', 'REQUESTS EACH', 'WORKSPACES'],
-      serviceRows,
-    ),
-    '',
-    ...formatTable(['WORKSPACE', 'SHARE WEIGHT', 'OPEN REQUESTS', 'KEYS'], workspaceRows),
-    '',
-    ...formatTable(
-      ['CLASS', 'PRIORITY', 'PROMPT TOKENS', 'FIRST TOKEN MS', 'INTER TOKEN MS'],
-      classRows,
-    ),
-  ];
-}
