Cold servers: places are dealt to four entries in turn, so that more entries can serve at once

Cause: at a start all backend servers are cold, and an entry that was first for none of them refused every booking ('every backend server is at its limit', seen in the quickstart with three entries). Conclusion: what an entry gets still depends on its rank and the total only.

--- a/bench/capacity/MemberSlopes.ts
+++ b/bench/capacity/MemberSlopes.ts
@@ -22,7 +22,7 @@
 function createState(memberCount: number): MembershipState {
   const rumours = Array.from({length: memberCount}, (_, index) => createMember(index + 1));
   const state = applyRumours(
-    createMembershipState(createMember(0), FIXTURE_NOW_MS),
+    createMembershipState(createMember(0), 0, FIXTURE_NOW_MS),
     rumours,
     FIXTURE_NOW_MS,
   );
--- a/scenarios/bin/quickstart.ts
+++ b/scenarios/bin/quickstart.ts
@@ -152,7 +152,11 @@
     readonly addresses: readonly {readonly address: string; readonly port: number}[];
   };
   const shown = answer.addresses.map(({address, port}) => `${address}:${port}`).join(' ');
-  return {name: 'address look-up', isRight: answer.addresses.length === DAEMONS_PER_ROLE, detail: shown};
+  return {
+    name: 'address look-up',
+    isRight: answer.addresses.length === DAEMONS_PER_ROLE,
+    detail: shown,
+  };
 }
 
 async function checkStream(url: string): Promise<Check> {
--- a/src/controllers/warmth/warmthLimit.ts
+++ b/src/controllers/warmth/warmthLimit.ts
@@ -15,13 +15,16 @@
 
 const LEVEL_PARTS: Readonly<Record<Warmth, number>> = {cold: 0, suspect: 0, warming: 0.25, warm: 1};
 
+/** Entries that share the places of a backend server which is not warm. */
+const SHARING_ENTRIES = 4;
+
 /**
  * Returns how many requests this entry may have open at the server.
  *
- * The total over all entries grows with warmth from the cold limit to the warm one and is cut into slices of the cold
- * limit: the first entry by rendezvous hash owns the first slice, the second one the next. A slice depends on the rank and
- * on the total only, and grows with the total; so all entries together keep to the highest total that any of them sees,
- * without asking each other. A warm server is free to all, up to what the service allows.
+ * The total over all entries grows with warmth from the cold limit to the warm one. Its places are dealt in turn to the
+ * first ranks by rendezvous hash. What an entry gets depends on its rank and on the total only, and grows with the total;
+ * so all entries together keep to the highest total that any of them sees, without asking each other. A warm server is
+ * free to all, up to what the service allows.
  * @param view - The server, its service and the entries known here.
  */
 export function getWarmthLimit(view: WarmthLimitView): number {
@@ -29,10 +32,11 @@
   const levelPart = view.levelPart ?? LEVEL_PARTS[server.warmth];
   const {maxConcurrentRequests, coldConcurrentRequests} = service;
   if (levelPart >= 1) return maxConcurrentRequests;
-  const sliceRequests = Math.min(coldConcurrentRequests, maxConcurrentRequests);
-  const growth = Math.floor((maxConcurrentRequests - sliceRequests) * levelPart);
-  const ownStart = getOwnRank(view) * sliceRequests;
-  return Math.min(sliceRequests, Math.max(0, sliceRequests + growth - ownStart));
+  const coldRequests = Math.min(coldConcurrentRequests, maxConcurrentRequests);
+  const growth = Math.floor((maxConcurrentRequests - coldRequests) * levelPart);
+  const rank = getOwnRank(view);
+  if (rank >= SHARING_ENTRIES) return 0;
+  return Math.floor((coldRequests + growth + SHARING_ENTRIES - 1 - rank) / SHARING_ENTRIES);
 }
 
 function getOwnRank({server, entries, ownInstanceId}: WarmthLimitView): number {
--- a/src/entry/PeerParts.ts
+++ b/src/entry/PeerParts.ts
@@ -112,6 +112,7 @@
     const {instanceId, address, failureDomain} = settings;
     return new MembershipLoop({
       self: {instanceId, address, failureDomain, callersPort, peerPort: this.peerPort},
+      incarnation: getNowMs(),
       client: this.client,
       blackboard,
       getNowMs,
--- a/tests/support/ServingHarness.ts
+++ b/tests/support/ServingHarness.ts
@@ -98,6 +98,7 @@
         getNowMs,
         random: () => 0,
         createId: randomUUID,
+        checkAccepting: () => undefined,
         isStopping: () => false,
       },
     });
