--- a/src/claims/ClaimService.ts
+++ b/src/claims/ClaimService.ts
@@ -1,6 +1,5 @@
 /** Claims idempotency keys in the log, so that a request that isn't idempotent runs at most once. */
 import {decideClaim, type ClaimAnswer, type ClaimRequest} from '../controllers/claims/index.js';
-import {ServingError} from '../errors/index.js';
 import {ClaimsFold} from '../folds/index.js';
 import {
   LogWriter,
@@ -65,6 +64,7 @@
 /** Refused attempts that are remembered in case their claims turn up in the log. */
 const MAX_ABANDONED_ATTEMPTS = 50_000;
 
+const HELD: ClaimAnswer = {verdict: 'held', isKnownNotRun: false};
 const UNAVAILABLE: ClaimAnswer = {verdict: 'unavailable', isKnownNotRun: false};
 
 /** Claims keys and records outcomes; every verdict comes from records that were read back. */
@@ -137,16 +137,15 @@
 
   /**
    * Claims the key of a request. Only where the verdict is `granted` may the request be sent, and once.
-   * @param request - The request; its attempt id serves for this call only.
+   * @param request - The request; its attempt id serves for this call only, and a second call never gets the key.
    */
   async claim(request: ClaimRequest): Promise<ClaimAnswer> {
     const {attemptId} = request;
-    if (!this.usedAttempts.add(attemptId)) {
-      throw new ServingError(`attempt ${attemptId} claims twice`, {kind: 'internal'});
-    }
     const proposal = {...request, claimant: this.options.claimant};
-    const earlier = this.isStopped ? UNAVAILABLE : this.getVerdict(proposal);
-    if (earlier) return earlier;
+    if (this.isStopped) return UNAVAILABLE;
+    const earlier = this.getVerdict(proposal);
+    if (earlier) return withoutGrant(earlier);
+    if (!this.usedAttempts.add(attemptId)) return HELD;
     const answer = (await this.claimAtGatherer(proposal)) ?? (await this.claimHere(proposal));
     if (answer) return answer;
     if (!this.batcher.removeClaim(attemptId)) this.abandonedAttempts.add(attemptId);
@@ -264,3 +263,8 @@
     this.batcher.addOutcome({workspace, key, attemptId, run: 'not-run'});
   }
 }
+
+/** A claim that stood before the call was granted to another call, whatever its attempt id. */
+function withoutGrant(answer: ClaimAnswer): ClaimAnswer {
+  return answer.verdict === 'granted' ? HELD : answer;
+}
--- a/src/controllers/claims/index.ts
+++ b/src/controllers/claims/index.ts
@@ -1,5 +1,4 @@
 export {CLAIM_GATHERER_COUNT, chooseClaimGatherer} from './chooseClaimGatherer.js';
-export {formatClaimant, isClaimantMember} from './claimants.js';
 export {
   CLAIM_FRESH_MS,
   decideClaim,
--- a/src/peer/MembershipLoop.ts
+++ b/src/peer/MembershipLoop.ts
@@ -27,8 +27,8 @@
 /** Options of a `MembershipLoop`. */
 export interface MembershipLoopOptions {
   readonly self: MemberAddress;
-  /** Higher than that of any earlier process of the instance, such as the wall clock at the start in milliseconds. */
-  readonly incarnation: number;
+  /** Higher than that of any earlier process of the instance; the present time where absent. */
+  readonly incarnation?: number;
   readonly client: PeerClient;
   readonly blackboard: Blackboard;
   readonly getNowMs: () => number;
@@ -53,8 +53,9 @@
 
   constructor(options: MembershipLoopOptions) {
     this.options = options;
-    const {self, incarnation, getNowMs, protocol} = options;
-    this.state = createMembershipState(self, incarnation, getNowMs(), protocol);
+    const nowMs = options.getNowMs();
+    const {self, incarnation = nowMs, protocol} = options;
+    this.state = createMembershipState(self, incarnation, nowMs, protocol);
   }
 
   /** Returns the handlers of the calls that belong to the protocol. */
--- a/tests/claims/ClaimService.test.ts
+++ b/tests/claims/ClaimService.test.ts
@@ -54,6 +54,15 @@
     }
   });
 
+  t.test('claim never grants a key twice to one attempt id', async t => {
+    const {createService, settle} = createWorld();
+    const service = createService('e1');
+    const both = [service.claim(createRequest('a1')), service.claim(createRequest('a1'))];
+    const answers = await settle(Promise.all(both));
+    t.same(answers.map(answer => answer.verdict).sort(), ['granted', 'held']);
+    t.equal((await settle(service.claim(createRequest('a1')))).verdict, 'held');
+  });
+
   t.test('claim tells a reused key from a repeat', async t => {
     const {createService, settle} = createWorld();
     const service = createService('e1');
--- /dev/null
+++ b/tests/peer/ClaimCalls.test.ts
@@ -0,0 +1,81 @@
+/** Tests of claims that one entry gathers for another, over real sockets. */
+import t from 'tap';
+import {Blackboard, type Member} from '../../src/blackboard/index.js';
+import {ClaimService} from '../../src/claims/index.js';
+import {
+  PeerClient,
+  PeerKeys,
+  PeerServer,
+  createClaimGathering,
+  createClaimHandlers,
+} from '../../src/peer/index.js';
+import {createRealTimeLog} from '../support/entries.js';
+
+const ADDRESS = '127.0.0.1';
+const KEYS = new PeerKeys(['secret']);
+const ANSWER = {status: 201, contentType: 'text/plain', bodyBase64: 'b2s='};
+
+async function createPair() {
+  const log = createRealTimeLog();
+  const blackboard = new Blackboard();
+  const client = new PeerClient({keys: KEYS, timeoutMs: 1_000});
+  const getNowMs = () => Date.now();
+  const options = {log, getNowMs, isClaimantLive: () => true};
+  const gatherer = new ClaimService({...options, claimant: 'e1'});
+  const server = new PeerServer({address: ADDRESS, port: 0, keys: KEYS});
+  server.addHandlers(createClaimHandlers(gatherer));
+  const peerPort = await server.start();
+  const gathering = createClaimGathering(blackboard, client, 'e2');
+  const service = new ClaimService({...options, claimant: 'e2', gathering});
+  const member: Member = {
+    instanceId: 'e1',
+    state: 'alive',
+    incarnation: 1,
+    address: ADDRESS,
+    peerPort,
+    callersPort: 1,
+    failureDomain: 'fd-a',
+    configurationRevision: 1,
+    changedAtMs: 0,
+  };
+  blackboard.setSection('peers', {members: [member]});
+  gatherer.start();
+  service.start();
+  const stop = async () => {
+    await Promise.all([gatherer.stop(), service.stop()]);
+    client.close();
+  };
+  return {log, gatherer, service, server, stop};
+}
+
+t.test('ClaimCalls', t => {
+  const request = {workspace: 'w', key: 'k', attemptId: 'a1', fingerprint: 'f'};
+
+  t.test('claims and outcomes go through the gatherer', async t => {
+    const {log, gatherer, service, server, stop} = await createPair();
+    t.equal((await service.claim(request)).verdict, 'granted');
+    t.match(log.getRecords('claims')[0].payload, /"writer":"e1".*"claimant":"e2"/);
+    const outcome = {
+      workspace: 'w',
+      key: 'k',
+      attemptId: 'a1',
+      run: 'ran',
+      answer: ANSWER,
+    } as const;
+    t.equal(await service.recordOutcome(outcome), true);
+    t.match(log.getRecords('claims')[1].payload, /"writer":"e1"/);
+    const repeat = await gatherer.claim({...request, attemptId: 'a2'});
+    t.same(repeat, {verdict: 'done', answer: ANSWER, isKnownNotRun: false});
+    await stop();
+    await server.stop();
+  });
+
+  t.test('an entry claims for itself where the gatherer is gone', async t => {
+    const {log, service, server, stop} = await createPair();
+    await server.stop();
+    t.equal((await service.claim(request)).verdict, 'granted');
+    t.match(log.getRecords('claims')[0].payload, /"writer":"e2"/);
+    await stop();
+  });
+  t.end();
+});
--- a/tests/support/entries.ts
+++ b/tests/support/entries.ts
@@ -48,7 +48,6 @@
   const peerPort = await peerServer.start();
   const membership = new MembershipLoop({
     self: {...self, peerPort},
-    incarnation: getNowMs(),
     client,
     blackboard,
     getNowMs,
