Wrong settings give one line, and no secret is echoed

Cause: modern-errors puts a cause's message before the error's own (two lines for one wrong value), and cmd-ts echoes the whole command line for an unknown flag, the deployment's key with it. Ruled out: leaving causes out, which would lose them in logs. Conclusion: flag, variable and value on one line, exit 2.

--- a/src/errors/ServingError.ts
+++ b/src/errors/ServingError.ts
@@ -26,7 +26,9 @@
      * @param options - The kind, and what differs from the kind's rule.
      */
     constructor(message: string, options?: InstanceOptions & Partial<ServingErrorOptions>) {
-      super(message, options);
+      // The message stays as it is: modern-errors would put the cause's message before it.
+      super(message);
+      if (options?.cause !== undefined) this.cause = options.cause;
       this.kind = options?.kind ?? 'internal';
       const rule = getAnswerRule(this.kind);
       this.run = options?.run ?? rule.run;
--- a/src/settings/SettingsCommand.ts
+++ b/src/settings/SettingsCommand.ts
@@ -1,4 +1,5 @@
 /** Turns setting definitions into a cmd-ts command, and runs a binary's command line. */
+import {stripVTControlCharacters} from 'node:util';
 import {command, option, optional, runSafely, string, type subcommands} from 'cmd-ts';
 import {ServingError, toServingError} from '../errors/index.js';
 import {
@@ -73,8 +74,22 @@
 
 /** Prints help, or what is wrong with the command line. */
 function printUsage({exitCode, message, into}: UsageMessage): void {
-  process[into].write(`${message}\n`);
-  process.exitCode = exitCode === 0 ? 0 : EXIT_BAD_SETTINGS;
+  const isHelp = exitCode === 0;
+  process[into].write(`${isHelp ? message : joinUsageLines(message)}\n`);
+  process.exitCode = isHelp ? 0 : EXIT_BAD_SETTINGS;
+}
+
+/** Returns cmd-ts's report as one line with the arguments that its carets point at, and no others: some are secret. */
+function joinUsageLines(message: string): string {
+  const lines = stripVTControlCharacters(message).split('\n');
+  const problems = lines.flatMap((line, index) => {
+    const column = line.indexOf('^');
+    if (column < 0) return [];
+    const start = lines[index - 1].lastIndexOf(' ', column) + 1;
+    const argument = lines[index - 1].slice(start).split(' ')[0];
+    return [`${argument}: ${line.replace(/^[\s^~]+/, '')}`];
+  });
+  return `${problems.join(', ') || lines.join(' ').trim()} (see --help)`;
 }
 
 function createOption(definition: SettingDefinition<unknown>) {
--- /dev/null
+++ b/tests/settings/SettingsCommand.test.ts
@@ -0,0 +1,45 @@
+/** Tests of what a person sees of wrong settings: one line and exit status 2. */
+import {spawnSync} from 'node:child_process';
+import {join} from 'node:path';
+import t from 'tap';
+
+const ENTRY = join('dist', 'src', 'bin', 'buckthorn-entry.js');
+const REQUIRED = [
+  ...['--instance-id', 'a', '--failure-domain', 'b'],
+  ...['--list-url', 'http://127.0.0.1:1', '--deployment-keys', '0123456789abcdef'],
+];
+const LOG_URL = ['--log-url', 'http://127.0.0.1:1'];
+
+t.test('runCommandLine', t => {
+  function doTest(name: string, args: readonly string[], expectedLine: string) {
+    t.test(name, t => {
+      const {status, stderr} = spawnSync(process.execPath, [ENTRY, ...args], {encoding: 'utf8'});
+      t.equal(stderr, `${expectedLine}\n`);
+      t.equal(status, 2);
+      t.end();
+    });
+  }
+
+  doTest('names a missing setting', REQUIRED, '--log-url (BUCKTHORN_LOG_URL) is missing');
+  doTest(
+    'names a wrong value',
+    [...REQUIRED, '--log-url', 'http://log:1'],
+    '--log-url (BUCKTHORN_LOG_URL): "http://log:1" names the host "log" and not an IP number',
+  );
+  doTest(
+    'does not show a secret',
+    [...LOG_URL, ...REQUIRED.slice(0, -1), 'short'],
+    '--deployment-keys (BUCKTHORN_DEPLOYMENT_KEYS): the given value has a key of fewer than 16 characters',
+  );
+  doTest(
+    'names settings that contradict each other',
+    [...REQUIRED, ...LOG_URL, '--port', '81', '--peer-port', '81'],
+    '--port (BUCKTHORN_PORT) and --peer-port (BUCKTHORN_PEER_PORT) are both 81',
+  );
+  doTest(
+    'names an unknown flag',
+    [...REQUIRED, ...LOG_URL, '--nonsense', '3'],
+    '--nonsense: Unknown arguments (see --help)',
+  );
+  t.end();
+});
