Capacity page with its tables and the test of their arithmetic

Ruled out: unweighted least squares, which gave negative values at small sizes; a line for probes, whose cost grows with the square of the entries, since choosing a target compares the probe order with all members; heap from three builds, where one of four runs gave a value twice too large.

--- a/bench/capacity/CapacityBench.ts
+++ b/bench/capacity/CapacityBench.ts
@@ -2,6 +2,7 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import {
   formatNumber,
+  formatPercent,
   formatRows,
   formatSlopes,
   replaceBetweenMarkers,
@@ -18,6 +19,7 @@
 import {measureProcessMemory} from './ProcessMemory.js';
 import {REPLICA_SLOPES} from './ReplicaSlopes.js';
 import type {SlopeDefinition} from './SlopeDefinition.js';
+import {APPEND_ROWS, formatAppends} from './AppendRows.js';
 import {WORKED_ROWS} from './WorkedRows.js';
 
 /** All slopes that the page uses. */
@@ -52,6 +54,7 @@
     ['today', formatRows('today', rows)],
     ['replacement', formatRows('replacement', rows)],
     ['memory', memory],
+    ['appends', formatAppends(APPEND_ROWS)],
   ];
   tables.forEach(([, text]) => writeLine(text));
   if (pagePath === undefined) return;
@@ -74,11 +77,11 @@
 
 function measureSlope(definition: SlopeDefinition): MeasuredSlope {
   const samples = definition.sizes.map(size => ({size, value: definition.measure(size)}));
-  return {definition, samples, fit: fitLine(samples)};
+  return {definition, samples, fit: fitLine(samples, definition.power)};
 }
 
 function describe({definition, samples, fit}: MeasuredSlope): string {
   const points = samples.map(({size, value}) => `${size}:${formatNumber(value)}`).join(' ');
-  const residuals = fit.residuals.map(residual => formatNumber(residual, 3)).join(' ');
+  const residuals = fit.residualPercents.map(percent => `${formatPercent(percent)}%`).join(' ');
   return `${definition.id} (${definition.valueUnit}) ${points} | residuals ${residuals}`;
 }
--- a/bench/capacity/CapacityPage.ts
+++ b/bench/capacity/CapacityPage.ts
@@ -9,14 +9,17 @@
   readonly id: string;
   readonly intercept: number;
   readonly slope: number;
+  readonly power: number;
 }
 
 /** A worked-out row as the page prints it. */
 export interface PageRow {
   readonly row: WorkedRow;
   readonly value: number;
-  /** Size at which this row alone uses the whole budget; Infinity where it never does. */
-  readonly carriesUpTo: number;
+  /** Size at which this row alone uses the whole budget, at its times a second; Infinity where it never does. */
+  readonly sizeLimit: number;
+  /** Times a second at which this row alone uses the whole budget, at its size; absent for memory. */
+  readonly rateLimit: number | undefined;
 }
 
 /** A measured slope. */
@@ -37,19 +40,25 @@
   return String(Number(value.toPrecision(digits)));
 }
 
+/** Returns a residual as the page prints it. */
+export function formatPercent(percent: number): string {
+  return String(Math.round(percent * 100) / 100);
+}
+
 /**
  * Works a row out.
  * @param row - The row.
  * @param slope - Its slope as printed.
  */
 export function workOut(row: WorkedRow, slope: PageSlope): PageRow {
-  const divisor = RESOURCE_DIVISORS[row.resource] / row.timesPerSecond;
-  const value = (slope.intercept + slope.slope * row.size) / divisor;
-  const carriesUpTo =
-    slope.slope <= 0
-      ? Infinity
-      : Math.max(0, (BUDGET[row.resource] * divisor - slope.intercept) / slope.slope);
-  return {row, value, carriesUpTo};
+  const {resource, size, timesPerSecond} = row;
+  const divisor = RESOURCE_DIVISORS[resource];
+  const valueOnce = (slope.intercept + slope.slope * size ** slope.power) / divisor;
+  const value = valueOnce * timesPerSecond;
+  const left = ((BUDGET[resource] / timesPerSecond) * divisor - slope.intercept) / slope.slope;
+  const sizeLimit = slope.slope <= 0 ? Infinity : Math.max(0, left) ** (1 / slope.power);
+  const rateLimit = resource === 'memory' ? undefined : BUDGET[resource] / valueOnce;
+  return {row, value, sizeLimit, rateLimit};
 }
 
 /** Returns a slope rounded as the page prints it. */
@@ -58,6 +67,7 @@
     id: definition.id,
     intercept: Number(formatNumber(fit.intercept)),
     slope: Number(formatNumber(fit.slope)),
+    power: fit.power,
   };
 }
 
@@ -65,8 +75,8 @@
 export function formatSlopes(slopes: readonly MeasuredSlope[]): string {
   const rows = slopes.map(measured => {
     const {definition, samples, fit} = measured;
-    const {intercept, slope} = toPageSlope(measured);
-    const residuals = fit.residuals.map(residual => formatNumber(residual, VALUE_DIGITS));
+    const {intercept, slope, power} = toPageSlope(measured);
+    const residuals = fit.residualPercents.map(formatPercent);
     return [
       definition.id,
       definition.description,
@@ -74,20 +84,21 @@
       samples.map(({size}) => size).join(', '),
       formatNumber(intercept),
       formatNumber(slope),
+      String(power),
       definition.valueUnit,
+      samples.map(({value}) => formatNumber(value, VALUE_DIGITS)).join(', '),
       residuals.join(', '),
-      `${formatNumber(fit.worstResidualPercent, VALUE_DIGITS)}%`,
       'measured',
     ];
   });
-  const headings = ['id', 'what', 'size counts', 'sizes', 'at size 0', 'per size', 'unit'];
-  return toTable([...headings, 'residuals', 'worst', 'status'], rows);
+  const headings = ['id', 'what', 'size counts', 'sizes', 'at size 0', 'per size', 'power'];
+  return toTable([...headings, 'unit', 'values', 'residuals %', 'status'], rows);
 }
 
 /** Returns the table of worked-out rows of a phase, with the sum of each resource. */
 export function formatRows(phase: Phase, rows: readonly PageRow[]): string {
   const chosen = rows.filter(({row}) => row.phase === phase);
-  const lines = chosen.map(({row, value, carriesUpTo}) => [
+  const lines = chosen.map(({row, value, sizeLimit, rateLimit}) => [
     row.role,
     row.mechanism,
     row.slopeId,
@@ -97,28 +108,22 @@
     formatNumber(value, VALUE_DIGITS),
     RESOURCE_UNITS[row.resource],
     `${formatNumber((value / BUDGET[row.resource]) * 100, VALUE_DIGITS)}%`,
-    formatNumber(carriesUpTo, VALUE_DIGITS),
+    formatNumber(sizeLimit, VALUE_DIGITS),
+    rateLimit === undefined ? '-' : formatNumber(rateLimit, VALUE_DIGITS),
   ]);
   const sums = RESOURCES.map(resource => {
     const sum = sumRows(resource, chosen);
     const share = (sum / BUDGET[resource]) * 100;
     const unit = RESOURCE_UNITS[resource];
     const text = formatNumber(sum, VALUE_DIGITS);
-    return [
-      '**sum**',
-      '',
-      '',
-      '',
-      '',
-      resource,
-      text,
-      unit,
-      `${formatNumber(share, VALUE_DIGITS)}%`,
-      '',
-    ];
+    const shareText = `${formatNumber(share, VALUE_DIGITS)}%`;
+    return ['**sum**', '', '', '', '', resource, text, unit, shareText, '', ''];
   });
   const headings = ['role', 'mechanism', 'slope', 'size', 'times a second', 'resource', 'value'];
-  return toTable([...headings, 'unit', 'of budget', 'carries up to'], [...lines, ...sums]);
+  return toTable(
+    [...headings, 'unit', 'of budget', 'size limit', 'rate limit'],
+    [...lines, ...sums],
+  );
 }
 
 /** Returns the sum of a resource over rows. */
--- a/bench/capacity/ConfigurationSlopes.ts
+++ b/bench/capacity/ConfigurationSlopes.ts
@@ -6,6 +6,8 @@
 import type {SlopeDefinition} from './SlopeDefinition.js';
 
 const WORKSPACE_COUNTS = [5, 250, 1_000, 2_500, 5_000];
+/** The heap of smaller ones is lost in the noise of the collector. */
+const LARGE_WORKSPACE_COUNTS = [500, 1_000, 2_500, 5_000, 10_000];
 const WRITER_COUNTS = [1_000, 5_000, 20_000, 40_000];
 const MOVE_COUNTS = [10, 100, 400, 1_000];
 
@@ -30,6 +32,20 @@
   };
 }
 
+/** An order for a move that isn't there changes nothing but the writers. */
+function encodeAbort(index: number): string {
+  return encodeRecord({
+    writer: `buckthornctl-00000000-0000-4000-8000-${String(index).padStart(12, '0')}`,
+    sequence: 1,
+    body: {
+      kind: 'move-abort',
+      moveId: 'none',
+      requestedBy: 'operator',
+      requestedAtMs: FIXTURE_NOW_MS,
+    },
+  });
+}
+
 function createFleetFold(moveCount: number): FleetFold {
   const fold = new FleetFold();
   for (let index = 0; index < moveCount; index++) {
@@ -85,7 +101,7 @@
     description: 'configuration in force',
     sizeUnit: 'workspaces',
     valueUnit: 'bytes',
-    sizes: WORKSPACE_COUNTS,
+    sizes: LARGE_WORKSPACE_COUNTS,
     measure: count => {
       const payload = encodeConfiguration(count);
       return measureHeapBytes(() => {
@@ -97,21 +113,18 @@
   },
   {
     id: 'writers-heap',
-    description: "writers kept to recognise repeats, one a run of the operators' client",
+    description: 'writers that the fleet fold keeps to recognise repeats',
     sizeUnit: 'writers',
     valueUnit: 'bytes',
     sizes: WRITER_COUNTS,
-    measure: count => {
-      const configuration = createConfiguration(1);
-      return measureHeapBytes(() => {
-        const fold = new ConfigurationFold();
+    measure: count =>
+      measureHeapBytes(() => {
+        const fold = new FleetFold();
         for (let index = 0; index < count; index++) {
-          const record = createConfigurationRecord(configuration, index);
-          fold.applyRecord({offset: index, record});
+          fold.applyRecord({offset: index, record: decodeRecord(encodeAbort(index))});
         }
         return fold;
-      });
-    },
+      }),
   },
   {
     id: 'fleet-heap',
--- a/bench/capacity/LeastSquares.ts
+++ b/bench/capacity/LeastSquares.ts
@@ -6,46 +6,41 @@
   readonly value: number;
 }
 
-/** A line through samples, and how far they lie from it. */
+/** `intercept + slope * size ^ power`, and how far samples lie from it. */
 export interface LineFit {
   readonly intercept: number;
   readonly slope: number;
-  /** Measured minus fitted value of each sample, in order. */
-  readonly residuals: readonly number[];
-  /** Largest residual as a part of the largest measured value. */
-  readonly worstResidualPercent: number;
+  readonly power: number;
+  /** Measured minus fitted value as a part of the measured one, of each sample in order. */
+  readonly residualPercents: readonly number[];
 }
 
 const FULL_PERCENT = 100;
 
 /**
- * Fits a line.
- * @param samples - At least two samples of different sizes.
+ * Fits a line. Residuals count as a part of the measured value, so that small sizes weigh as much as large ones.
+ * @param samples - At least two samples of different sizes, with values other than 0.
+ * @param power - Power of the size that the value follows; 1 for a line.
  */
-export function fitLine(samples: readonly Sample[]): LineFit {
-  const meanSize = getMean(samples.map(({size}) => size));
-  const meanValue = getMean(samples.map(({value}) => value));
-  const spread = getSum(samples.map(({size}) => (size - meanSize) ** 2));
-  const covariance = getSum(
-    samples.map(({size, value}) => (size - meanSize) * (value - meanValue)),
-  );
+export function fitLine(samples: readonly Sample[], power = 1): LineFit {
+  const points = samples.map(({size, value}) => ({
+    x: size ** power,
+    y: value,
+    weight: value ** -2,
+  }));
+  const total = getSum(points.map(({weight}) => weight));
+  const meanX = getSum(points.map(({x, weight}) => x * weight)) / total;
+  const meanY = getSum(points.map(({y, weight}) => y * weight)) / total;
+  const spread = getSum(points.map(({x, weight}) => weight * (x - meanX) ** 2));
+  const covariance = getSum(points.map(({x, y, weight}) => weight * (x - meanX) * (y - meanY)));
   const slope = covariance / spread;
-  const intercept = meanValue - slope * meanSize;
-  const residuals = samples.map(({size, value}) => value - (intercept + slope * size));
-  const largestValue = Math.max(...samples.map(({value}) => Math.abs(value)));
-  const largestResidual = Math.max(...residuals.map(Math.abs));
-  return {
-    intercept,
-    slope,
-    residuals,
-    worstResidualPercent: (largestResidual / largestValue) * FULL_PERCENT,
-  };
+  const intercept = meanY - slope * meanX;
+  const residualPercents = points.map(
+    ({x, y}) => ((y - (intercept + slope * x)) / y) * FULL_PERCENT,
+  );
+  return {intercept, slope, power, residualPercents};
 }
 
 function getSum(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0);
 }
-
-function getMean(values: readonly number[]): number {
-  return getSum(values) / values.length;
-}
--- a/bench/capacity/MemberSlopes.ts
+++ b/bench/capacity/MemberSlopes.ts
@@ -22,7 +22,7 @@
 function createState(memberCount: number): MembershipState {
   const rumours = Array.from({length: memberCount}, (_, index) => createMember(index + 1));
   const state = applyRumours(
-    createMembershipState(createMember(0), FIXTURE_NOW_MS),
+    createMembershipState(createMember(0), FIXTURE_NOW_MS, FIXTURE_NOW_MS),
     rumours,
     FIXTURE_NOW_MS,
   );
@@ -58,6 +58,7 @@
     description: 'decisions of one probe sent and one answered, without rumours',
     sizeUnit: 'entries',
     valueUnit: 'us',
+    power: 2,
     sizes: MEMBER_COUNTS,
     measure: count => {
       let state = createState(count);
--- a/bench/capacity/ReplicaSlopes.ts
+++ b/bench/capacity/ReplicaSlopes.ts
@@ -55,7 +55,10 @@
     valueUnit: 'bytes',
     sizes: REPLICA_COUNTS,
     measure: count =>
-      measureHeapBytes(() => Array.from({length: count}, (_, index) => createBackendServer(index))),
+      measureHeapBytes(() => {
+        const servers = Array.from({length: count}, (_, index) => createBackendServer(index));
+        return JSON.parse(JSON.stringify(servers)) as unknown;
+      }),
   },
   {
     id: 'routing-cpu',
--- a/bench/capacity/SlopeDefinition.ts
+++ b/bench/capacity/SlopeDefinition.ts
@@ -8,6 +8,8 @@
   /** What the size counts. */
   readonly sizeUnit: string;
   readonly valueUnit: 'us' | 'bytes';
+  /** Power of the size that the quantity follows; 1 where absent. */
+  readonly power?: number;
   /** At least four. */
   readonly sizes: readonly number[];
   /** Returns the quantity at a size. */
--- a/bench/capacity/Target.ts
+++ b/bench/capacity/Target.ts
@@ -10,6 +10,7 @@
 const INSTANCE_CHANGES_PER_DAY = 220 + 1_400;
 /** Leaving, gone and started again. */
 const STATES_PER_CHANGE = 3;
+const DAYS_PER_YEAR = 365;
 
 /** Sizes and rates at the target. */
 export const TARGET = {
@@ -23,6 +24,9 @@
   configurationChangesPerDay: 38_000,
   configurationChangesPerSecond: 38_000 / SECONDS_PER_DAY,
   memberChangesPerSecond: (INSTANCE_CHANGES_PER_DAY * STATES_PER_CHANGE) / SECONDS_PER_DAY,
+  /** A daemon that starts is a new writer. */
+  writersPerDay: INSTANCE_CHANGES_PER_DAY,
+  writersPerYear: INSTANCE_CHANGES_PER_DAY * DAYS_PER_YEAR,
   requestsPerSecondPerEntry: REQUESTS_PER_SECOND / ENTRIES,
   claimsPerSecond: REQUESTS_PER_SECOND * NON_IDEMPOTENT_SHARE,
   claimsKept: REQUESTS_PER_SECOND * NON_IDEMPOTENT_SHARE * CLAIM_KEEP_DAYS * SECONDS_PER_DAY,
--- a/bench/capacity/WorkedRows.ts
+++ b/bench/capacity/WorkedRows.ts
@@ -26,12 +26,11 @@
 const FLEET_RECORDS_PER_SECOND = 3;
 /** One from the parent, eight to children. */
 const RELAY_COPIES = 9;
-const SERVER_SUBSET = 64;
+const SERVER_SUBSET = 32;
+const SUBSET_REPORTS_PER_SECOND = 1;
 const NEAR_MEMBERS = TARGET.entriesPerDomain + TARGET.failureDomains;
 const ADDRESSES_PER_ANSWER = 8;
 const CHANGED_VALUES = 4;
-/** Writers whose last record is younger than an hour. */
-const RECENT_WRITERS = Math.ceil(TARGET.configurationChangesPerDay / 24);
 const {configurationChangesPerSecond, requestsPerSecondPerEntry, memberChangesPerSecond} = TARGET;
 
 function toRows(
@@ -56,7 +55,6 @@
     ['network', 'config-record-bytes', TARGET.workspaces, configurationChangesPerSecond],
     ['cpu', 'config-apply-cpu', TARGET.workspaces, configurationChangesPerSecond],
     ['memory', 'config-heap', TARGET.workspaces, 1],
-    ['memory', 'writers-heap', TARGET.configurationChangesPerDay, 1],
   ]),
   ...toRows('tailer and relay', 'every daemon reads all claims', 'today', [
     ['network', 'claim-record-bytes', 1, TARGET.claimsPerSecond],
@@ -66,6 +64,7 @@
   ...toRows('fleet holder and candidate', 'fleet stream folded by each', 'today', [
     ['cpu', 'fleet-apply-cpu', TARGET.services, FLEET_RECORDS_PER_SECOND],
     ['memory', 'fleet-heap', TARGET.services, 1],
+    ['memory', 'writers-heap', TARGET.writersPerYear, 1],
   ]),
   ...toRows('peer probe', 'one membership of all entries', 'today', [
     ['cpu', 'probe-cpu', TARGET.entries, PROBES_PER_SECOND],
@@ -88,9 +87,12 @@
     ['cpu', 'look-up-cpu', TARGET.entries, TARGET.lookUpsPerSecondPerEntry],
     ['network', 'look-up-bytes', TARGET.entries, TARGET.lookUpsPerSecondPerEntry],
   ]),
-  ...toRows("operators' client", 'whole status of every entry, once a change', 'today', [
-    ['network', 'status-bytes', TARGET.entries, configurationChangesPerSecond],
-  ]),
+  ...toRows(
+    "operators' client",
+    "whole status of every entry, once a change (an entry's part)",
+    'today',
+    [['network', 'status-bytes', TARGET.entries, configurationChangesPerSecond]],
+  ),
 ];
 
 const REPLACEMENT: readonly WorkedRow[] = [
@@ -102,7 +104,6 @@
       configurationChangesPerSecond * RELAY_COPIES,
     ],
     ['memory', 'config-heap', TARGET.workspaces, 1],
-    ['memory', 'writers-heap', RECENT_WRITERS, 1],
   ]),
   ...toRows(
     'claim owner',
@@ -117,6 +118,7 @@
   ...toRows('fleet holder and candidate', 'fleet stream over the relay tree', 'replacement', [
     ['cpu', 'fleet-apply-cpu', TARGET.services, FLEET_RECORDS_PER_SECOND],
     ['memory', 'fleet-heap', TARGET.services, 1],
+    ['memory', 'writers-heap', TARGET.writersPerDay, 1],
   ]),
   ...toRows(
     'peer probe',
@@ -132,8 +134,8 @@
   ...toRows('entry', 'changes of the list over the relay tree', 'replacement', [
     ['network', 'list-bytes', 1, memberChangesPerSecond * RELAY_COPIES],
   ]),
-  ...toRows('entry', 'a subset of 64 backend servers by rendezvous hash', 'replacement', [
-    ['network', 'report-bytes', SERVER_SUBSET, REPORTS_PER_SECOND],
+  ...toRows('entry', 'the 32 backend servers used last, one report a second', 'replacement', [
+    ['network', 'report-bytes', SERVER_SUBSET, SUBSET_REPORTS_PER_SECOND],
     ['memory', 'server-heap', SERVER_SUBSET, 1],
     ['cpu', 'routing-cpu', SERVER_SUBSET, requestsPerSecondPerEntry],
   ]),
--- a/bench/capacity/index.ts
+++ b/bench/capacity/index.ts
@@ -1,3 +1,4 @@
+export {APPEND_ROWS, sumAppends, type AppendRow} from './AppendRows.js';
 export {runCapacityBench, SLOPE_DEFINITIONS, workOutAll} from './CapacityBench.js';
 export {
   formatNumber,
@@ -10,5 +11,5 @@
   type PageSlope,
 } from './CapacityPage.js';
 export {fitLine, type LineFit, type Sample} from './LeastSquares.js';
-export {BUDGET, TARGET, type Resource} from './Target.js';
-export {WORKED_ROWS, type WorkedRow} from './WorkedRows.js';
+export {BUDGET, RESOURCE_UNITS, TARGET, type Resource} from './Target.js';
+export {WORKED_ROWS, type Phase, type WorkedRow} from './WorkedRows.js';
--- /dev/null
+++ b/tests/docs/Capacity.test.ts
@@ -0,0 +1,114 @@
+/** Tests that the capacity page's arithmetic follows from its slopes, and its slopes from its values. */
+import {readFileSync} from 'node:fs';
+import t from 'tap';
+import {
+  APPEND_ROWS,
+  BUDGET,
+  fitLine,
+  formatNumber,
+  readTable,
+  SLOPE_DEFINITIONS,
+  sumAppends,
+  sumRows,
+  WORKED_ROWS,
+  workOut,
+  type PageRow,
+  type Phase,
+  type Resource,
+} from '../../bench/capacity/index.js';
+
+const PAGE = readFileSync('docs/CAPACITY.md', 'utf8');
+const DIGITS = 3;
+/** The page prints values with three digits, and the fit weighs them by their inverse. */
+const FIT_TOLERANCE = 0.05;
+const MIN_SIZES = 4;
+
+function toNumbers(cell: string): readonly number[] {
+  return cell.split(',').map(Number);
+}
+
+const slopes = readTable(PAGE, 'slopes').map(cells => {
+  const [id = '', , , sizes = '', intercept, slope, power, , values = '', , status = ''] = cells;
+  return {
+    id,
+    status,
+    sizes: toNumbers(sizes),
+    values: toNumbers(values),
+    intercept: Number(intercept),
+    slope: Number(slope),
+    power: Number(power),
+  };
+});
+
+t.test('slopes', t => {
+  t.same(
+    slopes.map(({id}) => id),
+    SLOPE_DEFINITIONS.map(({id}) => id),
+  );
+  for (const {id, status, sizes, values, intercept, slope, power} of slopes) {
+    t.test(`${id} follows from its values`, t => {
+      t.equal(status, 'measured');
+      t.ok(sizes.length >= MIN_SIZES && values.length === sizes.length);
+      const fit = fitLine(
+        sizes.map((size, index) => ({size, value: values[index] ?? 0})),
+        power,
+      );
+      for (const [index, size] of sizes.entries()) {
+        const printed = intercept + slope * size ** power;
+        const fitted = fit.intercept + fit.slope * size ** power;
+        t.ok(
+          Math.abs(printed - fitted) <= FIT_TOLERANCE * (values[index] ?? 0),
+          `${printed} and ${fitted}`,
+        );
+      }
+      t.end();
+    });
+  }
+  t.end();
+});
+
+for (const phase of ['today', 'replacement'] as const) {
+  t.test(`rows of ${phase}`, t => {
+    const table = readTable(PAGE, phase);
+    const rows = workOutRows(phase);
+    const lines = table.filter(([role]) => role !== '**sum**');
+    t.equal(lines.length, rows.length);
+    lines.forEach((cells, index) => {
+      const {row, value} = rows[index] ?? {};
+      t.same(
+        [cells[2], cells[3], cells[6]],
+        [row?.slopeId, String(row?.size), formatNumber(value ?? 0, DIGITS)],
+      );
+    });
+    for (const resource of Object.keys(BUDGET) as Resource[]) {
+      const line = table.find(cells => cells[0] === '**sum**' && cells[5] === resource);
+      t.equal(line?.[6], formatNumber(sumRows(resource, rows), DIGITS), `sum of ${resource}`);
+    }
+    t.end();
+  });
+}
+
+t.test('the replacement fits the budget in all resources', t => {
+  const rows = workOutRows('replacement');
+  for (const resource of Object.keys(BUDGET) as Resource[]) {
+    t.ok(sumRows(resource, rows) <= BUDGET[resource], resource);
+  }
+  t.end();
+});
+
+t.test('appends', t => {
+  const sums = readTable(PAGE, 'appends').filter(cells => cells[1] === '**sum**');
+  for (const [phase = '', , , , sum] of sums) {
+    t.equal(sum, formatNumber(sumAppends(phase as Phase, APPEND_ROWS), 4));
+  }
+  t.equal(sums.length, 2);
+  t.end();
+});
+
+function workOutRows(phase: Phase): readonly PageRow[] {
+  return WORKED_ROWS.filter(row => row.phase === phase).map(row => {
+    const slope = slopes.find(({id}) => id === row.slopeId);
+    if (!slope) throw new Error(`the page has no slope "${row.slopeId}"`);
+    return workOut(row, slope);
+  });
+}
