--- a/src/claims/ClaimService.ts
+++ b/src/claims/ClaimService.ts
@@ -54,7 +54,7 @@
 
 const DEFAULT_BATCH_INTERVAL_MS = 20;
 const DEFAULT_CLAIM_TIMEOUT_MS = 3_000;
-const DEFAULT_SNAPSHOT_INTERVAL_MS = 3_600_000;
+const DEFAULT_SNAPSHOT_INTERVAL_MS = 900_000;
 const DEFAULT_GATHERER_TIMEOUT_MS = 500;
 
 /** Age up to which a read of the log's end counts as standing at its end. */
--- a/tests/support/FakeLog.ts
+++ b/tests/support/FakeLog.ts
@@ -37,6 +37,7 @@
   private readonly earliestOffsets = new Map<LogStream, number>();
   private isOut = false;
   private appendCount = 0;
+  private triedAppendCount = 0;
   private waiting = new Set<() => void>();
 
   constructor(options: FakeLogOptions) {
@@ -64,9 +65,15 @@
     return this.appendCount;
   }
 
+  /** Returns the number of appends that were asked for. */
+  getTriedAppendCount(): number {
+    return this.triedAppendCount;
+  }
+
   async append(stream: LogStream, payloads: readonly string[]): Promise<number> {
     const {sleep, getNowMs, chooseFate} = this.options;
     const {delayMs, answerDelayMs, isLost, isAnswerLost} = chooseFate?.() ?? KIND_FATE;
+    this.triedAppendCount += 1;
     await sleep(delayMs);
     if (this.isOut || isLost) throw new Error('append failed');
     const records = this.getStream(stream);
