--- a/bench/claims/measureClaims.ts
+++ b/bench/claims/measureClaims.ts
@@ -1,9 +1,12 @@
 /** Measures claims: time per booking and appends, with and without gathering. */
+import {fork, type ChildProcess} from 'node:child_process';
 import {setTimeout as wait} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
 import {build} from 'hdr-histogram-js';
 import {LogClient, LogWriter, StreamFollower} from '../../src/log/index.js';
 import {ClaimsFold} from '../../src/folds/index.js';
-import {BenchEntry} from './BenchEntry.js';
+import type {Instance} from '../../src/blackboard/index.js';
+import type {EntryResult} from './run-claim-entry.js';
 
 /** What one measurement asks for. */
 export interface ClaimLoad {
@@ -22,14 +25,13 @@
   readonly claimP50Ms: number;
   readonly claimP95Ms: number;
   readonly claimP99Ms: number;
-  /** Appends that the log took in a second, counted by the distance of batches in the stream. */
+  /** Appends that the log took in a second. */
   readonly appendsPerSecond: number;
 }
 
 const TICK_MS = 5;
-const JOIN_MS = 1_500;
-const SERVICE_TIME_MS = 5;
-const ANSWER = {status: 201, contentType: 'application/json', bodyBase64: 'e30='};
+const MS_PER_SECOND = 1_000;
+const ENTRY_PROGRAM = fileURLToPath(new URL('run-claim-entry.js', import.meta.url));
 const UNITS_PER_MS = 10;
 const READ_TIMEOUT_MS = 2_000;
 
@@ -59,56 +61,47 @@
   return timesMs.sort((a, b) => a - b)[Math.floor(samples / 2)];
 }
 
-/** Claims and records bookings at a rate, each at a random entry. */
+/** Claims and records bookings at a rate, with each entry in a process of its own. */
 export async function measureClaims(load: ClaimLoad): Promise<ClaimMeasurement> {
   const {logUrl, entryCount, bookingsPerSecond, durationMs, isGathering} = load;
   const runId = `${Date.now()}`;
-  const entries = Array.from(
-    {length: entryCount},
-    (empty, index) => new BenchEntry({instanceId: `${runId}-${index}`, logUrl, isGathering}),
+  const processes = Array.from({length: entryCount}, (empty, index) =>
+    fork(ENTRY_PROGRAM, [`${runId}-${index}`, logUrl, isGathering ? 'yes' : 'no']),
   );
-  await Promise.all(entries.map(entry => entry.start()));
-  const instances = entries.map(entry => entry.getInstance());
-  entries.forEach(entry => entry.join(instances));
-  await wait(JOIN_MS);
+  const instances = await Promise.all(processes.map(child => receive<Instance>(child)));
   const appendsBefore = await countAppends(logUrl);
-  const histogram = build();
-  let granted = 0;
-  let recorded = 0;
-  const book = async (number: number): Promise<void> => {
-    const {claims} = entries[Math.floor(Math.random() * entryCount)];
-    const startedAtMs = performance.now();
-    const key = {workspace: 'w', key: `${runId}-${number}`, attemptId: `${runId}-${number}`};
-    const {verdict} = await claims.claim({...key, fingerprint: 'f'});
-    histogram.recordValue(Math.round((performance.now() - startedAtMs) * UNITS_PER_MS));
-    if (verdict !== 'granted') return;
-    granted += 1;
-    await wait(SERVICE_TIME_MS);
-    if (await claims.recordOutcome({...key, run: 'ran', answer: ANSWER})) recorded += 1;
-  };
-  const open: Promise<void>[] = [];
-  const startedAtMs = performance.now();
-  while (performance.now() - startedAtMs < durationMs) {
-    const due = ((performance.now() - startedAtMs) * bookingsPerSecond) / 1_000;
-    while (open.length < due) open.push(book(open.length));
-    await wait(TICK_MS);
-  }
-  await Promise.all(open);
-  const elapsedSeconds = (performance.now() - startedAtMs) / 1_000;
+  const share = {instances, bookingsPerSecond: bookingsPerSecond / entryCount, durationMs};
+  const results = await Promise.all(
+    processes.map(child => {
+      child.send(share);
+      return receive<EntryResult>(child);
+    }),
+  );
   const appends = (await countAppends(logUrl)) - appendsBefore;
-  await Promise.all(entries.map(entry => entry.stop()));
+  processes.forEach(child => child.disconnect());
+  return summarize(results, (appends * MS_PER_SECOND) / durationMs);
+}
+
+function summarize(results: readonly EntryResult[], appendsPerSecond: number): ClaimMeasurement {
+  const histogram = build();
+  const timesMs = results.flatMap(({claimTimesMs}) => claimTimesMs);
+  timesMs.forEach(timeMs => histogram.recordValue(Math.round(timeMs * UNITS_PER_MS)));
   const getMs = (percentile: number) => histogram.getValueAtPercentile(percentile) / UNITS_PER_MS;
   return {
-    bookings: open.length,
-    granted,
-    recorded,
+    bookings: timesMs.length,
+    granted: results.reduce((sum, {granted}) => sum + granted, 0),
+    recorded: results.reduce((sum, {recorded}) => sum + recorded, 0),
     claimP50Ms: getMs(50),
     claimP95Ms: getMs(95),
     claimP99Ms: getMs(99),
-    appendsPerSecond: Math.round(appends / elapsedSeconds),
+    appendsPerSecond: Math.round(appendsPerSecond),
   };
 }
 
+function receive<Message>(child: ChildProcess): Promise<Message> {
+  return new Promise(resolve => child.once('message', message => resolve(message as Message)));
+}
+
 async function countAppends(logUrl: string): Promise<number> {
   const response = await fetch(`${logUrl}/standin/ledger`);
   const {appends} = (await response.json()) as {readonly appends: number};
--- /dev/null
+++ b/bench/claims/run-claim-entry.ts
@@ -0,0 +1,62 @@
+/** One entry of a claim measurement, as a process of its own: `node run-claim-entry.js INSTANCE LOG_URL yes|no`. */
+import {setTimeout as wait} from 'node:timers/promises';
+import type {Instance} from '../../src/blackboard/index.js';
+import {BenchEntry} from './BenchEntry.js';
+
+/** What the measurement tells an entry to do. */
+export interface EntryLoad {
+  readonly instances: readonly Instance[];
+  readonly bookingsPerSecond: number;
+  readonly durationMs: number;
+}
+
+/** What an entry measured. */
+export interface EntryResult {
+  readonly granted: number;
+  readonly recorded: number;
+  readonly claimTimesMs: readonly number[];
+}
+
+const TICK_MS = 5;
+const JOIN_MS = 1_500;
+const SERVICE_TIME_MS = 5;
+const ANSWER = {status: 201, contentType: 'application/json', bodyBase64: 'e30='};
+
+async function runLoad(entry: BenchEntry, load: EntryLoad): Promise<EntryResult> {
+  const {instances, bookingsPerSecond, durationMs} = load;
+  entry.join(instances);
+  await wait(JOIN_MS);
+  const prefix = entry.getInstance().instanceId;
+  const claimTimesMs: number[] = [];
+  let granted = 0;
+  let recorded = 0;
+  const book = async (number: number): Promise<void> => {
+    const id = `${prefix}-${number}`;
+    const key = {workspace: 'w', key: id, attemptId: id};
+    const startedAtMs = performance.now();
+    const {verdict} = await entry.claims.claim({...key, fingerprint: 'f'});
+    claimTimesMs.push(performance.now() - startedAtMs);
+    if (verdict !== 'granted') return;
+    granted += 1;
+    await wait(SERVICE_TIME_MS);
+    if (await entry.claims.recordOutcome({...key, run: 'ran', answer: ANSWER})) recorded += 1;
+  };
+  const open: Promise<void>[] = [];
+  const startedAtMs = performance.now();
+  while (performance.now() - startedAtMs < durationMs) {
+    const due = ((performance.now() - startedAtMs) * bookingsPerSecond) / 1_000;
+    while (open.length < due) open.push(book(open.length));
+    await wait(TICK_MS);
+  }
+  await Promise.all(open);
+  return {granted, recorded, claimTimesMs};
+}
+
+const [instanceId, logUrl, gathering] = process.argv.slice(2);
+const entry = new BenchEntry({instanceId, logUrl, isGathering: gathering === 'yes'});
+process.on('message', (message: EntryLoad) => {
+  void runLoad(entry, message).then(result => process.send?.(result));
+});
+process.on('disconnect', () => process.exit());
+await entry.start();
+process.send?.(entry.getInstance());
