--- a/scenarios/deployment/ManagedProcess.ts
+++ b/scenarios/deployment/ManagedProcess.ts
@@ -56,6 +56,11 @@
     return this.readyLine;
   }
 
+  /** Tells whether the process has printed its ready line. */
+  isReady(): boolean {
+    return this.readyLine !== undefined;
+  }
+
   /** Tells whether the process runs. */
   isRunning(): boolean {
     return (
--- /dev/null
+++ b/scenarios/runner/StepRunner.ts
@@ -0,0 +1,134 @@
+/** Runs the steps of a scenario. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Step} from '../language/index.js';
+import {createConfiguration} from './ScenarioConfiguration.js';
+import type {ScenarioWorld} from './ScenarioWorld.js';
+
+type StepOf<Name extends keyof Step> = NonNullable<Step[Name]>;
+type StepRuns = {
+  readonly [Name in Exclude<keyof Step, 'as'>]-?: (step: StepOf<Name>) => Promise<void>;
+};
+
+const EXIT_TIMEOUT_MS = 60_000;
+
+/** Does what each step says. */
+export class StepRunner {
+  private readonly world: ScenarioWorld;
+  private readonly timers = new Set<NodeJS.Timeout>();
+  private readonly pending: Array<Promise<void>> = [];
+  private publishCount = 0;
+  private readonly runs: StepRuns = {
+    load: async plan => this.world.startLoad(plan),
+    awaitLoads: async () => this.world.waitForLoads(),
+    waitMs: async durationMs => sleep(durationMs),
+    start: async plan => this.world.startInstance(plan),
+    notice: async step => this.announceReclaim(step),
+    kill: async ({instance}) =>
+      this.world.deployment.getProcessOrThrow(instance).sendSignal('SIGKILL'),
+    stop: async ({instance}) => this.stopInstance(instance),
+    freeze: async step => this.freeze(step),
+    cut: async target =>
+      this.setFaults(this.getBackendUrls(target), {silenceOpenConnections: true}),
+    outage: async step => this.startOutage(step),
+    fault: async ({platform, set, ...target}) =>
+      this.setFaults(platform ? [this.getPlatformUrl(platform)] : this.getBackendUrls(target), set),
+    move: async ({service, to, withinMs}) =>
+      this.world.getOperators().move(service, this.getVersion(service), to, withinMs),
+    domain: async ({name, state}) => this.world.getOperators().orderDomain(name, state),
+    publish: async ({operators}) => this.publish(operators),
+  };
+
+  constructor(world: ScenarioWorld) {
+    this.world = world;
+  }
+
+  /** Runs a step, and marks its end under its name. */
+  async runStep(step: Step): Promise<void> {
+    const name = getStepName(step);
+    // The parser has checked that the one key of a step is a step's name with its fields.
+    const run = this.runs[name] as (fields: unknown) => Promise<void>;
+    await run(step[name]);
+    this.world.addMark(step.as ?? name);
+  }
+
+  /** Waits for what steps left running, and undoes nothing. */
+  async finish(): Promise<void> {
+    await Promise.all(this.pending);
+    for (const timer of this.timers) clearTimeout(timer);
+  }
+
+  private async announceReclaim({graceMs, ...target}: StepOf<'notice'>): Promise<void> {
+    const instanceIds = this.world.getInstanceIds(target);
+    const {cloud} = this.world.deployment.getPlatformUrlsOrThrow();
+    await this.world.callStandin('POST', `${cloud}/standin/notices`, {instanceIds, graceMs});
+    for (const instanceId of instanceIds.filter(id => this.world.hasDaemon(id))) {
+      this.runLater(graceMs, () =>
+        this.world.deployment.getProcessOrThrow(instanceId).sendSignal('SIGKILL'),
+      );
+    }
+  }
+
+  /** A planned stop goes on while the next steps run. */
+  private stopInstance(instance: string): void {
+    const stopped = this.world.deployment.getProcessOrThrow(instance).stop(EXIT_TIMEOUT_MS);
+    this.pending.push(stopped.then(() => undefined));
+  }
+
+  private freeze({instance, forMs}: StepOf<'freeze'>): void {
+    const frozen = this.world.deployment.getProcessOrThrow(instance);
+    frozen.sendSignal('SIGSTOP');
+    this.pending.push(sleep(forMs).then(() => frozen.sendSignal('SIGCONT')));
+  }
+
+  private async startOutage({of, forMs}: StepOf<'outage'>): Promise<void> {
+    const url = this.getPlatformUrl(of);
+    await this.setFaults([url], {hasOutage: true});
+    this.pending.push(sleep(forMs).then(() => this.setFaults([url], {})));
+  }
+
+  private async publish(operators: number): Promise<void> {
+    const configuration = createConfiguration(this.world.scenario);
+    const {staleConfigurationGraceMs} = configuration;
+    const changed = Array.from({length: operators}, () => {
+      this.publishCount += 1;
+      return {
+        ...configuration,
+        staleConfigurationGraceMs: staleConfigurationGraceMs + this.publishCount,
+      };
+    });
+    await this.world.getOperators().publish(changed);
+  }
+
+  private async setFaults(urls: readonly string[], faults: object): Promise<void> {
+    await Promise.all(
+      urls.map(url => this.world.callStandin('PUT', `${url}/standin/faults`, faults)),
+    );
+  }
+
+  private getBackendUrls(target: StepOf<'cut'>): readonly string[] {
+    return this.world
+      .getBackends(target)
+      .filter(({instanceId}) => this.world.deployment.getProcessOrThrow(instanceId).isRunning())
+      .map(({instanceId}) => this.world.deployment.getUrl(instanceId));
+  }
+
+  private getPlatformUrl(name: 'log' | 'cloud' | 'list' | 'weights'): string {
+    return this.world.deployment.getPlatformUrlsOrThrow()[name];
+  }
+
+  private getVersion(service: string): string {
+    const plan = this.world.scenario.topology.services.find(({name}) => name === service);
+    if (!plan) throw new Error(`there is no service ${service}`);
+    return plan.version;
+  }
+
+  private runLater(delayMs: number, run: () => void): void {
+    const timer = setTimeout(run, delayMs);
+    this.timers.add(timer);
+  }
+}
+
+function getStepName(step: Step): Exclude<keyof Step, 'as'> {
+  const [name] = Object.keys(step).filter(key => key !== 'as');
+  return name as Exclude<keyof Step, 'as'>;
+}
--- a/standins/bin/standinSettings.ts
+++ b/standins/bin/standinSettings.ts
@@ -63,6 +63,10 @@
   return value;
 }
 
+function parseOptionalText(value: string): string | undefined {
+  return value === '' ? undefined : value;
+}
+
 function parseOptionalUrl(value: string): string | undefined {
   return value === '' ? undefined : parseHttpUrl(value);
 }
@@ -107,6 +111,13 @@
     parse: parseOptionalUrl,
     defaultText: '',
   } satisfies SettingDefinition<string | undefined>,
+  ledgerPath: {
+    flag: 'ledger-path',
+    variable: getVariable('ledger-path'),
+    description: 'File that the ledger is written to as well',
+    parse: parseOptionalText,
+    defaultText: '',
+  } satisfies SettingDefinition<string | undefined>,
   instanceId: text('instance-id', 'Id of the instance'),
   service: text('service', 'Service that the backend server belongs to'),
   version: text('version', 'Version that it serves', 'v1'),
