--- a/src/blackboard/Sections.ts
+++ b/src/blackboard/Sections.ts
@@ -129,6 +129,7 @@
   readonly sharePercent: number;
   readonly startedAtMs: number;
   readonly deadlineAtMs: number;
+  /** Instant of the last change of phase or share. */
   readonly changedAtMs: number;
   /** Why the move was taken back or is late, for operators. */
   readonly reason?: string;
--- a/src/controllers/moves/EvidenceRecorder.ts
+++ b/src/controllers/moves/EvidenceRecorder.ts
@@ -69,7 +69,7 @@
     const windowStartMs = nowMs - (nowMs % EVIDENCE_WINDOW_MS);
     const {service, version, route, requestClass, loadBand, prefillBand} = sample;
     const subject = {service, version, route, requestClass, loadBand, prefillBand, windowStartMs};
-    const key = JSON.stringify(subject);
+    const key = Object.values(subject).join(' ');
     const known = this.windows.get(key);
     if (!known) this.removeOld(nowMs);
     this.windows.set(key, {
--- a/src/controllers/moves/VersionVerdict.ts
+++ b/src/controllers/moves/VersionVerdict.ts
@@ -58,6 +58,17 @@
   return faults.find(({likelihoodRatio}) => likelihoodRatio >= LOCAL_BRAKE_LIKELIHOOD_RATIO);
 }
 
+/**
+ * Returns the key under which evidence of a route and class is grouped.
+ * @param subject - Route and class.
+ */
+export function getGroupKey({
+  route,
+  requestClass,
+}: Pick<VersionEvidence, 'route' | 'requestClass'>): string {
+  return `${requestClass} ${route}`;
+}
+
 /**
  * Splits the evidence of a service by route and class.
  * @param evidence - Evidence.
@@ -70,7 +81,7 @@
   const groups = new Map<string, VersionEvidence[]>();
   for (const window of evidence) {
     if (window.service !== service) continue;
-    const key = JSON.stringify([window.route, window.requestClass]);
+    const key = getGroupKey(window);
     const group = groups.get(key);
     if (group) group.push(window);
     else groups.set(key, [window]);
@@ -102,6 +113,7 @@
   const [first] = group;
   if (!first) return [];
   const {route, requestClass} = first;
+  if (!group.some(({version}) => version === toVersion)) return [];
   const strata = getStrata(group, fromVersion, toVersion, BLOCK_MS);
   return compareVersions(strata).map(evidence => ({...evidence, route, requestClass}));
 }
--- a/src/controllers/moves/index.ts
+++ b/src/controllers/moves/index.ts
@@ -14,3 +14,10 @@
   type ShownFault,
   type VersionPair,
 } from './VersionVerdict.js';
+export {
+  decideMove,
+  type MoveDecision,
+  type MoveStepEffect,
+  type MoveView,
+} from './MoveController.js';
+export {isWindowFinal, mergeEvidence} from './EvidenceMerge.js';
--- a/src/folds/MoveFold.ts
+++ b/src/folds/MoveFold.ts
@@ -98,13 +98,10 @@
     if (!move) return reject('unknown-move');
     if (isMoveEnded(move)) return reject('move-ended');
     if (PHASE_RANKS[body.phase] < PHASE_RANKS[move.phase]) return reject('phase-goes-back');
-    this.movesByService.set(move.service, {
-      ...move,
-      phase: body.phase,
-      sharePercent: body.sharePercent,
-      changedAtMs: body.decidedAtMs,
-      reason: body.reason,
-    });
+    const {phase, sharePercent, reason} = body;
+    const hasChanged = phase !== move.phase || sharePercent !== move.sharePercent;
+    const changedAtMs = hasChanged ? body.decidedAtMs : move.changedAtMs;
+    this.movesByService.set(move.service, {...move, phase, sharePercent, changedAtMs, reason});
     return ACCEPTED;
   }
 
