--- a/src/controllers/claims/index.ts
+++ b/src/controllers/claims/index.ts
@@ -1,3 +1,4 @@
+export {CLAIM_GATHERER_COUNT, chooseClaimGatherer} from './chooseClaimGatherer.js';
 export {
   CLAIM_FRESH_MS,
   decideClaim,
--- a/src/peer/index.ts
+++ b/src/peer/index.ts
@@ -1,3 +1,4 @@
+export {createClaimGathering, createClaimHandlers} from './ClaimCalls.js';
 export {ConfigurationFollower, type ConfigurationFollowerOptions} from './ConfigurationFollower.js';
 export {MembershipLoop, type MembershipLoopOptions} from './MembershipLoop.js';
 export {
@@ -8,3 +9,4 @@
 } from './PeerClient.js';
 export {PEER_KEY_HEADER, PeerKeys} from './PeerKeys.js';
 export {PeerServer, type PeerHandlers, type PeerServerOptions} from './PeerServer.js';
+export {fromWireIncidents, toWireIncident} from './incidents.js';
--- a/standins/engine/ModelEngine.ts
+++ b/standins/engine/ModelEngine.ts
@@ -24,6 +24,8 @@
   readonly port: number;
   readonly identity: BackendIdentity;
   readonly listUrl?: string;
+  /** File that the ledger is written to as well; absent for none. */
+  readonly ledgerPath?: string;
   readonly profile: EngineProfile;
   readonly isColdAtStart: boolean;
   readonly honoursFencingTokens: boolean;
@@ -48,7 +50,7 @@
   private readonly options: ModelEngineOptions;
   private readonly server: StandinServer;
   private readonly lifecycle: BackendLifecycle;
-  private readonly ledger = new RunLedger();
+  private readonly ledger: RunLedger;
   private readonly warmth: EngineWarmth;
   private readonly events = new CacheEventLog();
   private readonly cache: PrefixCache;
@@ -63,6 +65,7 @@
   constructor(options: ModelEngineOptions) {
     this.options = options;
     const {profile} = options;
+    this.ledger = new RunLedger(options.ledgerPath);
     this.warmth = new EngineWarmth(profile, options.isColdAtStart);
     this.cache = new PrefixCache(profile.cacheTokens, (kind, blockHash) => {
       const isLost = this.server.happens(this.server.getFaults().cacheEventLossPercent);
@@ -170,7 +173,7 @@
     }
     const badEffect = this.getBadEffect(exchange.url.pathname, entry.openRequests);
     if (badEffect === 'fail') {
-      endRun(entry, 'failed');
+      this.ledger.endEntry(entry, 'failed', Date.now());
       exchange.sendJson(500, {error: {message: `version ${version} failed`}});
       return;
     }
@@ -210,7 +213,7 @@
 
   private finishRun(entry: RunEntry): void {
     this.openRuns.delete(entry);
-    endRun(entry, 'finished');
+    this.ledger.endEntry(entry, 'finished', Date.now());
     this.warmth.countFinished();
   }
 
@@ -219,7 +222,7 @@
     if (!run) return;
     this.openRuns.delete(entry);
     this.scheduler.removeJob(run.job);
-    endRun(entry, 'cancelled');
+    this.ledger.endEntry(entry, 'cancelled', Date.now());
   }
 
   private addEntry(exchange: Exchange, body: string): RunEntry {
@@ -333,10 +336,7 @@
 
   private async goDown(reason: 'crashed' | 'taken-away'): Promise<void> {
     this.lifecycle.abandon();
-    for (const {entry} of this.openRuns.values()) endRun(entry, 'crashed');
-    for (const entry of this.ledger.getEntries()) {
-      if (entry.end === 'running') endRun(entry, 'crashed');
-    }
+    this.ledger.endAll('crashed', Date.now());
     await this.shutDown();
     this.options.onDown(reason);
   }
@@ -352,11 +352,6 @@
 const MS_PER_SECOND = 1_000;
 const MAX_EVENTS = 1_000;
 
-function endRun(entry: RunEntry, end: RunEntry['end']): void {
-  entry.end = end;
-  entry.endedAtMs = Date.now();
-}
-
 function pickIdentity({instanceId, service, version, failureDomain}: BackendIdentity) {
   return {instanceId, service, version, failureDomain};
 }
