Capacity, price and failure domains: decisions; drains as records of the fleet stream

Cause: the loss of any one failure domain must leave what the load needs, at least cost; a failure domain that returns must not knock its cold servers over; entries have to learn of a graceful stop before it happens. A vacancy is named after the instance that was lost, so that two holders ask with one client token. The old version of a move keeps its servers until the move is done: it costs up to twice the servers meanwhile, and a take-back at full share would otherwise meet an old version without capacity. New record `instance-drain`: entries treat these instances as leaving at `stopAtMs` (FleetFold.getDrains).

--- /dev/null
+++ b/src/controllers/capacity/index.ts
@@ -0,0 +1,20 @@
+export {
+  decideCapacity,
+  getClientToken,
+  type CapacityDecision,
+  type CapacityEffect,
+  type CapacityView,
+  type PendingInstance,
+  type Vacancy,
+} from './CapacityController.js';
+export {
+  getOffers,
+  type Market,
+  type Offer,
+  type OffersView,
+  type Price,
+  type ReclaimHistory,
+  type RefusedStart,
+} from './Offers.js';
+export {spreadInstances, type DomainCost, type DomainCount} from './Spread.js';
+export {getVersionNeeds, type VersionNeed} from './VersionNeeds.js';
--- a/src/folds/FleetFold.ts
+++ b/src/folds/FleetFold.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import type {FailureDomainStatus, Move} from '../blackboard/index.js';
 import type {LogBody, LogBodyOf, PlacedRecord} from '../records/index.js';
+import {DrainFold, instanceDrainSchema, type InstanceDrain} from './DrainFold.js';
 import {FailureDomainFold, failureDomainStatusSchema} from './FailureDomainFold.js';
 import {ACCEPTED, reject, type FleetVerdict} from './FleetVerdict.js';
 import {RepeatFilter, type SnapshotFold} from './Fold.js';
@@ -14,6 +15,7 @@
   moves: z.array(moveSchema),
   failureDomains: z.array(failureDomainStatusSchema),
   quarantines: z.array(quarantineSchema),
+  drains: z.array(instanceDrainSchema).default([]),
   lastSequences: z.array(z.strictObject({writer: z.string(), sequence: z.number().int()})),
 });
 
@@ -24,6 +26,7 @@
   private readonly moves = new MoveFold();
   private readonly failureDomains = new FailureDomainFold();
   private readonly quarantines = new QuarantineFold();
+  private readonly drains = new DrainFold();
   private isWhole = true;
   private lastVerdict: FleetVerdict = ACCEPTED;
 
@@ -64,6 +67,11 @@
     return this.quarantines.getQuarantines(nowMs);
   }
 
+  /** Returns the backend servers that get no new work since the lease's holder stops them. */
+  getDrains(): readonly InstanceDrain[] {
+    return this.drains.getDrains();
+  }
+
   /** Returns the verdict on the record applied last. */
   getLastVerdict(): FleetVerdict {
     return this.lastVerdict;
@@ -81,6 +89,7 @@
       moves: this.getMoves(),
       failureDomains: this.getFailureDomains(),
       quarantines: this.quarantines.getAllQuarantines(),
+      drains: this.getDrains(),
       lastSequences: lastSequences.map(([writer, sequence]) => ({writer, sequence})),
     });
   }
@@ -103,6 +112,8 @@
         return this.applyMoveStep(body);
       case 'move-abort':
         return this.moves.applyAbort(body);
+      case 'instance-drain':
+        return this.applyDrain(body);
       case 'domain-order':
         return this.failureDomains.applyOrder(body);
       case 'quarantine':
@@ -117,6 +128,11 @@
     return this.moves.applyStep(body);
   }
 
+  private applyDrain(body: LogBodyOf<'instance-drain'>): FleetVerdict {
+    if (!this.lease.isCurrentToken(body.fencingToken)) return reject('old-fencing-token');
+    return this.drains.applyDrain(body);
+  }
+
   /** A snapshot holds only where no record stands between it and the last one that it covers. */
   private applySnapshot(body: LogBodyOf<'fleet-snapshot'>, placed: PlacedRecord): FleetVerdict {
     if (body.coversOffset !== placed.offset - 1) return reject('records-in-between');
@@ -131,6 +147,7 @@
     this.moves.restore(state.moves);
     this.failureDomains.restore(state.failureDomains);
     this.quarantines.restore(state.quarantines);
+    this.drains.restore(state.drains);
     this.repeats.restore(new Map(state.lastSequences.map(last => [last.writer, last.sequence])));
     this.isWhole = true;
   }
--- a/src/records/LogRecord.ts
+++ b/src/records/LogRecord.ts
@@ -98,6 +98,17 @@
   requestedAtMs: z.number().int(),
 });
 
+/** The lease's holder takes a backend server out of use before it stops it; accepted where the fencing token is the lease's. */
+const instanceDrainBodySchema = z.strictObject({
+  kind: z.literal('instance-drain'),
+  instanceId: z.string(),
+  service: z.string(),
+  fencingToken: z.number().int(),
+  decidedAtMs: z.number().int(),
+  /** Instant at which the instance is stopped at the latest. */
+  stopAtMs: z.number().int(),
+});
+
 /** A request fingerprint that crashed backend servers and is refused from now on. */
 const quarantineBodySchema = z.strictObject({
   kind: z.literal('quarantine'),
@@ -165,6 +176,7 @@
   moveStepBodySchema,
   moveAbortBodySchema,
   domainOrderBodySchema,
+  instanceDrainBodySchema,
   quarantineBodySchema,
   fleetSnapshotBodySchema,
   claimBatchBodySchema,
