Claims are gathered at one entry a key

Cause: the gathering of claims by rendezvous hash had no wiring in the daemon, so each entry appended its own batches. Ruled out: gathering at the fleet's holder, which would stop with the lease. Conclusion: one batch an interval for each gatherer.

--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -64,12 +64,6 @@
       statsdPort: settings.statsdPort,
       globalTags: {instance: settings.instanceId},
     });
-    this.claims = new ClaimService({
-      log: this.log,
-      claimant: writer,
-      getNowMs,
-      isClaimantLive: claimant => this.isClaimantLive(claimant, getNowMs()),
-    });
     this.fleetWriter = new LogWriter({
       stream: 'fleet',
       log: this.log,
@@ -86,6 +80,15 @@
       random: Math.random,
       onIncidents: incidents => this.serving.incidents.addIncidents(incidents),
     });
+    this.claims = new ClaimService({
+      log: this.log,
+      claimant: writer,
+      getNowMs,
+      gathering: this.peers.getClaimGathering(),
+      random: Math.random,
+      isClaimantLive: claimant => this.isClaimantLive(claimant, getNowMs()),
+    });
+    this.peers.addClaimService(this.claims);
     this.serving = new ServingParts({
       blackboard: this.blackboard,
       metrics: this.metrics,
--- a/src/entry/PeerParts.ts
+++ b/src/entry/PeerParts.ts
@@ -1,5 +1,6 @@
 /** The parts of an entry that talk to its peers: membership, configuration and evidence. */
 import type {Blackboard, Incident, Member} from '../blackboard/index.js';
+import type {ClaimGathering, ClaimService} from '../claims/index.js';
 import type {ConfigurationCurrencyVerdict} from '../controllers/configuration/index.js';
 import type {LogAccess} from '../log/index.js';
 import {
@@ -9,6 +10,8 @@
   PeerKeys,
   PeerServer,
   fromWireIncidents,
+  createClaimGathering,
+  createClaimHandlers,
   toWireIncident,
 } from '../peer/index.js';
 import type {EntrySettings} from './EntrySettings.js';
@@ -73,6 +76,20 @@
     this.membership.start();
   }
 
+  /** Returns the entries that gather claims. */
+  getClaimGathering(): ClaimGathering {
+    const {blackboard, settings} = this.options;
+    return createClaimGathering(blackboard, this.client, settings.instanceId);
+  }
+
+  /**
+   * Answers other entries' claims.
+   * @param claims - Claims in the log.
+   */
+  addClaimService(claims: ClaimService): void {
+    this.server.addHandlers(createClaimHandlers(claims));
+  }
+
   /** Returns the port for peers; 0 before the start. */
   getPort(): number {
     return this.peerPort;
