--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -182,6 +182,14 @@
     if (isCleared) this.observe(instanceId, {kind: 'cache-cleared'});
   }
 
+  /**
+   * Takes a peer's word that a backend server has turned cold.
+   * @param instanceId - The backend server.
+   */
+  addReportedCold(instanceId: string): void {
+    this.observe(instanceId, {kind: 'reported-cold'});
+  }
+
   /**
    * Notes that a backend server didn't answer at all.
    * @param instanceId - The backend server.
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -6,7 +6,7 @@
 import {EngineClient} from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
 import {FleetFold} from '../folds/index.js';
-import {CallersServer, ServingParts, type HandlerContext} from '../http/index.js';
+import {CallersServer, Handover, ServingParts, type HandlerContext} from '../http/index.js';
 import {LogClient, LogWriter, StreamFollower} from '../log/index.js';
 import type {Logger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
@@ -45,6 +45,7 @@
   private readonly serving: ServingParts;
   private readonly watcher: ServerWatcher;
   private readonly server: CallersServer;
+  private readonly handover: Handover;
   private readonly claimantWatch = new ClaimantWatch();
   private isStopping = false;
 
@@ -85,6 +86,7 @@
       getNowMs,
       random: Math.random,
       onIncidents: incidents => this.serving.incidents.addIncidents(incidents),
+      onHandover: requests => this.server.getHandedRuns().accept(requests),
     });
     this.serving = new ServingParts({
       blackboard: this.blackboard,
@@ -103,7 +105,12 @@
       reportIntervalMs: settings.reportIntervalMs,
     });
     const {address, port} = settings;
-    this.server = new CallersServer({context: this.createContext(getNowMs), address, port});
+    const context = this.createContext(getNowMs);
+    this.server = new CallersServer({context, address, port});
+    this.handover = new Handover({
+      context,
+      send: (peer, requests) => this.peers.handOver(peer, requests),
+    });
   }
 
   /** Starts all parts and listens. */
@@ -136,8 +143,11 @@
     this.isStopping = true;
     this.peers.leave();
     logger.info({open: this.server.getOpenCount()}, 'entry drains');
-    const endAtMs = Date.now() + settings.drainTimeoutMs;
-    while (this.server.getOpenCount() > 0 && Date.now() < endAtMs) await sleep(DRAIN_POLL_MS);
+    const endAtMs = this.getOwnLeavingAtMs() ?? Date.now() + settings.drainTimeoutMs;
+    while (this.hasOpenRequests() && Date.now() < endAtMs) {
+      this.handover.handOver(endAtMs);
+      await sleep(DRAIN_POLL_MS);
+    }
     this.watcher.stop();
     this.serving.stop();
     await this.server.stop();
@@ -149,6 +159,25 @@
     logger.info({}, 'entry stopped');
   }
 
+  /** Resolves when the platform's list says that this instance leaves. */
+  waitForNotice(): Promise<void> {
+    return new Promise(resolve => {
+      this.blackboard.addListener('instances', () => {
+        if (this.getOwnLeavingAtMs() !== undefined) resolve();
+      });
+    });
+  }
+
+  private getOwnLeavingAtMs(): number | undefined {
+    const {instances} = this.blackboard.getSection('instances');
+    const own = instances.find(({instanceId}) => instanceId === this.options.settings.instanceId);
+    return own?.leavingAtMs;
+  }
+
+  private hasOpenRequests(): boolean {
+    return this.server.getOpenCount() > 0 || this.serving.runs.getRuns().length > 0;
+  }
+
   private logRevisions(): void {
     const {logger} = this.options;
     this.blackboard.addListener('configuration', ({revision}, previous) => {
--- a/src/entry/PeerParts.ts
+++ b/src/entry/PeerParts.ts
@@ -1,6 +1,7 @@
 /** The parts of an entry that talk to its peers: membership, configuration and evidence. */
 import type {Blackboard, Incident, Member} from '../blackboard/index.js';
 import type {ConfigurationCurrencyVerdict} from '../controllers/configuration/index.js';
+import type {HandedRequest} from '../http/index.js';
 import type {LogAccess} from '../log/index.js';
 import {
   ConfigurationFollower,
@@ -12,6 +13,7 @@
   toWireIncident,
 } from '../peer/index.js';
 import type {EntrySettings} from './EntrySettings.js';
+import {fromWireHandedRequest, toWireHandedRequest} from './handoverCodec.js';
 
 const PEER_TIMEOUT_MS = 1_000;
 
@@ -26,6 +28,8 @@
   readonly random: () => number;
   /** Called with evidence that a peer sent. */
   readonly onIncidents: (incidents: readonly Incident[]) => void;
+  /** Called with requests that a stopping peer hands over; returns the ids of those taken. */
+  readonly onHandover: (requests: readonly HandedRequest[]) => readonly string[];
 }
 
 /** Builds and runs the peer server, the membership protocol and the configuration's follower. */
@@ -68,6 +72,9 @@
         this.options.onIncidents(fromWireIncidents(incidents));
         return {};
       },
+      handover: ({requests}) => ({
+        acceptedRequestIds: [...this.options.onHandover(requests.map(fromWireHandedRequest))],
+      }),
     });
     this.configuration.start();
     this.membership.start();
@@ -99,6 +106,20 @@
     );
   }
 
+  /**
+   * Hands requests to a peer.
+   * @param peer - The peer.
+   * @param requests - The requests.
+   * @returns Ids of those that it took.
+   */
+  async handOver(peer: Member, requests: readonly HandedRequest[]): Promise<readonly string[]> {
+    const {acceptedRequestIds} = await this.client.getCalls(peer).handover({
+      fromInstanceId: this.options.settings.instanceId,
+      requests: requests.map(toWireHandedRequest),
+    });
+    return acceptedRequestIds;
+  }
+
   /** Stops probing and closes the port. */
   async stop(): Promise<void> {
     await this.membership?.stop();
--- /dev/null
+++ b/src/entry/handoverCodec.ts
@@ -0,0 +1,50 @@
+/** Handed requests as messages of the peer service. */
+import type {HandedRequest} from '../http/index.js';
+
+/** Fields of the message. */
+interface WireHandedRequest {
+  readonly requestId: string;
+  readonly workspace: string;
+  readonly service: string;
+  readonly requestClass: string;
+  readonly path: string;
+  readonly body: Uint8Array;
+  readonly passedTokens: readonly string[];
+  readonly deadlineAtMs: bigint;
+}
+
+const CHAT_PATH = '/v1/chat/completions';
+
+/** Returns a handed request from its message. */
+export function fromWireHandedRequest(message: WireHandedRequest): HandedRequest {
+  const {requestId, workspace, service, requestClass, path, body, passedTokens} = message;
+  return {
+    requestId,
+    workspace,
+    service,
+    requestClass,
+    format: path === CHAT_PATH ? 'chat' : 'text',
+    path,
+    body: Buffer.from(body),
+    passedTokens,
+    deadlineAtMs: Number(message.deadlineAtMs),
+  };
+}
+
+/** Returns the message of a handed request. */
+export function toWireHandedRequest(request: HandedRequest) {
+  const {requestId, workspace, service, requestClass, path, body, passedTokens} = request;
+  return {
+    requestId,
+    workspace,
+    service,
+    requestClass,
+    method: 'POST',
+    path,
+    contentType: 'application/json',
+    body: new Uint8Array(body),
+    streamed: true,
+    passedTokens: [...passedTokens],
+    deadlineAtMs: BigInt(Math.round(request.deadlineAtMs)),
+  };
+}
--- a/src/http/Answers.ts
+++ b/src/http/Answers.ts
@@ -3,6 +3,7 @@
 import {getAnswerRule, type ServingError} from '../errors/index.js';
 
 const MS_PER_SECOND = 1_000;
+const STATUS_SEE_OTHER = 303;
 
 /** Header that carries the id of a request back to its caller. */
 export const REQUEST_ID_HEADER = 'x-request-id';
@@ -61,3 +62,13 @@
   response.setHeader('x-buckthorn-run', error.run);
   sendJson(response, getAnswerRule(error.kind).status, answer);
 }
+
+/**
+ * Sends a caller elsewhere for the answer.
+ * @param response - Where to send it.
+ * @param location - URL of the answer.
+ */
+export function sendSeeOther(response: ServerResponse, location: string): void {
+  response.writeHead(STATUS_SEE_OTHER, {location, 'content-length': 0});
+  response.end();
+}
--- a/src/http/CallersServer.ts
+++ b/src/http/CallersServer.ts
@@ -6,6 +6,9 @@
 import {REQUEST_ID_HEADER, sendError, sendJson} from './Answers.js';
 import {checkDeploymentKey, getWorkspaceOrThrow} from './Authenticator.js';
 import {CompletionHandler} from './CompletionHandler.js';
+import {HandedHandler} from './HandedHandler.js';
+import {HANDED_PATH} from './handedPath.js';
+import {HandedRuns} from './HandedRuns.js';
 import {OperatorHandler} from './OperatorHandler.js';
 import {PlainHandler} from './PlainHandler.js';
 import type {CallerRequest, HandlerContext} from './RequestContext.js';
@@ -30,6 +33,8 @@
   private readonly plain: PlainHandler;
   private readonly addresses: AddressHandler;
   private readonly operators: OperatorHandler;
+  private readonly handedRuns: HandedRuns;
+  private readonly handed: HandedHandler;
   private openCount = 0;
 
   constructor(options: CallersServerOptions) {
@@ -39,6 +44,8 @@
     this.plain = new PlainHandler(context);
     this.addresses = new AddressHandler(context);
     this.operators = new OperatorHandler(context);
+    this.handedRuns = new HandedRuns(context);
+    this.handed = new HandedHandler(context, this.handedRuns);
     this.server = createServer(
       {maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: 0},
       (request, response) => void this.serve(request, response),
@@ -59,6 +66,11 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  /** Returns the requests that other entries handed to this one. */
+  getHandedRuns(): HandedRuns {
+    return this.handedRuns;
+  }
+
   /** Returns how many callers' requests are open. */
   getOpenCount(): number {
     return this.openCount;
@@ -96,10 +108,10 @@
       sendJson(response, 200, {status: 'ok'});
       return true;
     }
-    if (url.pathname !== '/v1/status' && url.pathname !== '/v1/stats') return false;
+    const handler = this.operators.getHandler(url);
+    if (!handler) return false;
     checkDeploymentKey(request, this.options.context.deploymentKeys);
-    if (url.pathname === '/v1/status') this.operators.handleStatus(response);
-    else this.operators.handleStats(response);
+    handler(response);
     return true;
   }
 
@@ -129,10 +141,12 @@
       this.addresses.handle(caller);
       return;
     }
-    this.options.context.checkAccepting();
+    const handed = HANDED_PATH.exec(pathname);
+    if (!handed) this.options.context.checkAccepting();
     this.openCount += 1;
     try {
-      await this.serveWork(caller, pathname, search);
+      if (handed) await this.handed.handle(caller, handed[1]);
+      else await this.serveWork(caller, pathname, search);
     } finally {
       this.openCount -= 1;
     }
--- a/src/http/CompletionHandler.ts
+++ b/src/http/CompletionHandler.ts
@@ -1,15 +1,15 @@
 /** Handles the OpenAI-compatible completion calls, streamed and whole. */
 import type {RequestClass} from '../configuration/index.js';
-import {getFingerprint} from '../controllers/quarantine/index.js';
-import {getPromptText, readCompletionBody, type CompletionBody} from '../engine/index.js';
+import {readCompletionBody, type CompletionBody} from '../engine/index.js';
 import type {CompletionFormat} from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
-import {hashBlocks, splitTokens} from '../utils/index.js';
-import {sendJson} from './Answers.js';
-import {CompletionRun, type CompletionResult} from './CompletionRun.js';
+import {countPromptTokens, createAccepted} from './acceptCompletion.js';
+import {sendJson, sendSeeOther} from './Answers.js';
+import {CompletionRun} from './CompletionRun.js';
 import {parseJsonBody, readBody} from './RequestBody.js';
 import {getServiceOrThrow, type CallerRequest, type HandlerContext} from './RequestContext.js';
 import {StreamWriter} from './StreamWriter.js';
+import {createWholeAnswer} from './wholeAnswer.js';
 
 const CLASS_HEADER = 'x-request-class';
 const MS_PER_SECOND = 1_000;
@@ -33,8 +33,7 @@
     const body = await readBody(caller.request, context.bodyLimits);
     const completion = readCompletionOrThrow(format, body);
     const service = getServiceOrThrow(caller, completion.body.model, 'model');
-    const promptTokenTexts = splitTokens(getPromptText(completion));
-    const promptTokens = promptTokenTexts.length;
+    const promptTokens = countPromptTokens(completion);
     const requestClass = getRequestClassOrThrow(caller, promptTokens);
     const tags = {workspace: caller.workspace.name, class: requestClass.name};
     const deadlineAtMs = startedAtMs + service.requestTimeoutMs;
@@ -51,24 +50,19 @@
     try {
       context.metrics.addCount('request.accepted', tags);
       context.metrics.addDuration('request.queued', context.getNowMs() - startedAtMs, tags);
-      const run = new CompletionRun(context, {
+      const accepted = createAccepted({
         requestId: caller.requestId,
         workspace: caller.workspace.name,
         service,
         requestClass,
         completion,
-        fingerprint: getFingerprint({
-          workspace: caller.workspace.name,
-          method: 'POST',
-          path: caller.url.pathname,
-          body,
-        }),
-        promptTokens,
-        blockHashes: hashBlocks(promptTokenTexts),
+        path: caller.url.pathname,
+        body,
         deadlineAtMs,
         passedTokens: [],
         signal: caller.signal,
       });
+      const run = new CompletionRun(context, accepted);
       await this.answer(caller, completion, run, startedAtMs, tags);
       context.metrics.addDuration('request.total', context.getNowMs() - startedAtMs, tags);
     } finally {
@@ -96,14 +90,17 @@
       if (isStreamed) writer.addToken(token);
     };
     if (isStreamed) writer.startHeartbeats();
-    const result = await run.run(onToken).finally(() => writer.stopHeartbeats());
-    if (isStreamed) writer.finish(result);
-    else
-      sendJson(
-        caller.response,
-        200,
-        createWholeAnswer(caller, completion, result, createdAtSeconds),
-      );
+    const end = await run.run(onToken).finally(() => writer.stopHeartbeats());
+    if (end.kind === 'moved') {
+      if (isStreamed) writer.finishElsewhere(end.location);
+      else sendSeeOther(caller.response, end.location);
+      return;
+    }
+    if (isStreamed) writer.finish(end.result);
+    else {
+      const answer = createWholeAnswer(caller, completion, end.result, createdAtSeconds);
+      sendJson(caller.response, 200, answer);
+    }
   }
 }
 
@@ -128,32 +125,3 @@
     kind: 'bad-request',
   });
 }
-
-function createWholeAnswer(
-  caller: CallerRequest,
-  completion: CompletionBody,
-  result: CompletionResult,
-  createdAtSeconds: number,
-) {
-  const text = result.tokens.join('');
-  const isChat = completion.format === 'chat';
-  const answer = isChat ? {message: {role: 'assistant', content: text}} : {text};
-  return {
-    id: caller.requestId,
-    object: isChat ? 'chat.completion' : 'text_completion',
-    created: createdAtSeconds,
-    model: completion.body.model,
-    choices: [{index: 0, ...answer, finish_reason: result.finishReason}],
-    usage: createUsage(result),
-  };
-}
-
-/** Returns the `usage` of an answer in the OpenAI-compatible form. */
-export function createUsage({usage, tokens}: CompletionResult) {
-  return {
-    prompt_tokens: usage.promptTokens,
-    completion_tokens: tokens.length,
-    total_tokens: usage.promptTokens + tokens.length,
-    prompt_tokens_details: {cached_tokens: usage.cachedTokens},
-  };
-}
--- a/src/http/CompletionRun.ts
+++ b/src/http/CompletionRun.ts
@@ -26,6 +26,9 @@
   readonly service: Service;
   readonly requestClass: RequestClass;
   readonly completion: CompletionBody;
+  readonly path: string;
+  /** Body as the caller sent it. */
+  readonly body: Buffer;
   readonly fingerprint: string;
   readonly promptTokens: number;
   readonly blockHashes: readonly string[];
@@ -43,6 +46,11 @@
   readonly tokens: readonly string[];
 }
 
+/** How a run ended: here with an answer, or at another entry, where the caller goes on. */
+export type CompletionEnd =
+  | {readonly kind: 'answered'; readonly result: CompletionResult}
+  | {readonly kind: 'moved'; readonly location: string};
+
 /** Rate of prefill that a move of KV cache is weighed against where none was reported. */
 const DEFAULT_PREFILL_TOKENS_PER_SECOND = 4_000;
 
@@ -59,6 +67,7 @@
     {readonly attempt: CompletionAttempt; readonly server: BackendServer} | undefined;
   private isMoving = false;
   private preferred: BackendServer | undefined;
+  private handing: Promise<string | undefined> | undefined;
   private failures = 0;
   private silences = 0;
 
@@ -79,15 +88,19 @@
    * @param onToken - Called with each token.
    * @throws ServingError where no try could end it.
    */
-  async run(onToken: (token: string) => void): Promise<CompletionResult> {
+  async run(onToken: (token: string) => void): Promise<CompletionEnd> {
     const {context, accepted} = this;
     context.runs.addRun(this);
     context.retryBudget.addFirstTry(context.getNowMs());
     const cancel = () => this.current?.attempt.cancel(createGoneError());
     accepted.signal.addEventListener('abort', cancel, {once: true});
     try {
-      while (!this.isFinished()) await this.runNext(onToken);
-      return this.getResult();
+      while (!this.isFinished()) {
+        const location = await this.handing;
+        if (location !== undefined) return {kind: 'moved', location};
+        await this.runNext(onToken);
+      }
+      return {kind: 'answered', result: this.getResult()};
     } finally {
       accepted.signal.removeEventListener('abort', cancel);
       context.runs.removeRun(this);
@@ -105,6 +118,18 @@
     return maxTokens === undefined ? undefined : maxTokens - this.getPassedTokens().length;
   }
 
+  /**
+   * Stops the running try and hands the request over; it goes on here where nobody takes it.
+   * @param send - Hands the request to another entry and returns where its caller goes on.
+   */
+  async handOver(send: () => Promise<string | undefined>): Promise<void> {
+    this.current?.attempt.cancel(
+      new AttemptError('this entry stops', {kind: 'stopping', failure: 'moved'}),
+    );
+    this.handing = send().catch(() => undefined);
+    await this.handing;
+  }
+
   /** Moves the running try away where its backend server leaves. */
   checkDrain(): void {
     const {current, context, accepted} = this;
--- a/src/http/IncidentBoard.ts
+++ b/src/http/IncidentBoard.ts
@@ -10,6 +10,8 @@
   readonly blackboard: Blackboard;
   readonly quarantine: QuarantineLedger;
   readonly getNowMs: () => number;
+  /** Called with each incident of a peer that says that a backend server has turned cold. */
+  readonly onReportedCold: (instanceId: string) => void;
 }
 
 /** The one writer of the section of incidents. */
@@ -40,8 +42,11 @@
    * @param incidents - The evidence.
    */
   addIncidents(incidents: readonly Incident[]): void {
-    const {quarantine, getNowMs} = this.options;
-    for (const incident of incidents) quarantine.addIncident(incident, getNowMs());
+    const {quarantine, getNowMs, onReportedCold} = this.options;
+    for (const incident of incidents) {
+      quarantine.addIncident(incident, getNowMs());
+      if (incident.kind === 'cold-server') onReportedCold(incident.subject);
+    }
     this.write(incidents);
   }
 
--- a/src/http/OperatorHandler.ts
+++ b/src/http/OperatorHandler.ts
@@ -20,7 +20,7 @@
   }[];
 }
 
-/** Answers `GET /v1/status` and `GET /v1/stats`. */
+/** Answers `GET /v1/status`, `GET /v1/stats` and `GET /v1/evidence?fromMs=N`. */
 export class OperatorHandler {
   private readonly context: HandlerContext;
 
@@ -28,8 +28,24 @@
     this.context = context;
   }
 
-  /** Sends what the entry knows. */
-  handleStatus(response: ServerResponse): void {
+  /**
+   * Returns the handler of a path for operators; undefined for other paths.
+   * @param url - URL of the request.
+   */
+  getHandler(url: URL): ((response: ServerResponse) => void) | undefined {
+    switch (url.pathname) {
+      case '/v1/status':
+        return response => this.handleStatus(response);
+      case '/v1/stats':
+        return response => this.handleStats(response);
+      case '/v1/evidence':
+        return response => this.handleEvidence(response, Number(url.searchParams.get('fromMs')));
+      default:
+        return undefined;
+    }
+  }
+
+  private handleStatus(response: ServerResponse): void {
     const {blackboard, ownInstanceId, ownFailureDomain, isStopping} = this.context;
     const {configuration, peers, backendServers} = blackboard.getSections();
     const answer: StatusAnswer = {
@@ -52,9 +68,13 @@
     sendJson(response, 200, answer);
   }
 
-  /** Sends counters and histograms. */
-  handleStats(response: ServerResponse): void {
+  private handleStats(response: ServerResponse): void {
     const {metrics, ownInstanceId} = this.context;
     sendJson(response, 200, {instanceId: ownInstanceId, metrics: metrics.getSnapshot()});
   }
+
+  private handleEvidence(response: ServerResponse, fromMs: number): void {
+    const {evidence, ownInstanceId} = this.context;
+    sendJson(response, 200, {instanceId: ownInstanceId, windows: evidence.getEvidence(fromMs)});
+  }
 }
--- a/src/http/ServingParts.ts
+++ b/src/http/ServingParts.ts
@@ -52,7 +52,12 @@
       ownInstanceId,
       isAlive: entry => this.isAlive(entry),
     });
-    this.incidents = new IncidentBoard({blackboard, quarantine: this.quarantine, getNowMs});
+    this.incidents = new IncidentBoard({
+      blackboard,
+      quarantine: this.quarantine,
+      getNowMs,
+      onReportedCold: instanceId => this.tracker.addReportedCold(instanceId),
+    });
     this.admission = new AdmissionGates({
       getLimits: service => this.getAdmissionLimits(service),
       getNowMs,
--- a/src/http/StreamWriter.ts
+++ b/src/http/StreamWriter.ts
@@ -1,6 +1,6 @@
 /** Writes an answer as server-sent events in the OpenAI-compatible form. */
 import type {CompletionBody} from '../engine/index.js';
-import {createUsage} from './CompletionHandler.js';
+import {createUsage} from './wholeAnswer.js';
 import type {CompletionResult} from './CompletionRun.js';
 import type {CallerRequest} from './RequestContext.js';
 
@@ -9,6 +9,8 @@
   readonly caller: CallerRequest;
   readonly completion: CompletionBody;
   readonly createdAtSeconds: number;
+  /** Tokens that the caller has got from another entry; absent for none. */
+  readonly fromToken?: number;
 }
 
 /** Time between the comments that keep a silent stream open. */
@@ -22,6 +24,7 @@
 
   constructor(options: StreamWriterOptions) {
     this.options = options;
+    this.tokenCount = options.fromToken ?? 0;
   }
 
   /** Starts to send a comment at intervals; the first one sends the head, so that it comes late. */
@@ -67,6 +70,16 @@
     caller.response.end('data: [DONE]\n\n');
   }
 
+  /**
+   * Ends the part of the stream that this entry sends, and says where the rest is.
+   * @param location - URL that the caller reads with `Last-Event-ID`.
+   */
+  finishElsewhere(location: string): void {
+    this.writeHead();
+    const data = JSON.stringify({location});
+    this.options.caller.response.end(`event: moved\ndata: ${data}\n\n`);
+  }
+
   private writeHead(): void {
     const {response} = this.options.caller;
     if (response.headersSent) return;
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -2,6 +2,8 @@
 export {AdmissionGates, type AdmissionGatesOptions} from './AdmissionGates.js';
 export {getServiceCapacity} from './serviceCapacity.js';
 export {CallersServer, type CallersServerOptions} from './CallersServer.js';
+export {Handover, type HandoverOptions, type HandoverSender} from './Handover.js';
+export type {HandedRequest, HandedRuns} from './HandedRuns.js';
 export {IncidentBoard, type IncidentSpreader} from './IncidentBoard.js';
 export {RunRegistry} from './RunRegistry.js';
 export {ServingParts, type ServingPartsOptions} from './ServingParts.js';
--- a/tests/support/ServingHarness.ts
+++ b/tests/support/ServingHarness.ts
@@ -5,10 +5,10 @@
 import type {Configuration, Service} from '../../src/configuration/index.js';
 import {EngineClient} from '../../src/engine/index.js';
 import {ServerWatcher} from '../../src/entry/ServerWatcher.js';
-import {CallersServer, ServingParts} from '../../src/http/index.js';
+import {CallersServer, Handover, ServingParts, type HandlerContext} from '../../src/http/index.js';
 import {Metrics} from '../../src/metrics/index.js';
 import {DEFAULT_ENGINE_PROFILE, ModelEngine, type EngineProfile} from '../../standins/index.js';
-import {CONFIGURATION, GUIDANCE} from './deployment.js';
+import {CONFIGURATION, GUIDANCE, createEntry} from './deployment.js';
 
 /** Key of the workspace named `small`. */
 export const CALLER_KEY = 'key-of-the-small-workspace';
@@ -35,6 +35,13 @@
   readonly body: string;
 }
 
+/** What a caller got that asked for no stream. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly location: string;
+  readonly body: string;
+}
+
 const LOOPBACK = '127.0.0.1';
 const FAST_PROFILE: EngineProfile = {...DEFAULT_ENGINE_PROFILE, timeScale: 4};
 
@@ -48,6 +55,7 @@
   private readonly engines = new Map<string, ModelEngine>();
   private readonly instances = new Map<string, Instance>();
   private readonly watcher: ServerWatcher;
+  private readonly context: HandlerContext;
   private readonly server: CallersServer;
 
   constructor(options: ServingHarnessOptions) {
@@ -73,35 +81,32 @@
       reportIntervalMs: 50,
     });
     const {tracker, retryBudget, quarantine, evidence, runs, admission} = this.serving;
-    this.server = new CallersServer({
-      address: LOOPBACK,
-      port: 0,
-      context: {
-        blackboard,
-        engine,
-        metrics,
-        tracker,
-        retryBudget,
-        quarantine,
-        evidence,
-        runs,
-        admission,
-        reportIncidents: this.serving.getReporter(),
-        claims: {
-          claim: () => Promise.reject(new Error('no claims here')),
-          recordOutcome: () => Promise.reject(new Error('no claims here')),
-        },
-        bodyLimits: {maxBytes: 1_000_000, timeoutMs: 5_000},
-        deploymentKeys: ['deployment-key-of-tests'],
-        ownInstanceId: 'entry-1',
-        ownFailureDomain: 'oslo-a',
-        getNowMs,
-        random: () => 0,
-        createId: randomUUID,
-        checkAccepting: () => undefined,
-        isStopping: () => false,
+    this.context = {
+      blackboard,
+      engine,
+      metrics,
+      tracker,
+      retryBudget,
+      quarantine,
+      evidence,
+      runs,
+      admission,
+      reportIncidents: this.serving.getReporter(),
+      claims: {
+        claim: () => Promise.reject(new Error('no claims here')),
+        recordOutcome: () => Promise.reject(new Error('no claims here')),
       },
-    });
+      bodyLimits: {maxBytes: 1_000_000, timeoutMs: 5_000},
+      deploymentKeys: ['deployment-key-of-tests'],
+      ownInstanceId: 'entry-1',
+      ownFailureDomain: 'oslo-a',
+      getNowMs,
+      random: () => 0,
+      createId: randomUUID,
+      isStopping: () => false,
+      checkAccepting: () => undefined,
+    };
+    this.server = new CallersServer({address: LOOPBACK, port: 0, context: this.context});
   }
 
   /** Starts all parts. */
@@ -140,6 +145,20 @@
     return [...this.engines.keys()];
   }
 
+  /**
+   * Hands the open requests to another entry, as a stop does.
+   * @param peer - The other entry.
+   */
+  handOverTo(peer: ServingHarness): void {
+    const member = createEntry('entry-2', {callersPort: peer.server.getPort()});
+    this.blackboard.setSection('peers', {members: [member]});
+    const handover = new Handover({
+      context: this.context,
+      send: async (unused, requests) => peer.server.getHandedRuns().accept(requests),
+    });
+    handover.handOver(Date.now());
+  }
+
   /** Changes what the platform lists of an instance. */
   changeInstance(instanceId: string, changes: Partial<Instance>): void {
     const known = this.instances.get(instanceId);
@@ -166,42 +185,23 @@
    * @param maxTokens - Tokens of the answer.
    * @param onToken - Called with the number of tokens got so far.
    */
-  async chat(
+  chat(
     content: string,
     maxTokens: number,
     onToken: (count: number) => void = () => undefined,
   ): Promise<CallerAnswer> {
-    const answer = await request(
-      `http://${LOOPBACK}:${this.server.getPort()}/v1/chat/completions`,
-      {
-        method: 'POST',
-        headers: {authorization: `Bearer ${CALLER_KEY}`, 'content-type': 'application/json'},
-        body: JSON.stringify({
-          model: 'guidance',
-          stream: true,
-          max_tokens: maxTokens,
-          messages: [{role: 'user', content}],
-        }),
-        bodyTimeout: 0,
-        headersTimeout: 0,
-      },
-    );
-    const tokens: string[] = [];
-    let rest = '';
-    let body = '';
-    for await (const bytes of answer.body) {
-      const text = (bytes as Buffer).toString('utf8');
-      body += text;
-      const lines = (rest + text).split('\n');
-      rest = lines.pop() ?? '';
-      for (const line of lines) {
-        const token = readToken(line);
-        if (token === undefined) continue;
-        tokens.push(token);
-        onToken(tokens.length);
-      }
-    }
-    return {status: answer.statusCode, tokens, body};
+    const url = `http://${LOOPBACK}:${this.server.getPort()}/v1/chat/completions`;
+    return callStream(url, createChat(content, maxTokens, true), onToken);
+  }
+
+  /** Asks for a chat's whole answer; returns status, headers and body as they come. */
+  async chatWhole(content: string, maxTokens: number): Promise<WholeAnswer> {
+    const url = `http://${LOOPBACK}:${this.server.getPort()}/v1/chat/completions`;
+    const headers = {authorization: `Bearer ${CALLER_KEY}`, 'content-type': 'application/json'};
+    const body = createChat(content, maxTokens, false);
+    const answer = await request(url, {method: 'POST', headers, body});
+    const {location} = answer.headers;
+    return {status: answer.statusCode, location: String(location), body: await answer.body.text()};
   }
 
   private async startEngine(plan: EnginePlan): Promise<void> {
@@ -248,6 +248,57 @@
   }
 }
 
+function createChat(content: string, maxTokens: number, isStreamed: boolean): string {
+  return JSON.stringify({
+    model: 'guidance',
+    stream: isStreamed,
+    max_tokens: maxTokens,
+    messages: [{role: 'user', content}],
+  });
+}
+
+/**
+ * Reads a stream of an entry.
+ * @param url - Where.
+ * @param body - Body to post; absent for a GET.
+ * @param onToken - Called with the number of tokens got so far.
+ * @param lastEventId - Tokens got before from another entry.
+ */
+export async function callStream(
+  url: string,
+  body: string | undefined,
+  onToken: (count: number) => void = () => undefined,
+  lastEventId?: number,
+): Promise<CallerAnswer> {
+  const answer = await request(url, {
+    method: body === undefined ? 'GET' : 'POST',
+    headers: {
+      authorization: `Bearer ${CALLER_KEY}`,
+      'content-type': 'application/json',
+      ...(lastEventId === undefined ? {} : {'last-event-id': String(lastEventId)}),
+    },
+    body,
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+  const tokens: string[] = [];
+  let rest = '';
+  let whole = '';
+  for await (const bytes of answer.body) {
+    const text = (bytes as Buffer).toString('utf8');
+    whole += text;
+    const lines = (rest + text).split('\n');
+    rest = lines.pop() ?? '';
+    for (const line of lines) {
+      const token = readToken(line);
+      if (token === undefined) continue;
+      tokens.push(token);
+      onToken(tokens.length);
+    }
+  }
+  return {status: answer.statusCode, tokens, body: whole};
+}
+
 function readToken(line: string): string | undefined {
   if (!line.startsWith('data: {')) return undefined;
   const chunk = JSON.parse(line.slice('data: '.length)) as {
