--- a/tests/support/ServingHarness.ts
+++ b/tests/support/ServingHarness.ts
@@ -96,7 +96,7 @@
         claim: () => Promise.reject(new Error('no claims here')),
         recordOutcome: () => Promise.reject(new Error('no claims here')),
       },
-      bodyLimits: {maxBytes: 1_000_000, timeoutMs: 5_000},
+      bodyLimits: {maxBytes: 1_000_000, timeoutMs: 500},
       deploymentKeys: ['deployment-key-of-tests'],
       ownInstanceId: 'entry-1',
       ownFailureDomain: 'oslo-a',
@@ -133,6 +133,11 @@
     );
   }
 
+  /** Returns the URL that callers use. */
+  getUrl(): string {
+    return `http://${LOOPBACK}:${this.server.getPort()}`;
+  }
+
   /** Returns an engine. */
   getEngine(instanceId: string): ModelEngine {
     const found = this.engines.get(instanceId);
