Load tool: seeded open-loop loads, summaries a workspace and class, HTML report with plots

Cause: nothing measured what callers get. Recomputed tokens are counted against what the load itself has sent before, so that the first prompt of a conversation doesn't count. Ruled out: closed loops, whose rate falls with the latency that they are to measure.

--- /dev/null
+++ b/src/bin/buckthorn-load.ts
@@ -0,0 +1,44 @@
+#!/usr/bin/env node
+/** The load tool's binary: sends a seeded load to entries on this machine and prints what came back. */
+import {writeFile} from 'node:fs/promises';
+import {
+  LOAD_SETTINGS,
+  LoadRunner,
+  createHtmlReport,
+  createMarkdownTable,
+  planLoad,
+  type LoadSettings,
+} from '../load/index.js';
+import {createSettingsCommand, runCommandLine} from '../settings/index.js';
+
+async function runLoad(settings: LoadSettings): Promise<void> {
+  const {reportPath, firstTokenTargetMs} = settings;
+  const planned = planLoad(settings);
+  const startedAtMs = Date.now();
+  const runner = new LoadRunner({...settings, getNowMs: Date.now});
+  const result = await runner.run(planned);
+  const report = {
+    title: 'buckthorn-load',
+    command: `buckthorn-load --seed ${settings.seed} --duration-ms ${settings.durationMs}`,
+    loads: [
+      {
+        name: `seed ${settings.seed}`,
+        summaries: result.getSummaries(),
+        seconds: result.getSeconds(startedAtMs, firstTokenTargetMs),
+      },
+    ],
+  };
+  process.stdout.write(`${createMarkdownTable(report)}\n`);
+  if (reportPath !== '') await writeFile(reportPath, createHtmlReport(report));
+}
+
+await runCommandLine(
+  createSettingsCommand({
+    name: 'buckthorn-load',
+    description:
+      'Sends a seeded open-loop load to entries on this machine and reports what came back',
+    settings: LOAD_SETTINGS,
+    run: runLoad,
+  }),
+  process.argv.slice(2),
+);
--- /dev/null
+++ b/src/load/LoadSettings.ts
@@ -0,0 +1,136 @@
+/** Settings of the load tool. */
+import {
+  parseHttpUrl,
+  parseList,
+  parseText,
+  parseWholeNumber,
+  type SettingDefinition,
+  type SettingDefinitions,
+} from '../settings/index.js';
+import type {LoadKind, LoadWorkspace} from './LoadPlan.js';
+
+/** Settings that a load is started with. */
+export interface LoadSettings {
+  readonly entryUrls: readonly string[];
+  readonly workspaces: readonly LoadWorkspace[];
+  readonly model: string;
+  readonly kinds: readonly LoadKind[];
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly startRatePerSecond: number;
+  readonly endRatePerSecond: number;
+  readonly conversations: number;
+  readonly maxOpenRequests: number;
+  readonly timeoutMs: number;
+  readonly firstTokenTargetMs: number;
+  /** HTML file to write; empty for none. */
+  readonly reportPath: string;
+}
+
+const MAX_DURATION_MS = 600_000;
+const MAX_RATE_PER_SECOND = 5_000;
+const MAX_OPEN_REQUESTS = 10_000;
+const MAX_CONVERSATIONS = 100_000;
+const MAX_TOKENS = 1_000_000;
+const MAX_SEED = 2 ** 31 - 1;
+
+/** Definitions of the settings, with flags and environment variables. */
+export const LOAD_SETTINGS: SettingDefinitions<LoadSettings> = {
+  entryUrls: define(
+    'entry-urls',
+    'URLs of entries on this machine, separated by commas',
+    parseList(parseLoopbackUrl),
+  ),
+  workspaces: {
+    ...define(
+      'workspaces',
+      'Workspaces as name=key=weight, separated by commas',
+      parseList(parseWorkspace),
+    ),
+    isSecret: true,
+  },
+  model: define('model', 'Model service to ask', parseText),
+  kinds: define(
+    'mix',
+    'Kinds of requests as class:weight:history:turn:answer with tokens, separated by commas',
+    parseList(parseKind),
+    'chat:8:200:60:60,summary:1:1200:100:80,review:1:6000:200:200',
+  ),
+  seed: define('seed', 'Seed of arrivals and prompts', parseWholeNumber(0, MAX_SEED), '1'),
+  durationMs: define(
+    'duration-ms',
+    'Time in which requests are sent',
+    parseWholeNumber(1, MAX_DURATION_MS),
+    '30000',
+  ),
+  startRatePerSecond: define('start-rate', 'Requests a second at the start', parseRate, '5'),
+  endRatePerSecond: define('end-rate', 'Requests a second at the end', parseRate, '5'),
+  conversations: define(
+    'conversations',
+    'Conversations that go on at a time in each workspace and class',
+    parseWholeNumber(1, MAX_CONVERSATIONS),
+    '8',
+  ),
+  maxOpenRequests: define(
+    'max-open-requests',
+    'Requests open at a time',
+    parseWholeNumber(1, MAX_OPEN_REQUESTS),
+    '500',
+  ),
+  timeoutMs: define(
+    'timeout-ms',
+    'Longest time of one request',
+    parseWholeNumber(1, MAX_DURATION_MS),
+    '60000',
+  ),
+  firstTokenTargetMs: define(
+    'first-token-target-ms',
+    'First tokens after this time count as late',
+    parseWholeNumber(1, MAX_DURATION_MS),
+    '1300',
+  ),
+  reportPath: define('report', 'HTML file to write', text => text, ''),
+};
+
+function define<Value>(
+  flag: string,
+  description: string,
+  parse: (text: string) => Value,
+  defaultText?: string,
+): SettingDefinition<Value> {
+  const variable = `BUCKTHORN_LOAD_${flag.toUpperCase().replaceAll('-', '_')}`;
+  return {flag, variable, description, parse, defaultText};
+}
+
+/** A load goes to this machine only. */
+function parseLoopbackUrl(text: string): string {
+  const url = parseHttpUrl(text);
+  const {hostname} = new URL(url);
+  if (hostname !== '[::1]' && !hostname.startsWith('127.')) {
+    throw new Error('is not on the loopback interface');
+  }
+  return url;
+}
+
+function parseWorkspace(text: string): LoadWorkspace {
+  const [name, key, weight = '1'] = text.split('=');
+  if (!name || !key || !(Number(weight) > 0)) throw new Error('is not name=key=weight');
+  return {name, key, weight: Number(weight)};
+}
+
+function parseKind(text: string): LoadKind {
+  const [requestClass, weight, ...counts] = text.split(':');
+  const [historyTokens, turnTokens, answerTokens] = counts.map(parseWholeNumber(1, MAX_TOKENS));
+  if (!requestClass || !(Number(weight) > 0) || counts.length !== 3) {
+    throw new Error('is not class:weight:history:turn:answer');
+  }
+  return {requestClass, weight: Number(weight), historyTokens, turnTokens, answerTokens};
+}
+
+function parseRate(text: string): number {
+  const rate = Number(text);
+  if (!(rate > 0 && rate <= MAX_RATE_PER_SECOND)) {
+    throw new Error(`is not a rate above 0 and up to ${MAX_RATE_PER_SECOND}`);
+  }
+  return rate;
+}
--- /dev/null
+++ b/src/load/index.ts
@@ -0,0 +1,23 @@
+export {CostMeter, sumPrices, type CostMeterOptions, type InstancePrice} from './CostMeter.js';
+export {
+  planLoad,
+  type LoadKind,
+  type LoadPlanOptions,
+  type LoadWorkspace,
+  type PlannedRequest,
+} from './LoadPlan.js';
+export {
+  createHtmlReport,
+  createMarkdownTable,
+  type ReportOptions,
+  type ReportedLoad,
+} from './LoadReport.js';
+export {
+  LoadResult,
+  type DurationSummary,
+  type LoadSecond,
+  type LoadSummary,
+  type RequestOutcome,
+} from './LoadResult.js';
+export {LoadRunner, type LoadRunnerOptions} from './LoadRunner.js';
+export {LOAD_SETTINGS, type LoadSettings} from './LoadSettings.js';
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -7,3 +7,4 @@
 } from './promptBlocks.js';
 export {hashText, rankByRendezvous} from './rendezvous.js';
 export {waitForStopSignal} from './stopSignal.js';
+export {createSeededRandom} from './seededRandom.js';
--- /dev/null
+++ b/tests/load/LoadPlan.test.ts
@@ -0,0 +1,46 @@
+/** Tests of the planned load. */
+import t from 'tap';
+import {planLoad, type LoadPlanOptions} from '../../src/load/index.js';
+
+const OPTIONS: LoadPlanOptions = {
+  seed: 7,
+  durationMs: 20_000,
+  startRatePerSecond: 20,
+  endRatePerSecond: 60,
+  conversations: 2,
+  kinds: [
+    {requestClass: 'chat', weight: 3, historyTokens: 100, turnTokens: 20, answerTokens: 10},
+    {requestClass: 'review', weight: 1, historyTokens: 900, turnTokens: 50, answerTokens: 40},
+  ],
+  workspaces: [
+    {name: 'large', key: 'a', weight: 4},
+    {name: 'small', key: 'b', weight: 1},
+  ],
+};
+
+t.test('planLoad', t => {
+  const planned = planLoad(OPTIONS);
+  t.test('gives the same requests for the same seed', t => {
+    t.same(planLoad(OPTIONS), planned);
+    t.notSame(planLoad({...OPTIONS, seed: 8}), planned);
+    t.end();
+  });
+  t.test('keeps to the rate, which grows from start to end', t => {
+    const half = planned.filter(({atMs}) => atMs < OPTIONS.durationMs / 2).length;
+    t.ok(planned.length > 700 && planned.length < 900, `${planned.length} requests`);
+    t.ok(half < planned.length * 0.45, `${half} in the first half`);
+    t.end();
+  });
+  t.test('lets each turn of a conversation repeat the prompt of the turn before', t => {
+    const lastPrompts = new Map<string, string>();
+    for (const {content, repeatedTokens, promptTokens, kind} of planned) {
+      const conversation = content.split('.0 ')[0];
+      const last = lastPrompts.get(conversation);
+      lastPrompts.set(conversation, content);
+      if (last === undefined) t.equal(repeatedTokens, 0);
+      else t.ok(content.startsWith(last) && repeatedTokens === promptTokens - kind.turnTokens);
+    }
+    t.end();
+  });
+  t.end();
+});
