--- a/scenarios/deployment/ManagedProcess.ts
+++ b/scenarios/deployment/ManagedProcess.ts
@@ -25,6 +25,11 @@
 }
 
 const KEPT_ERROR_BYTES = 4_000;
+const children = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
 
 /** Runs one process. */
 export class ManagedProcess {
@@ -42,6 +47,8 @@
     const {binary, args, logPath} = this.options;
     const child = spawn(process.execPath, [binary, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
     this.child = child;
+    children.add(child);
+    child.once('exit', () => children.delete(child));
     child.stderr.on('data', (data: Buffer) => {
       this.errorText = (this.errorText + data.toString()).slice(-KEPT_ERROR_BYTES);
     });
--- /dev/null
+++ b/tests/standins/engine/ModelEngine.test.ts
@@ -0,0 +1,155 @@
+/** Tests of the stand-in engine over HTTP. */
+import t from 'tap';
+import {request} from 'undici';
+import {createAnswer, DEFAULT_ENGINE_PROFILE, ModelEngine} from '../../../standins/index.js';
+import type {FaultsInput} from '../../../standins/index.js';
+
+const PROFILE = {...DEFAULT_ENGINE_PROFILE, timeScale: 10, coldMaxRequests: 2};
+const CHAT = {model: 'guidance', messages: [{role: 'user', content: 'hello there'}], max_tokens: 6};
+const CHAT_TEXT = createAnswer('<user>\nhello there\n<assistant>\n', 6);
+
+async function startEngine(isColdAtStart = false) {
+  const downs: string[] = [];
+  const engine = new ModelEngine({
+    address: '127.0.0.1',
+    port: 0,
+    identity: {
+      instanceId: 'e1',
+      service: 'guidance',
+      version: 'v1',
+      failureDomain: 'a',
+      machineClass: 'standard',
+      market: 'reclaimable',
+    },
+    profile: PROFILE,
+    isColdAtStart,
+    honoursFencingTokens: true,
+    loadLagMs: 100,
+    cacheEventDelayMs: 0,
+    loadVersionMs: 0,
+    random: () => 0,
+    onDown: reason => downs.push(reason),
+  });
+  await engine.start();
+  const url = `http://127.0.0.1:${engine.getPort()}`;
+  const call = async (method: 'GET' | 'POST' | 'PUT', path: string, body?: object) => {
+    const answer = await request(url + path, {method, body: body && JSON.stringify(body)});
+    return {status: answer.statusCode, text: await answer.body.text()};
+  };
+  const setFaults = (faults: FaultsInput) => call('PUT', '/standin/faults', faults);
+  return {engine, url, call, setFaults, downs};
+}
+
+t.test('ModelEngine', t => {
+  t.test('answers whole, with usage', async t => {
+    const {engine, call} = await startEngine();
+    t.teardown(() => engine.stop());
+    const answer = JSON.parse((await call('POST', '/v1/chat/completions', CHAT)).text);
+    t.equal(answer.choices[0].message.content, CHAT_TEXT);
+    t.equal(answer.usage.completion_tokens, 6);
+  });
+
+  t.test('goes on where a last message is continued', async t => {
+    const {engine, call} = await startEngine();
+    t.teardown(() => engine.stop());
+    const passed = createAnswer('<user>\nhello there\n<assistant>\n', 2);
+    const resumed = {
+      ...CHAT,
+      messages: [...CHAT.messages, {role: 'assistant', content: passed}],
+      continue_final_message: true,
+      add_generation_prompt: false,
+      max_tokens: 4,
+    };
+    const answer = JSON.parse((await call('POST', '/v1/chat/completions', resumed)).text);
+    t.equal(passed + answer.choices[0].message.content, CHAT_TEXT);
+  });
+
+  t.test('streams one token a chunk and ends', async t => {
+    const {engine, call} = await startEngine();
+    t.teardown(() => engine.stop());
+    const {text} = await call('POST', '/v1/chat/completions', {...CHAT, stream: true});
+    const tokens = [...text.matchAll(/"content":"(w\d+ )"/g)].map(match => match[1]);
+    t.equal(tokens.join(''), CHAT_TEXT);
+    t.match(text, /data: \[DONE\]\n\n$/);
+  });
+
+  t.test('a closed connection frees its place', async t => {
+    const {engine, url} = await startEngine();
+    t.teardown(() => engine.stop());
+    const giveUp = new AbortController();
+    const answer = await request(`${url}/v1/chat/completions`, {
+      method: 'POST',
+      body: JSON.stringify({...CHAT, stream: true, max_tokens: 100_000}),
+      signal: giveUp.signal,
+    });
+    giveUp.abort();
+    await answer.body.text().catch(() => undefined);
+    const [entry] = engine.getLedger().getEntries();
+    while (entry.end === 'running') await new Promise(resolve => setTimeout(resolve, 5));
+    t.equal(entry.end, 'cancelled');
+  });
+
+  t.test('a repeated prompt is found in the cache and shows in events', async t => {
+    const {engine, call} = await startEngine();
+    t.teardown(() => engine.stop());
+    const content = Array.from({length: 60}, (unused, index) => `word${index}`).join(' ');
+    const long = {...CHAT, messages: [{role: 'user', content}]};
+    await call('POST', '/v1/chat/completions', long);
+    const answer = JSON.parse((await call('POST', '/v1/chat/completions', long)).text);
+    t.equal(answer.usage.prompt_tokens_details.cached_tokens, 48);
+    const {events} = JSON.parse((await call('GET', '/cache/events?from=0')).text);
+    t.ok(events.length >= 3);
+  });
+
+  t.test('refuses an order with an old fencing token', async t => {
+    const {engine, call} = await startEngine();
+    t.teardown(() => engine.stop());
+    const order = {order: 'role', service: 'guidance', version: 'v1', role: 'prefill'};
+    t.equal((await call('POST', '/orders', {...order, fencingToken: 7})).status, 200);
+    const refused = await call('POST', '/orders', {...order, fencingToken: 6});
+    t.same([refused.status, JSON.parse(refused.text)], [409, {highestToken: 7}]);
+  });
+
+  t.test('a cold engine crashes over its limit', async t => {
+    const {call, engine, downs} = await startEngine(true);
+    const calls = Array.from({length: 3}, () =>
+      call('POST', '/v1/chat/completions', CHAT).then(
+        ({status}) => status,
+        () => 'broken',
+      ),
+    );
+    t.same(await Promise.all(calls), ['broken', 'broken', 'broken']);
+    t.same(downs, ['crashed']);
+    t.ok(
+      engine
+        .getLedger()
+        .getEntries()
+        .every(({end}) => end === 'crashed'),
+    );
+  });
+
+  t.test('faults', t => {
+    function doTest(name: string, faults: FaultsInput, expected: number | 'broken') {
+      t.test(name, async t => {
+        const {engine, call, setFaults, downs} = await startEngine();
+        await setFaults(faults);
+        const status = await call('POST', '/v1/chat/completions', CHAT).then(
+          answer => answer.status,
+          () => 'broken' as const,
+        );
+        t.equal(status, expected);
+        if (downs.length === 0) await engine.stop();
+      });
+    }
+
+    doTest('a bad version fails', {badVersion: {effect: 'fail'}}, 500);
+    doTest('a bad version fails later', {badVersion: {effect: 'fail', afterMs: 60_000}}, 200);
+    doTest('under load', {badVersion: {effect: 'fail', minRunningRequests: 2}}, 200);
+    doTest('on another route', {badVersion: {effect: 'fail', pathPrefix: '/v1/completions'}}, 200);
+    doTest('an outage', {hasOutage: true}, 503);
+    doTest('an answer is lost', {loseAnswersPercent: 100}, 'broken');
+    doTest('a body crashes it', {crashOnBodyText: 'hello'}, 'broken');
+    t.end();
+  });
+  t.end();
+});
--- /dev/null
+++ b/tests/standins/engine/PrefixCache.test.ts
@@ -0,0 +1,40 @@
+/** Tests of the stand-in engine's bounded prefix cache. */
+import t from 'tap';
+import {getBlockHashes, PrefixCache} from '../../../standins/engine/PrefixCache.js';
+import {hashBlocks} from '../../../src/utils/index.js';
+
+const words = (count: number, name = 'w') =>
+  Array.from({length: count}, (unused, index) => `${name}${index} `);
+
+t.test('PrefixCache', t => {
+  function doTest(
+    name: string,
+    stored: ReadonlyArray<readonly string[]>,
+    asked: readonly string[],
+    expected: number,
+  ) {
+    t.test(name, t => {
+      const cache = new PrefixCache(64, () => undefined);
+      for (const tokens of stored) cache.storePrefix(getBlockHashes(tokens));
+      t.equal(cache.usePrefix(getBlockHashes(asked)), expected);
+      t.end();
+    });
+  }
+
+  doTest('finds whole blocks only', [words(40)], words(40), 32);
+  doTest('finds the shared part of another prompt', [words(40)], [...words(20), 'x '], 16);
+  doTest('finds nothing of a prompt that begins otherwise', [words(40)], words(40, 'v'), 0);
+  doTest('drops the least recently used', [words(32), words(64, 'v')], words(32), 0);
+  doTest(
+    'keeps the beginning of a prompt over its end',
+    [words(64), words(16, 'v')],
+    words(64),
+    48,
+  );
+  t.end();
+});
+
+t.test('getBlockHashes', t => {
+  t.same(getBlockHashes(words(50)), hashBlocks(words(50)), 'as routing computes them');
+  t.end();
+});
