--- a/bench/capacity/Measure.ts
+++ b/bench/capacity/Measure.ts
@@ -4,6 +4,7 @@
 
 const BATCHES = 7;
 const BUILDS = 7;
+const WARM_UP_BUILDS = 3;
 const MIN_BATCH_MICROS = 20_000;
 const MAX_REPEATS = 1_000_000;
 const WARM_UP_MICROS = 200_000;
@@ -31,7 +32,7 @@
  * @param build - Builds the state from scratch.
  */
 export function measureHeapBytes(build: () => unknown): number {
-  held = build();
+  for (let count = 0; count < WARM_UP_BUILDS; count++) measureOneBuild(build);
   return getMedian(Array.from({length: BUILDS}, () => measureOneBuild(build)));
 }
 
--- a/bench/capacity/MemberSlopes.ts
+++ b/bench/capacity/MemberSlopes.ts
@@ -58,6 +58,7 @@
     description: 'decisions of one probe sent and one answered, without rumours',
     sizeUnit: 'entries',
     valueUnit: 'us',
+    power: 2,
     sizes: MEMBER_COUNTS,
     measure: count => {
       let state = createState(count);
