--- a/src/claims/ClaimBatcher.ts
+++ b/src/claims/ClaimBatcher.ts
@@ -67,10 +67,12 @@
     this.wake();
   }
 
-  /** Stops after the batch that is under way. */
+  /** Drops waiting claims, tries once more to append waiting outcomes, and stops. */
   async stop(): Promise<void> {
     this.isStopped = true;
+    this.claims = [];
     await this.running;
+    await this.proposeBatch();
   }
 
   private wake(): void {
--- a/tests/claims/ClaimService.test.ts
+++ b/tests/claims/ClaimService.test.ts
@@ -113,6 +113,15 @@
     t.equal(log.getAppendCount(), 1);
   });
 
+  t.test('stop appends the outcomes that wait', async t => {
+    const {createService, settle} = createWorld();
+    const [one, two] = [createService('e1'), createService('e2')];
+    await settle(one.claim(createRequest('a1')));
+    void one.recordOutcome({workspace: 'w', key: 'k', attemptId: 'a1', run: 'ran', answer: ANSWER});
+    await settle(one.stop());
+    t.equal((await settle(two.claim(createRequest('a2')))).verdict, 'done');
+  });
+
   t.test('recordOutcome keeps trying through an outage', async t => {
     const {createService, settle, log} = createWorld();
     const [one, two] = [createService('e1'), createService('e2')];
