--- a/src/claims/ClaimBatcher.ts
+++ b/src/claims/ClaimBatcher.ts
@@ -1,6 +1,6 @@
 /** Gathers claims and outcomes, and appends them to the log a batch at a time. */
 import type {LogWriter, Sleep} from '../log/index.js';
-import type {AppendPacer} from './AppendPacer.js';
+import {AppendPacer} from './AppendPacer.js';
 import type {ClaimProposal, LogBody, OutcomeProposal} from '../records/index.js';
 
 /** Options of a `ClaimBatcher`. */
@@ -8,13 +8,16 @@
   readonly writer: LogWriter;
   /** Shortest time for which claims and outcomes are gathered before an append. */
   readonly batchIntervalMs: number;
-  readonly pacer: AppendPacer;
+  /** Returns how many appends a second this entry may make. */
+  readonly getAppendsPerSecond: () => number;
   readonly getNowMs: () => number;
   readonly sleep: Sleep;
   /** Returns whether an outcome is in the log already. */
   readonly isOutcomeKept: (outcome: OutcomeProposal) => boolean;
 }
 
+/** Appends that may follow each other at once after a quiet time. */
+const APPEND_BURST = 5;
 const MAX_CLAIMS_PER_BATCH = 1_000;
 const MAX_OUTCOMES_PER_BATCH = 200;
 /** Outcomes that wait through an outage; the oldest are given up beyond it. */
@@ -26,6 +29,7 @@
  */
 export class ClaimBatcher {
   private readonly options: ClaimBatcherOptions;
+  private readonly pacer = new AppendPacer(APPEND_BURST);
   private claims: ClaimProposal[] = [];
   private outcomes: OutcomeProposal[] = [];
   private running: Promise<void> | undefined;
@@ -81,8 +85,9 @@
 
   private async run(): Promise<void> {
     while (!this.isStopped && this.claims.length + this.outcomes.length > 0) {
-      const {sleep, batchIntervalMs, pacer, getNowMs} = this.options;
-      await sleep(Math.max(batchIntervalMs, pacer.takeAppend(getNowMs())));
+      const {sleep, batchIntervalMs, getAppendsPerSecond, getNowMs} = this.options;
+      const turnMs = this.pacer.takeAppend(getNowMs(), getAppendsPerSecond());
+      await sleep(Math.max(batchIntervalMs, turnMs));
       await this.proposeBatch();
     }
   }
--- a/src/claims/ClaimService.ts
+++ b/src/claims/ClaimService.ts
@@ -10,7 +10,6 @@
   type Sleep,
 } from '../log/index.js';
 import type {ClaimProposal, OutcomeProposal, PlacedRecord} from '../records/index.js';
-import {AppendPacer} from './AppendPacer.js';
 import {BoundedSet} from './BoundedSet.js';
 import {ClaimBatcher} from './ClaimBatcher.js';
 import {KeyWaiters} from './KeyWaiters.js';
@@ -19,6 +18,8 @@
 export interface ClaimGathering {
   /** Returns the entry that gathers for a key; undefined where this one does. */
   readonly getGatherer: (workspace: string, key: string) => ClaimGatherer | undefined;
+  /** Returns the number of entries that append claims. */
+  readonly getAppenderCount: () => number;
 }
 
 /** Another entry that claims for this one. */
@@ -37,7 +38,7 @@
   readonly isClaimantLive: (claimant: string) => boolean;
   /** Shortest time for which claims are gathered before an append. */
   readonly batchIntervalMs?: number;
-  /** Appends a second in the long run; those of all entries together stay below the log's rate. */
+  /** Appends a second of all entries together; below the log's rate. */
   readonly appendsPerSecond?: number;
   /** Time after which a claim that wasn't read back is refused. */
   readonly claimTimeoutMs?: number;
@@ -56,11 +57,9 @@
 }
 
 const DEFAULT_BATCH_INTERVAL_MS = 10;
-/** Nine entries that claim for themselves stay under 100 appends a second. */
-const DEFAULT_APPENDS_PER_SECOND = 10;
-/** Two entries that gather for all stay under 100 appends a second. */
-const DEFAULT_GATHERED_APPENDS_PER_SECOND = 45;
-const APPEND_BURST = 5;
+const DEFAULT_APPENDS_PER_SECOND = 90;
+/** Entries that are reckoned with where nothing is known of the others. */
+const DEFAULT_APPENDER_COUNT = 9;
 const DEFAULT_CLAIM_TIMEOUT_MS = 3_000;
 const DEFAULT_SNAPSHOT_INTERVAL_MS = 900_000;
 const DEFAULT_GATHERER_TIMEOUT_MS = 500;
@@ -107,12 +106,7 @@
       batchIntervalMs: options.batchIntervalMs ?? DEFAULT_BATCH_INTERVAL_MS,
       sleep,
       getNowMs,
-      pacer: new AppendPacer({
-        burst: APPEND_BURST,
-        appendsPerSecond:
-          options.appendsPerSecond ??
-          (options.gathering ? DEFAULT_GATHERED_APPENDS_PER_SECOND : DEFAULT_APPENDS_PER_SECOND),
-      }),
+      getAppendsPerSecond: () => this.getAppendsPerSecond(),
       isOutcomeKept: outcome => this.isOutcomeKept(outcome),
     });
     this.follower = new StreamFollower({
@@ -250,6 +244,12 @@
     return claim?.attemptId === attemptId && claim.outcome?.run === run;
   }
 
+  private getAppendsPerSecond(): number {
+    const {appendsPerSecond = DEFAULT_APPENDS_PER_SECOND, gathering} = this.options;
+    const appenderCount = gathering?.getAppenderCount() ?? DEFAULT_APPENDER_COUNT;
+    return appendsPerSecond / Math.max(appenderCount, 1);
+  }
+
   private isLogRead(): boolean {
     const readAtMs = this.follower.getCaughtUpAtMs();
     return readAtMs !== undefined && this.options.getNowMs() - readAtMs <= LOG_READ_WINDOW_MS;
--- a/src/controllers/claims/index.ts
+++ b/src/controllers/claims/index.ts
@@ -1,4 +1,9 @@
-export {CLAIM_GATHERER_COUNT, chooseClaimGatherer} from './chooseClaimGatherer.js';
+export {
+  CLAIM_GATHERER_COUNT,
+  MAX_SELF_CLAIMING_ENTRIES,
+  chooseClaimGatherer,
+  countClaimAppenders,
+} from './chooseClaimGatherer.js';
 export {
   CLAIM_FRESH_MS,
   decideClaim,
--- a/src/peer/ClaimCalls.ts
+++ b/src/peer/ClaimCalls.ts
@@ -7,7 +7,7 @@
   type ClaimVerdict as ClaimVerdictName,
 } from '../claims/index.js';
 import type {Blackboard} from '../blackboard/index.js';
-import {chooseClaimGatherer} from '../controllers/claims/index.js';
+import {chooseClaimGatherer, countClaimAppenders} from '../controllers/claims/index.js';
 import type {OutcomeProposal, StoredAnswer} from '../records/index.js';
 import {
   ClaimVerdict,
@@ -59,6 +59,7 @@
       if (!member || member.instanceId === selfId) return undefined;
       return new RemoteGatherer(client.getCalls(member));
     },
+    getAppenderCount: () => countClaimAppenders(blackboard.getSection('peers').members),
   };
 }
 
--- a/tests/claims/AppendPacer.test.ts
+++ b/tests/claims/AppendPacer.test.ts
@@ -5,8 +5,8 @@
 t.test('AppendPacer', t => {
   function doTest(name: string, takenAtMs: readonly number[], expectedWaitMs: number) {
     t.test(name, t => {
-      const pacer = new AppendPacer({appendsPerSecond: 10, burst: 2});
-      const waits = takenAtMs.map(nowMs => pacer.takeAppend(nowMs));
+      const pacer = new AppendPacer(2);
+      const waits = takenAtMs.map(nowMs => pacer.takeAppend(nowMs, 10));
       t.equal(waits.at(-1), expectedWaitMs);
       t.end();
     });
--- a/tests/peer/ClaimCalls.test.ts
+++ b/tests/peer/ClaimCalls.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import {Blackboard, type Member} from '../../src/blackboard/index.js';
 import {ClaimService} from '../../src/claims/index.js';
+import {MAX_SELF_CLAIMING_ENTRIES} from '../../src/controllers/claims/index.js';
 import {
   PeerClient,
   PeerKeys,
@@ -38,7 +39,7 @@
     configurationRevision: 1,
     changedAtMs: 0,
   };
-  blackboard.setSection('peers', {members: [member]});
+  blackboard.setSection('peers', {members: createMembers(member)});
   gatherer.start();
   service.start();
   const stop = async () => {
@@ -48,6 +49,13 @@
   return {log, gatherer, service, server, stop};
 }
 
+/** Returns so many entries that claims are gathered; the one that is given listens for all. */
+function createMembers(member: Member): readonly Member[] {
+  return Array.from({length: MAX_SELF_CLAIMING_ENTRIES + 1}, (empty, index) => {
+    return {...member, instanceId: `e1-${index}`};
+  });
+}
+
 t.test('ClaimCalls', t => {
   const request = {workspace: 'w', key: 'k', attemptId: 'a1', fingerprint: 'f'};
 
--- a/tests/support/ClaimsWorld.ts
+++ b/tests/support/ClaimsWorld.ts
@@ -86,7 +86,10 @@
       keepMs: KEEP_MS,
       snapshotIntervalMs: 8_000,
       isClaimantLive: other => this.entries.some(entry => entry.name === other && !entry.isCrashed),
-      gathering: {getGatherer: (workspace, key) => this.getGatherer(name, key)},
+      gathering: {
+        getGatherer: (workspace, key) => this.getGatherer(name, key),
+        getAppenderCount: () => 2,
+      },
     });
     const entry = {name, service, isCrashed: false, pausedUntilMs: 0};
     holder.entry = entry;
