--- a/bench/claims/BenchEntry.ts
+++ b/bench/claims/BenchEntry.ts
@@ -15,8 +15,6 @@
 export interface BenchEntryOptions {
   readonly instanceId: string;
   readonly logUrl: string;
-  /** Whether claims are gathered at few entries. */
-  readonly isGathering: boolean;
 }
 
 const ADDRESS = '127.0.0.1';
@@ -36,7 +34,7 @@
 
   constructor(options: BenchEntryOptions) {
     this.options = options;
-    const {instanceId, logUrl, isGathering} = options;
+    const {instanceId, logUrl} = options;
     const keys = new PeerKeys(['bench']);
     this.client = new PeerClient({keys, timeoutMs: TIMEOUT_MS});
     this.server = new PeerServer({address: ADDRESS, port: 0, keys});
@@ -46,9 +44,7 @@
       claimant: instanceId,
       getNowMs: () => Date.now(),
       isClaimantLive: () => true,
-      gathering: isGathering
-        ? createClaimGathering(this.blackboard, this.client, instanceId)
-        : undefined,
+      gathering: createClaimGathering(this.blackboard, this.client, instanceId),
     });
   }
 
--- a/bench/claims/measureClaims.ts
+++ b/bench/claims/measureClaims.ts
@@ -1,4 +1,4 @@
-/** Measures claims: time per booking and appends, with and without gathering. */
+/** Measures claims: time per booking and appends. */
 import {fork, type ChildProcess} from 'node:child_process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
@@ -14,7 +14,6 @@
   readonly entryCount: number;
   readonly bookingsPerSecond: number;
   readonly durationMs: number;
-  readonly isGathering: boolean;
 }
 
 /** What one measurement gave. */
@@ -63,10 +62,10 @@
 
 /** Claims and records bookings at a rate, with each entry in a process of its own. */
 export async function measureClaims(load: ClaimLoad): Promise<ClaimMeasurement> {
-  const {logUrl, entryCount, bookingsPerSecond, durationMs, isGathering} = load;
+  const {logUrl, entryCount, bookingsPerSecond, durationMs} = load;
   const runId = `${Date.now()}`;
   const processes = Array.from({length: entryCount}, (empty, index) =>
-    fork(ENTRY_PROGRAM, [`${runId}-${index}`, logUrl, isGathering ? 'yes' : 'no']),
+    fork(ENTRY_PROGRAM, [`${runId}-${index}`, logUrl]),
   );
   const instances = await Promise.all(processes.map(child => receive<Instance>(child)));
   const appendsBefore = await countAppends(logUrl);
--- a/bench/claims/measureDetection.ts
+++ b/bench/claims/measureDetection.ts
@@ -15,7 +15,7 @@
   const runId = `${Date.now()}`;
   const entries = Array.from(
     {length: entryCount},
-    (empty, index) => new BenchEntry({instanceId: `${runId}-${index}`, logUrl, isGathering: false}),
+    (empty, index) => new BenchEntry({instanceId: `${runId}-${index}`, logUrl}),
   );
   await Promise.all(entries.map(entry => entry.start()));
   const instances = entries.map(entry => entry.getInstance());
--- a/bench/claims/run-claim-entry.ts
+++ b/bench/claims/run-claim-entry.ts
@@ -1,4 +1,4 @@
-/** One entry of a claim measurement, as a process of its own: `node run-claim-entry.js INSTANCE LOG_URL yes|no`. */
+/** One entry of a claim measurement, as a process of its own: `node run-claim-entry.js INSTANCE LOG_URL`. */
 import {setTimeout as wait} from 'node:timers/promises';
 import type {Instance} from '../../src/blackboard/index.js';
 import {BenchEntry} from './BenchEntry.js';
@@ -52,8 +52,8 @@
   return {granted, recorded, claimTimesMs};
 }
 
-const [instanceId, logUrl, gathering] = process.argv.slice(2);
-const entry = new BenchEntry({instanceId, logUrl, isGathering: gathering === 'yes'});
+const [instanceId, logUrl] = process.argv.slice(2);
+const entry = new BenchEntry({instanceId, logUrl});
 process.on('message', (message: EntryLoad) => {
   void runLoad(entry, message).then(result => process.send?.(result));
 });
--- a/bench/claims/run-claims.ts
+++ b/bench/claims/run-claims.ts
@@ -2,9 +2,17 @@
 import {measureClaims, measureRoundTrip} from './measureClaims.js';
 import {measureDetection} from './measureDetection.js';
 
-const ENTRY_COUNT = 9;
 const DURATION_MS = 8_000;
-const RATES = [50, 200, 400];
+const DETECTION_COUNTS = [3, 9];
+/** Twelve entries are more than claim for themselves, so claims are gathered there. */
+const CLAIM_LOADS = [
+  {entryCount: 9, bookingsPerSecond: 5},
+  {entryCount: 9, bookingsPerSecond: 50},
+  {entryCount: 9, bookingsPerSecond: 200},
+  {entryCount: 9, bookingsPerSecond: 400},
+  {entryCount: 12, bookingsPerSecond: 50},
+  {entryCount: 12, bookingsPerSecond: 200},
+];
 const ROUND_TRIP_SAMPLES = 200;
 const DETECTION_RUNS = 8;
 
@@ -16,17 +24,14 @@
 
 async function runClaims(): Promise<void> {
   print({roundTripP50Ms: await measureRoundTrip(logUrl, ROUND_TRIP_SAMPLES)});
-  for (const isGathering of [true, false]) {
-    for (const bookingsPerSecond of RATES) {
-      const load = {logUrl, entryCount: ENTRY_COUNT, durationMs: DURATION_MS};
-      const result = await measureClaims({...load, bookingsPerSecond, isGathering});
-      print({isGathering, bookingsPerSecond, ...result});
-    }
+  for (const {entryCount, bookingsPerSecond} of CLAIM_LOADS) {
+    const load = {logUrl, entryCount, bookingsPerSecond, durationMs: DURATION_MS};
+    print({entryCount, bookingsPerSecond, ...(await measureClaims(load))});
   }
 }
 
 async function runDetection(): Promise<void> {
-  for (const entryCount of [3, ENTRY_COUNT]) {
+  for (const entryCount of DETECTION_COUNTS) {
     const timesMs: number[] = [];
     for (let run = 0; run < DETECTION_RUNS; run++) {
       timesMs.push(await measureDetection(logUrl, entryCount));
