--- a/scenarios/callers/CallerRequest.ts
+++ b/scenarios/callers/CallerRequest.ts
@@ -21,67 +21,100 @@
   readonly error?: {readonly kind?: string; readonly run?: string};
 }
 
-/** Sends a request to an entry; never throws. */
+/** What arrived of an answer; tokens add up over the entries that it came from. */
+interface SeenAnswer {
+  status?: number;
+  requestId?: string;
+  run?: string;
+  kind?: string;
+  text?: string;
+  tokens?: string[];
+  firstTokenMs?: number;
+  isWhole: boolean;
+}
+
+/** Where a caller goes for its answer, or for the rest of it. */
+interface Place {
+  readonly url: string;
+  readonly method: 'GET' | 'POST';
+}
+
+const MAX_PLACES = 5;
+const STATUS_SEE_OTHER = 303;
+
+/** Sends a request to an entry and goes where the entry sends it for the rest; never throws. */
 export async function sendCallerRequest(
   entryUrl: string,
-  {path, headers, body, isStreamed, timeoutMs}: CallerRequest,
+  callerRequest: CallerRequest,
 ): Promise<CallAttempt> {
   const startedAtMs = Date.now();
-  const base = {entryUrl, startedAtMs};
+  const seen: SeenAnswer = {isWhole: false};
+  let place: Place | undefined = {url: entryUrl + callerRequest.path, method: 'POST'};
   try {
-    const answer = await request(entryUrl + path, {
-      method: 'POST',
-      headers: {...headers, 'content-type': 'application/json'},
-      body,
-      headersTimeout: timeoutMs,
-      bodyTimeout: timeoutMs,
-      signal: AbortSignal.timeout(timeoutMs),
-    });
-    const requestId = String(answer.headers['x-request-id'] ?? '');
-    const seen =
-      isStreamed && answer.statusCode === 200
-        ? await readStream(answer, startedAtMs)
-        : await readWhole(answer);
-    return {...base, status: answer.statusCode, requestId, ...seen, endedAtMs: Date.now()};
+    for (let places = 0; place && places < MAX_PLACES; places++) {
+      place = await readFrom(place, callerRequest, seen, startedAtMs);
+    }
   } catch {
-    return {...base, endedAtMs: Date.now(), isWhole: false};
+    // The connection broke; what arrived before counts.
   }
+  return {...seen, entryUrl, startedAtMs, endedAtMs: Date.now()};
 }
 
-async function readWhole(
-  answer: Dispatcher.ResponseData,
-): Promise<Partial<CallAttempt> & {isWhole: boolean}> {
-  const text = await answer.body.text();
-  if (answer.statusCode < 300) return {text, isWhole: true};
-  return {text, isWhole: true, ...readError(text)};
+async function readFrom(
+  {url, method}: Place,
+  {headers, body, isStreamed, timeoutMs}: CallerRequest,
+  seen: SeenAnswer,
+  startedAtMs: number,
+): Promise<Place | undefined> {
+  const resumed = method === 'GET' ? {'last-event-id': String(seen.tokens?.length ?? 0)} : {};
+  const answer = await request(url, {
+    method,
+    headers: {...headers, ...resumed, 'content-type': 'application/json'},
+    body: method === 'POST' ? body : undefined,
+    headersTimeout: timeoutMs,
+    bodyTimeout: timeoutMs,
+    signal: AbortSignal.timeout(timeoutMs),
+  });
+  seen.status = answer.statusCode;
+  seen.requestId ??= String(answer.headers['x-request-id'] ?? '');
+  if (answer.statusCode === STATUS_SEE_OTHER) {
+    await answer.body.dump();
+    return {url: String(answer.headers.location), method: 'GET'};
+  }
+  if (isStreamed && answer.statusCode === 200) return readStream(answer, seen, startedAtMs);
+  seen.text = await answer.body.text();
+  seen.isWhole = true;
+  if (answer.statusCode >= 300) Object.assign(seen, readError(seen.text));
+  return undefined;
 }
 
-async function readStream(answer: Dispatcher.ResponseData, startedAtMs: number) {
-  const tokens: string[] = [];
-  let isWhole = false;
-  let firstTokenMs: number | undefined;
-  let failure: {readonly kind?: string; readonly run?: string} = {};
+async function readStream(
+  answer: Dispatcher.ResponseData,
+  seen: SeenAnswer,
+  startedAtMs: number,
+): Promise<Place | undefined> {
+  const tokens = (seen.tokens ??= []);
+  let location: string | undefined;
   const parser = createParser({
     onEvent: ({data, event}) => {
-      if (event === 'error') failure = readError(data);
-      else if (data === '[DONE]') isWhole = true;
-      else {
-        const token = readToken(data);
-        if (token === '') return;
-        firstTokenMs ??= Date.now() - startedAtMs;
-        tokens.push(token);
-      }
+      if (event === 'error') Object.assign(seen, readError(data));
+      else if (event === 'moved') ({location} = JSON.parse(data) as {location: string});
+      else if (data === '[DONE]') seen.isWhole = true;
+      else addToken(data, tokens, seen, startedAtMs);
     },
   });
-  try {
-    const decoder = new TextDecoder();
-    for await (const bytes of answer.body as AsyncIterable<Buffer>) {
-      parser.feed(decoder.decode(bytes, {stream: true}));
-    }
-  } catch {
-    // The connection broke; what arrived before counts.
+  const decoder = new TextDecoder();
+  for await (const bytes of answer.body as AsyncIterable<Buffer>) {
+    parser.feed(decoder.decode(bytes, {stream: true}));
   }
-  return {tokens, firstTokenMs, isWhole, ...failure};
+  return location === undefined ? undefined : {url: location, method: 'GET'};
+}
+
+function addToken(data: string, tokens: string[], seen: SeenAnswer, startedAtMs: number): void {
+  const token = readToken(data);
+  if (token === '') return;
+  seen.firstTokenMs ??= Date.now() - startedAtMs;
+  tokens.push(token);
 }
 
 function readToken(data: string): string {
