--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -1,8 +1,23 @@
-export {planArrivals, type Arrival} from './ArrivalPlan.js';
-export {createPrompt, type CallResult} from './LoadCall.js';
-export {parseMix, readMix, type LoadMix} from './LoadMix.js';
-export {createHtml, createMarkdown, type PolicyReport} from './LoadReport.js';
-export {checkLoadSettings, loadSettings, type LoadSettings} from './LoadSettings.js';
-export {countRecomputedTokens, summarize, type LoadSummary} from './LoadStatistics.js';
-export {PolicyComparison} from './PolicyComparison.js';
-export {createRandom} from './random.js';
+export {CostMeter, sumPrices, type CostMeterOptions, type InstancePrice} from './CostMeter.js';
+export {
+  planLoad,
+  type LoadKind,
+  type LoadPlanOptions,
+  type LoadWorkspace,
+  type PlannedRequest,
+} from './LoadPlan.js';
+export {
+  createHtmlReport,
+  createMarkdownTable,
+  type ReportOptions,
+  type ReportedLoad,
+} from './LoadReport.js';
+export {
+  LoadResult,
+  type DurationSummary,
+  type LoadSecond,
+  type LoadSummary,
+  type RequestOutcome,
+} from './LoadResult.js';
+export {LoadRunner, type LoadRunnerOptions} from './LoadRunner.js';
+export {LOAD_SETTINGS, type LoadSettings} from './LoadSettings.js';
--- a/src/load/random.ts
+++ b/src/utils/seededRandom.ts
@@ -1,16 +1,16 @@
-/** Random numbers from a seed. */
+/** Random numbers from a seed, so that a run can be repeated. */
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
-const RANGE = 0x1_0000_0000;
+const UINT32_RANGE = 2 ** 32;
 /** The generator's first numbers hardly depend on the seed. */
 const SKIPPED_NUMBERS = 20;
 
 /**
- * Returns a function that gives numbers from 0 up to 1, alike for the same seed.
+ * Returns a function that gives numbers from 0 up to 1, the same ones for the same seed.
  * @param seed - The seed.
  */
-export function createRandom(seed: number): () => number {
+export function createSeededRandom(seed: number): () => number {
   const generator = xoroshiro128plus(seed);
   for (let skipped = 0; skipped < SKIPPED_NUMBERS; skipped++) generator.next();
-  return () => (generator.next() >>> 0) / RANGE;
+  return () => (generator.next() >>> 0) / UINT32_RANGE;
 }
--- a/standins/utils/random.ts
+++ b/standins/utils/random.ts
@@ -1,2 +1,2 @@
 /** Random numbers from a seed, as the load tool draws them. */
-export {createRandom} from '../../src/load/index.js';
+export {createSeededRandom as createRandom} from '../../src/utils/index.js';
