--- a/scenarios/runner/ExpectationChecker.ts
+++ b/scenarios/runner/ExpectationChecker.ts
@@ -65,14 +65,19 @@
     return {name: `${name} ${JSON.stringify(fields)}`, findings: await run(fields)};
   }
 
+  /** An expectation about no calls at all would hold for nothing. */
   private getRecords(load: string) {
-    return this.world.getLoadOrThrow(load).getRecords();
+    const records = this.world.getLoadOrThrow(load).getRecords();
+    if (records.length === 0) throw new Error(`load ${load} has no calls`);
+    return records;
   }
 
   private checkNoNewWork({after, withinMs, until, ...target}: FieldsOf<'noNewWork'>): Findings {
     const fromMs = this.world.getMarkOrThrow(after) + withinMs;
     const untilMs = until === undefined ? Infinity : this.world.getMarkOrThrow(until);
-    return selectRuns(this.runs, target)
+    const runs = selectRuns(this.runs, target);
+    if (!runs.some(({startedAtMs}) => startedAtMs < fromMs)) return ['there was no work before'];
+    return runs
       .filter(({startedAtMs}) => startedAtMs > fromMs && startedAtMs < untilMs)
       .map(({instanceId, startedAtMs}) => `${instanceId} got work ${startedAtMs - fromMs} ms late`);
   }
@@ -86,8 +91,10 @@
   }
 
   private checkColdLoad({service, maxOpenRequests}: FieldsOf<'coldLoad'>): Findings {
-    return selectRuns(this.runs, {service})
-      .filter(run => run.wasCold && run.openRequests > maxOpenRequests)
+    const coldRuns = selectRuns(this.runs, {service}).filter(({wasCold}) => wasCold);
+    if (coldRuns.length === 0) return ['no cold server got work'];
+    return coldRuns
+      .filter(({openRequests}) => openRequests > maxOpenRequests)
       .map(run => `${run.instanceId} was cold with ${run.openRequests} requests open`);
   }
 
--- a/scenarios/runner/ScenarioRunner.ts
+++ b/scenarios/runner/ScenarioRunner.ts
@@ -48,7 +48,7 @@
   const runner = new StepRunner(world);
   const startedAtMs = Date.now();
   for (const step of world.scenario.steps) {
-    writeLine(`  ${Date.now() - startedAtMs} ms: ${JSON.stringify(step)}`);
+    writeLine(`  ${Date.now() - startedAtMs} ms: ${JSON.stringify(step, dropUnset)}`);
     await runner.runStep(step);
   }
   await world.waitForLoads();
@@ -78,3 +78,9 @@
   const servers = status.backendServers?.length ?? 0;
   return (status.configurationRevision ?? 0) > 0 && servers >= expectedServers;
 }
+
+/** Keeps what a step leaves at its default out of its line. */
+function dropUnset(key: string, value: unknown): unknown {
+  const isUnset = value === false || value === '' || value === 0;
+  return isUnset || (Array.isArray(value) && value.length === 0) ? undefined : value;
+}
