--- a/src/bin/buckthorn-fleet.ts
+++ b/src/bin/buckthorn-fleet.ts
@@ -11,6 +11,7 @@
     run: async settings => {
       const daemon = new FleetDaemon(settings);
       daemon.start();
+      printReadyLine(settings, daemon.getIncarnation());
       await waitForStopSignal();
       await daemon.stop();
     },
@@ -25,3 +26,8 @@
     process.once('SIGINT', () => resolve());
   });
 }
+
+function printReadyLine({instanceId, failureDomain}: FleetSettings, incarnation: string): void {
+  const line = {ready: true, instanceId, failureDomain, incarnation};
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+}
--- a/src/controllers/capacity/CapacityController.ts
+++ b/src/controllers/capacity/CapacityController.ts
@@ -38,6 +38,14 @@
   /** Slots whose instance is known to have come. */
   readonly filledSlots: readonly string[];
   readonly generations: ReadonlyMap<string, number>;
+  /** Versions that an ended move left without work. */
+  readonly retiredVersions: readonly RetiredVersion[];
+}
+
+/** A version that an ended move left without work. */
+export interface RetiredVersion {
+  readonly service: string;
+  readonly version: string;
 }
 
 /** A start or a graceful stop. */
@@ -66,7 +74,7 @@
   const decisions = view.needs.map(need => decideVersion(view, need));
   return {
     changes: {missingReplicas: decisions.reduce((sum, one) => sum + one.missingReplicas, 0)},
-    effects: [...decisions.flatMap(one => one.effects), ...drainUnneeded(view)],
+    effects: [...decisions.flatMap(one => one.effects), ...drainRetired(view)],
   };
 }
 
@@ -157,12 +165,15 @@
   return drain(view, surplus);
 }
 
-/** Versions that nobody needs any more, such as a bad one or the old one of a move that is done. */
-function drainUnneeded(view: CapacityView): readonly CapacityEffect[] {
-  const services = new Set(view.needs.map(({service}) => service));
+/** Servers of other versions that nobody asked for are left alone; operators may try them out. */
+function drainRetired(view: CapacityView): readonly CapacityEffect[] {
+  const retired = view.retiredVersions.filter(
+    ({service, version}) =>
+      !view.needs.some(need => need.service === service && need.version === version),
+  );
   const unneeded = view.instances
-    .filter(one => isServing(view, one) && services.has(one.service ?? ''))
-    .filter(one => !view.needs.some(need => isOfVersion(one, need)));
+    .filter(one => isServing(view, one))
+    .filter(one => retired.some(version => isOfVersion(one, version)));
   return drain(view, unneeded);
 }
 
@@ -191,7 +202,7 @@
 
 function isOfVersion(
   one: {readonly service?: string; readonly version?: string},
-  need: VersionNeed,
+  need: RetiredVersion,
 ): boolean {
   return one.service === need.service && one.version === need.version;
 }
--- a/src/controllers/capacity/VersionNeeds.ts
+++ b/src/controllers/capacity/VersionNeeds.ts
@@ -2,6 +2,7 @@
 import type {Move} from '../../blackboard/index.js';
 import type {Service} from '../../configuration/index.js';
 import {isMoveEnded} from '../../folds/index.js';
+import type {RetiredVersion} from './CapacityController.js';
 import {getVersionShares} from '../moves/index.js';
 
 /** Backend servers that a version needs to carry its part of the load. */
@@ -48,3 +49,14 @@
       isSpared: sharePercent > LEAST_SPARED_PERCENT,
     }));
 }
+
+/**
+ * Returns the versions that ended moves left without work.
+ * @param moves - Moves as the fleet stream gives them.
+ */
+export function getRetiredVersions(moves: readonly Move[]): readonly RetiredVersion[] {
+  return moves.filter(isMoveEnded).map(({service, phase, fromVersion, toVersion}) => ({
+    service,
+    version: phase === 'done' ? fromVersion : toVersion,
+  }));
+}
--- a/src/controllers/capacity/index.ts
+++ b/src/controllers/capacity/index.ts
@@ -5,6 +5,7 @@
   type CapacityEffect,
   type CapacityView,
   type PendingInstance,
+  type RetiredVersion,
   type Vacancy,
 } from './CapacityController.js';
 export {
@@ -17,4 +18,11 @@
   type RefusedStart,
 } from './Offers.js';
 export {spreadInstances, type DomainCost, type DomainCount} from './Spread.js';
-export {getVersionNeeds, type VersionNeed} from './VersionNeeds.js';
+export {getRetiredVersions, getVersionNeeds, type VersionNeed} from './VersionNeeds.js';
+export {
+  decideLoads,
+  type LoadQueueView,
+  type ReadyCount,
+  type StartLoadEffect,
+  type WaitingInstance,
+} from './LoadQueue.js';
--- a/src/fleet/FleetDaemon.ts
+++ b/src/fleet/FleetDaemon.ts
@@ -3,13 +3,30 @@
 import {LogClient} from '../log/index.js';
 import {createLogger, type Logger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
+import {
+  CloudClient,
+  EvidenceClient,
+  InstanceListClient,
+  WeightStoreClient,
+} from '../platform/index.js';
+import {CapacityRunner} from './CapacityRunner.js';
 import {ConfigurationStream} from './ConfigurationStream.js';
+import {EvidenceCollector} from './EvidenceCollector.js';
 import {FleetClock} from './FleetClock.js';
 import type {FleetSettings} from './FleetSettings.js';
+import {FleetRunner} from './FleetRunner.js';
 import {FleetStream} from './FleetStream.js';
 import {LeaseKeeper} from './LeaseKeeper.js';
+import {LoadRunner} from './LoadRunner.js';
+import {MoveRunner} from './MoveRunner.js';
+import {PlatformWatch} from './PlatformWatch.js';
+import {SnapshotRunner} from './SnapshotRunner.js';
+import {StopRunner} from './StopRunner.js';
 
 const LOG_TIMEOUT_MS = 3_000;
+const PLATFORM_TIMEOUT_MS = 3_000;
+const EVIDENCE_TIMEOUT_MS = 1_000;
+/** An order is given up after the platform's timeout; the rest covers what the network still carries. */
 const LONGEST_ORDER_MS = 5_000;
 /** Part of a term that a candidate waits beyond it, for clocks that run at different rates. */
 const MARGIN_PART = 0.1;
@@ -27,6 +44,12 @@
   private readonly stream: FleetStream;
   private readonly configuration: ConfigurationStream;
   private readonly lease: LeaseKeeper;
+  private readonly cloud: CloudClient;
+  private readonly list: InstanceListClient;
+  private readonly weights: WeightStoreClient;
+  private readonly evidence: EvidenceClient;
+  private readonly stops: StopRunner;
+  private readonly runner: FleetRunner;
 
   constructor(settings: FleetSettings) {
     this.settings = settings;
@@ -46,6 +69,17 @@
     });
     this.configuration = new ConfigurationStream({log, logger, getNowMs: () => clock.getWallMs()});
     this.lease = this.createLeaseKeeper();
+    const timeoutMs = PLATFORM_TIMEOUT_MS;
+    this.cloud = new CloudClient({url: settings.cloudUrl, timeoutMs});
+    this.list = new InstanceListClient({url: settings.listUrl, timeoutMs});
+    this.weights = new WeightStoreClient({url: settings.weightsUrl, timeoutMs});
+    this.evidence = new EvidenceClient({
+      deploymentKey: settings.deploymentKey,
+      timeoutMs: EVIDENCE_TIMEOUT_MS,
+    });
+    const {lease, cloud, metrics} = this;
+    this.stops = new StopRunner({lease, cloud, logger, metrics});
+    this.runner = this.createRunner();
   }
 
   /** Starts reading the log and taking part in the lease. */
@@ -53,17 +87,21 @@
     this.stream.start();
     this.configuration.start();
     this.lease.start();
-    const {instanceId, failureDomain} = this.settings;
-    process.stdout.write(
-      `${JSON.stringify({ready: true, instanceId, failureDomain, incarnation: this.incarnation})}\n`,
-    );
+    this.runner.start();
+  }
+
+  /** Returns the name under which this process holds the lease. */
+  getIncarnation(): string {
+    return this.incarnation;
   }
 
   /** Gives up the lease where it is held, and closes all connections. */
   async stop(): Promise<void> {
+    await this.runner.stop();
     await this.lease.stop();
     await Promise.all([this.stream.stop(), this.configuration.stop()]);
-    await this.log.close();
+    const clients = [this.log, this.cloud, this.list, this.weights, this.evidence, this.stops];
+    await Promise.all(clients.map(client => client.close()));
     await this.metrics.close();
   }
 
@@ -84,4 +122,23 @@
     const longestOrderMs = LONGEST_ORDER_MS;
     return new LeaseKeeper({stream, clock, incarnation, timing, longestOrderMs, logger, metrics});
   }
+
+  private createRunner(): FleetRunner {
+    const {stream, configuration, lease, clock, cloud, list, weights, stops} = this;
+    const {logger, metrics, incarnation} = this;
+    const watch = new PlatformWatch({cloud, list, metrics});
+    return new FleetRunner({
+      stream,
+      configuration,
+      lease,
+      clock,
+      watch,
+      stops,
+      evidence: new EvidenceCollector({client: this.evidence, metrics}),
+      moves: new MoveRunner({stream, lease, incarnation, logger, metrics}),
+      capacity: new CapacityRunner({stream, lease, cloud, watch, logger, metrics}),
+      loads: new LoadRunner({lease, weights, metrics}),
+      snapshots: new SnapshotRunner({stream, lease, metrics}),
+    });
+  }
 }
--- /dev/null
+++ b/src/fleet/FleetRunner.ts
@@ -0,0 +1,127 @@
+/** The holder's loop: observes the platform and the entries, and runs moves, capacity, loads, stops and snapshots. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Instance, Move} from '../blackboard/index.js';
+import {isMoveEnded} from '../folds/index.js';
+import type {Configuration} from '../configuration/index.js';
+import type {CapacityRunner} from './CapacityRunner.js';
+import type {ConfigurationStream} from './ConfigurationStream.js';
+import type {EvidenceCollector} from './EvidenceCollector.js';
+import type {FleetClock} from './FleetClock.js';
+import type {FleetStream} from './FleetStream.js';
+import type {LeaseKeeper} from './LeaseKeeper.js';
+import type {LoadRunner} from './LoadRunner.js';
+import type {MoveRunner, ServiceReadiness} from './MoveRunner.js';
+import type {PlatformWatch} from './PlatformWatch.js';
+import type {SnapshotRunner} from './SnapshotRunner.js';
+import type {StopRunner} from './StopRunner.js';
+
+/** What a `FleetRunner` runs. */
+export interface FleetRunnerParts {
+  readonly stream: FleetStream;
+  readonly configuration: ConfigurationStream;
+  readonly lease: LeaseKeeper;
+  readonly clock: FleetClock;
+  readonly watch: PlatformWatch;
+  readonly evidence: EvidenceCollector;
+  readonly moves: MoveRunner;
+  readonly capacity: CapacityRunner;
+  readonly loads: LoadRunner;
+  readonly stops: StopRunner;
+  readonly snapshots: SnapshotRunner;
+}
+
+const LOOP_MS = 1_000;
+const WHOLE_PERCENT = 100;
+
+/** Runs while the daemon lives; it acts only where the daemon is, or was last, the holder. */
+export class FleetRunner {
+  private readonly parts: FleetRunnerParts;
+  private readonly stopping = new AbortController();
+  private loop: Promise<void> | undefined;
+  private wasHolder = false;
+
+  constructor(parts: FleetRunnerParts) {
+    this.parts = parts;
+  }
+
+  /** Starts the loop. */
+  start(): void {
+    this.loop ??= this.run();
+  }
+
+  /** Ends the loop and waits until no order is under way. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await this.loop;
+  }
+
+  private async run(): Promise<void> {
+    const {signal} = this.stopping;
+    while (!signal.aborted) {
+      await this.runOnce();
+      await sleep(LOOP_MS, undefined, {signal}).catch(() => undefined);
+    }
+  }
+
+  private async runOnce(): Promise<void> {
+    const {lease, configuration, clock, watch} = this.parts;
+    const isHolder = lease.isLastHolder();
+    if (isHolder !== this.wasHolder) this.noteHolder(isHolder);
+    const current = configuration.getConfiguration();
+    if (!isHolder || !current) return;
+    await watch.refresh(clock.getWallMs());
+    if (lease.isHeld()) await this.runMoves();
+    await this.runCapacity(current);
+    if (lease.isHeld()) await this.parts.snapshots.run(clock.getWallMs());
+  }
+
+  /** A new holder knows of nothing that a former one loaded, and takes what serves as loaded. */
+  private noteHolder(isHolder: boolean): void {
+    this.wasHolder = isHolder;
+    this.parts.evidence.clear();
+    this.parts.loads.reset();
+  }
+
+  private async runMoves(): Promise<void> {
+    const {stream, clock, evidence, moves, watch} = this.parts;
+    const running = stream
+      .getFold()
+      .getMoves()
+      .filter(move => !isMoveEnded(move));
+    if (running.length > 0) await evidence.collect(watch.getEntries(), clock.getWallMs());
+    const nowMs = clock.getWallMs();
+    const readiness = running.map(move => this.getReadiness(move));
+    await moves.run(evidence.getEvidence(nowMs), readiness, nowMs);
+  }
+
+  private async runCapacity(configuration: Configuration): Promise<void> {
+    const {clock, capacity, loads, stops, watch, lease} = this.parts;
+    const demand = {
+      configuration,
+      revision: this.parts.configuration.getRevision(),
+      getWantedSharePercent: (service: string) => this.parts.moves.getWantedSharePercent(service),
+    };
+    await capacity.run(demand, clock.getWallMs());
+    const instances = watch.getBackendServers();
+    if (!lease.isHeld() || !instances) return;
+    await loads.run(instances, capacity.getNeeds(demand));
+    const drains = this.parts.stream.getFold().getDrains();
+    await stops.run(drains, instances, clock.getWallMs());
+  }
+
+  /** Returns the part of the service's work that the new version's loaded servers in open failure domains bear. */
+  private getReadiness({service, toVersion}: Move): ServiceReadiness {
+    const {watch, loads, configuration} = this.parts;
+    const services = configuration.getConfiguration()?.services ?? [];
+    const target = services.find(({name}) => name === service)?.targetReplicas ?? 0;
+    const instances = (watch.getBackendServers() ?? []).filter(one => this.isOpen(one));
+    const ready = loads.countReady(instances, service, toVersion);
+    if (target === 0) return {service, readyPercent: 0};
+    return {service, readyPercent: Math.min((ready * WHOLE_PERCENT) / target, WHOLE_PERCENT)};
+  }
+
+  private isOpen({failureDomain}: Instance): boolean {
+    const statuses = this.parts.stream.getFold().getFailureDomains();
+    return !statuses.some(({name, state}) => name === failureDomain && state === 'out');
+  }
+}
--- a/src/fleet/LeaseKeeper.ts
+++ b/src/fleet/LeaseKeeper.ts
@@ -71,6 +71,15 @@
     return this.decide().changes.isHeld;
   }
 
+  /**
+   * Tells whether no later holder is known. It stays true after the term while the log is out, which suffices for
+   * starts whose client tokens make them idempotent, and for nothing else.
+   */
+  isLastHolder(): boolean {
+    const {stream, incarnation} = this.options;
+    return stream.getFold().getLease().holder === incarnation;
+  }
+
   /** Returns the fencing token of this holder's orders. */
   getFencingToken(): number {
     return this.options.stream.getFold().getLease().fencingToken;
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,1 +1,14 @@
+export {
+  CloudClient,
+  type CloudClientOptions,
+  type CloudPrice,
+  type StartOrder,
+} from './CloudClient.js';
+export {EvidenceClient, type EvidenceClientOptions} from './EvidenceClient.js';
 export {InstanceListClient, type InstanceListClientOptions} from './InstanceListClient.js';
+export {
+  WeightStoreClient,
+  type WeightLoadOrder,
+  type WeightLoadState,
+  type WeightStoreClientOptions,
+} from './WeightStoreClient.js';
--- /dev/null
+++ b/tests/support/FleetHarness.ts
@@ -0,0 +1,167 @@
+/** A platform of stand-ins with fleet daemons in this process, for tests of the daemons' wiring. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {createStartBackend} from '../../standins/bin/startedBackends.js';
+import {Platform, type Price} from '../../standins/platform/index.js';
+import type {Configuration} from '../../src/configuration/index.js';
+import {FleetDaemon} from '../../src/fleet/index.js';
+import {FleetFold} from '../../src/folds/index.js';
+import {LogClient} from '../../src/log/index.js';
+import {decodeRecord, encodeRecord, type LogBody, type LogStream} from '../../src/records/index.js';
+
+const ADDRESS = '127.0.0.1';
+/** Term of the daemons' lease. */
+export const LEASE_TERM_MS = 1_000;
+const POLL_MS = 50;
+const MAX_RECORDS = 10_000;
+
+/** A start as the cloud's ledger shows it. */
+export interface LedgerStart {
+  readonly instanceId: string;
+  readonly clientToken: string;
+  readonly failureDomain: string;
+}
+
+/** What the cloud's ledger shows. */
+export interface CloudLedger {
+  readonly starts: readonly LedgerStart[];
+  readonly stops: ReadonlyArray<{readonly instanceId: string}>;
+}
+
+/** Runs the platform and the daemons of one test. */
+export class FleetHarness {
+  private readonly platform: Platform;
+  private readonly daemons: FleetDaemon[] = [];
+  private log: LogClient | undefined;
+  private sequence = 0;
+
+  constructor(prices: readonly Price[]) {
+    const startBackend = createStartBackend({
+      address: ADDRESS,
+      seed: 1,
+      timeScale: 1,
+      plainServices: 'booking',
+    });
+    this.platform = new Platform({
+      address: ADDRESS,
+      ports: {log: 0, cloud: 0, list: 0, weights: 0},
+      maxAppendsPerSecond: 300,
+      retentionMs: 600_000,
+      listLagMs: 200,
+      startDelayMs: 200,
+      weightBytesPerSecond: 10_000,
+      weightVersionBytes: 1_000,
+      prices,
+      startBackend,
+      random: () => 0.5,
+    });
+  }
+
+  /** Starts the platform and publishes a configuration. */
+  async start(configuration: Configuration): Promise<void> {
+    await this.platform.start();
+    this.log = new LogClient({url: this.getUrl('log'), timeoutMs: 2_000});
+    const body = {replacesRevision: 0, publishedBy: 'test', configuration};
+    await this.append('configuration', {kind: 'configuration', ...body});
+  }
+
+  /** Stops all daemons and the platform. */
+  async stop(): Promise<void> {
+    await Promise.all(this.daemons.map(daemon => daemon.stop()));
+    await this.log?.close();
+    await this.platform.stop();
+  }
+
+  /** Starts a daemon. */
+  startDaemon(instanceId: string): FleetDaemon {
+    const daemon = new FleetDaemon({
+      instanceId,
+      address: ADDRESS,
+      failureDomain: 'oslo-a',
+      logUrl: this.getUrl('log'),
+      cloudUrl: this.getUrl('cloud'),
+      listUrl: this.getUrl('list'),
+      weightsUrl: this.getUrl('weights'),
+      deploymentKey: 'test-key',
+      statsdAddress: undefined,
+      statsdPort: 0,
+      logLevel: 'error',
+      leaseTermMs: LEASE_TERM_MS,
+    });
+    this.daemons.push(daemon);
+    daemon.start();
+    return daemon;
+  }
+
+  /** Stops a daemon as SIGTERM does. */
+  async stopDaemon(daemon: FleetDaemon): Promise<void> {
+    this.daemons.splice(this.daemons.indexOf(daemon), 1);
+    await daemon.stop();
+  }
+
+  /** Appends a record. */
+  async append(stream: LogStream, body: LogBody): Promise<void> {
+    this.sequence += 1;
+    const record = {writer: 'harness', sequence: this.sequence, body};
+    await this.getLog().append(stream, [encodeRecord(record)]);
+  }
+
+  /** Returns the state of the fleet stream. */
+  async readFleet(): Promise<FleetFold> {
+    const options = {fromOffset: 0, maxRecords: MAX_RECORDS, waitMs: 0};
+    const {records} = await this.getLog().read('fleet', options);
+    const fold = new FleetFold();
+    for (const {offset, payload} of records) {
+      fold.applyRecord({offset, record: decodeRecord(payload)});
+    }
+    return fold;
+  }
+
+  /** Switches the log's outage on or off. */
+  async setLogOutage(hasOutage: boolean): Promise<void> {
+    await call('PUT', `${this.getUrl('log')}/standin/faults`, {hasOutage});
+  }
+
+  /** Takes an instance away as a failure does. */
+  async loseInstance(instanceId: string): Promise<void> {
+    await call('DELETE', `${this.getUrl('cloud')}/v1/instances/${instanceId}`);
+  }
+
+  /** Returns what the cloud was asked for. */
+  async getCloudLedger(): Promise<CloudLedger> {
+    return (await call('GET', `${this.getUrl('cloud')}/standin/ledger`)) as CloudLedger;
+  }
+
+  private getLog(): LogClient {
+    if (!this.log) throw new Error('the platform was not started');
+    return this.log;
+  }
+
+  private getUrl(service: 'log' | 'cloud' | 'list' | 'weights'): string {
+    return `http://${ADDRESS}:${this.platform.getPorts()[service]}`;
+  }
+}
+
+/**
+ * Waits for a condition.
+ * @param withinMs - Longest wait.
+ * @param check - Returns whether it holds.
+ * @returns Whether it held in time.
+ */
+export async function waitFor(
+  withinMs: number,
+  check: () => Promise<boolean> | boolean,
+): Promise<boolean> {
+  const endMs = Date.now() + withinMs;
+  while (Date.now() < endMs) {
+    if (await check()) return true;
+    await sleep(POLL_MS);
+  }
+  return false;
+}
+
+async function call(method: 'GET' | 'PUT' | 'DELETE', url: string, body?: object) {
+  const response = await request(url, {method, body: body && JSON.stringify(body)});
+  if (response.statusCode !== 200) throw new Error(`${method} ${url}: ${response.statusCode}`);
+  return response.body.json();
+}
