--- a/src/entry/PeerParts.ts
+++ b/src/entry/PeerParts.ts
@@ -1,6 +1,8 @@
 /** The parts of an entry that talk to its peers: membership, configuration and evidence. */
 import type {Blackboard, Incident, Member} from '../blackboard/index.js';
+import type {ClaimGathering, ClaimService} from '../claims/index.js';
 import type {ConfigurationCurrencyVerdict} from '../controllers/configuration/index.js';
+import type {HandedRequest} from '../http/index.js';
 import type {LogAccess} from '../log/index.js';
 import {
   ConfigurationFollower,
@@ -9,9 +11,12 @@
   PeerKeys,
   PeerServer,
   fromWireIncidents,
+  createClaimGathering,
+  createClaimHandlers,
   toWireIncident,
 } from '../peer/index.js';
 import type {EntrySettings} from './EntrySettings.js';
+import {fromWireHandedRequest, toWireHandedRequest} from './handoverCodec.js';
 
 const PEER_TIMEOUT_MS = 1_000;
 
@@ -26,6 +31,8 @@
   readonly random: () => number;
   /** Called with evidence that a peer sent. */
   readonly onIncidents: (incidents: readonly Incident[]) => void;
+  /** Called with requests that a stopping peer hands over; returns the ids of those taken. */
+  readonly onHandover: (requests: readonly HandedRequest[]) => readonly string[];
 }
 
 /** Builds and runs the peer server, the membership protocol and the configuration's follower. */
@@ -68,11 +75,28 @@
         this.options.onIncidents(fromWireIncidents(incidents));
         return {};
       },
+      handover: ({requests}) => ({
+        acceptedRequestIds: [...this.options.onHandover(requests.map(fromWireHandedRequest))],
+      }),
     });
     this.configuration.start();
     this.membership.start();
   }
 
+  /** Returns the entries that gather claims. */
+  getClaimGathering(): ClaimGathering {
+    const {blackboard, settings} = this.options;
+    return createClaimGathering(blackboard, this.client, settings.instanceId);
+  }
+
+  /**
+   * Answers other entries' claims.
+   * @param claims - Claims in the log.
+   */
+  addClaimService(claims: ClaimService): void {
+    this.server.addHandlers(createClaimHandlers(claims));
+  }
+
   /** Returns the port for peers; 0 before the start. */
   getPort(): number {
     return this.peerPort;
@@ -99,6 +123,20 @@
     );
   }
 
+  /**
+   * Hands requests to a peer.
+   * @param peer - The peer.
+   * @param requests - The requests.
+   * @returns Ids of those that it took.
+   */
+  async handOver(peer: Member, requests: readonly HandedRequest[]): Promise<readonly string[]> {
+    const {acceptedRequestIds} = await this.client.getCalls(peer).handover({
+      fromInstanceId: this.options.settings.instanceId,
+      requests: requests.map(toWireHandedRequest),
+    });
+    return acceptedRequestIds;
+  }
+
   /** Stops probing and closes the port. */
   async stop(): Promise<void> {
     await this.membership?.stop();
