--- a/src/folds/DrainFold.ts
+++ b/src/folds/DrainFold.ts
@@ -1,5 +1,6 @@
 /** Backend servers that the lease's holder takes out of use before it stops them. */
 import {z} from 'zod';
+import type {Instance} from '../blackboard/index.js';
 import type {LogBodyOf} from '../records/index.js';
 import {ACCEPTED, type FleetVerdict} from './FleetVerdict.js';
 
@@ -50,3 +51,20 @@
     return ACCEPTED;
   }
 }
+
+/**
+ * Returns the instances with those that are being drained marked as leaving.
+ * @param instances - Instances as the platform lists them.
+ * @param drains - Drains as the fleet stream gives them.
+ */
+export function markDrainingInstances(
+  instances: readonly Instance[],
+  drains: readonly InstanceDrain[],
+): readonly Instance[] {
+  const stopTimes = new Map(drains.map(({instanceId, stopAtMs}) => [instanceId, stopAtMs]));
+  return instances.map(instance => {
+    const stopAtMs = stopTimes.get(instance.instanceId);
+    if (stopAtMs === undefined || instance.state !== 'live') return instance;
+    return {...instance, state: 'leaving', leavingAtMs: stopAtMs};
+  });
+}
--- a/src/folds/index.ts
+++ b/src/folds/index.ts
@@ -1,4 +1,4 @@
-export type {InstanceDrain} from './DrainFold.js';
+export {markDrainingInstances, type InstanceDrain} from './DrainFold.js';
 export {ClaimsFold, DEFAULT_CLAIM_KEEP_MS, type ClaimsFoldOptions} from './ClaimsFold.js';
 export {ConfigurationFold, type ConfigurationVerdict} from './ConfigurationFold.js';
 export {FleetFold} from './FleetFold.js';
--- a/src/platform/EvidenceClient.ts
+++ b/src/platform/EvidenceClient.ts
@@ -57,7 +57,7 @@
     const answer = await callPlatform({
       agent: this.agent,
       method: 'GET',
-      url: `http://${host}:${port}/v1/evidence?from=${fromMs}`,
+      url: `http://${host}:${port}/v1/evidence?fromMs=${fromMs}`,
       bearer: deploymentKey,
       timeoutMs,
       answerSchema: evidenceAnswerSchema,
--- a/tests/support/FleetHarness.ts
+++ b/tests/support/FleetHarness.ts
@@ -137,7 +137,8 @@
     return this.log;
   }
 
-  private getUrl(service: 'log' | 'cloud' | 'list' | 'weights'): string {
+  /** Returns the URL of a service of the platform. */
+  getUrl(service: 'log' | 'cloud' | 'list' | 'weights'): string {
     return `http://${ADDRESS}:${this.platform.getPorts()[service]}`;
   }
 }
