--- a/bench/capacity/CapacityBench.ts
+++ b/bench/capacity/CapacityBench.ts
@@ -14,6 +14,7 @@
 } from './CapacityPage.js';
 import {CLAIM_SLOPES} from './ClaimSlopes.js';
 import {CONFIGURATION_SLOPES} from './ConfigurationSlopes.js';
+import {measureIdleEntries, toCpuSamples, type IdleEntry} from './IdleDaemons.js';
 import {fitLine} from './LeastSquares.js';
 import {MEMBER_SLOPES} from './MemberSlopes.js';
 import {measureProcessMemory} from './ProcessMemory.js';
@@ -38,7 +39,8 @@
 }
 
 /** Measures, prints each slope with its residuals, and writes the page. */
-export function runCapacityBench({pagePath, writeLine}: CapacityBenchOptions): void {
+export async function runCapacityBench({pagePath, writeLine}: CapacityBenchOptions): Promise<void> {
+  const idle = await measureIdleEntries();
   const slopes = SLOPE_DEFINITIONS.map(definition => {
     const measured = measureSlope(definition);
     writeLine(describe(measured));
@@ -54,6 +56,7 @@
     ['today', formatRows('today', rows)],
     ['replacement', formatRows('replacement', rows)],
     ['memory', memory],
+    ['idle', formatIdleEntries(idle)],
     ['appends', formatAppends(APPEND_ROWS)],
   ];
   tables.forEach(([, text]) => writeLine(text));
@@ -85,3 +88,19 @@
   const residuals = fit.residualPercents.map(percent => `${formatPercent(percent)}%`).join(' ');
   return `${definition.id} (${definition.valueUnit}) ${points} | residuals ${residuals}`;
 }
+
+function formatIdleEntries(entries: readonly IdleEntry[]): string {
+  const fit = fitLine(toCpuSamples(entries));
+  const rows = entries.map(({backendServers, cpuPercent, residentMb}, index) => [
+    String(backendServers),
+    formatNumber(cpuPercent, 3),
+    formatNumber(fit.intercept + fit.slope * backendServers, 3),
+    formatPercent(fit.residualPercents[index] ?? 0),
+    formatNumber(residentMb, 3),
+  ]);
+  const line = `${formatNumber(fit.intercept, 3)} + ${formatNumber(fit.slope, 3)} a backend server`;
+  return toTable(
+    ['backend servers', '% of a core', 'fitted', 'residual %', 'resident MB'],
+    [...rows, ['fit', line, '', '', '']],
+  );
+}
