--- a/src/operator/EventsCommand.ts
+++ b/src/operator/EventsCommand.ts
@@ -37,9 +37,14 @@
     commandArguments: {},
     run: async settings => {
       const log = new LogClient({url: settings.logUrl, timeoutMs: settings.logTimeoutMs});
+      const past: LogEvent[] = [];
+      let isPast = true;
+      const writeEvent = (event: LogEvent) =>
+        context.writeLine(settings.json ? JSON.stringify(event) : formatEvent(event));
       const onEvent = (event: LogEvent) => {
         if (event.body.kind === 'lease-renewal' && !settings.renewals) return;
-        context.writeLine(settings.json ? JSON.stringify(event) : formatEvent(event));
+        if (isPast) past.push(event);
+        else writeEvent(event);
       };
       const options: SessionOptions = {
         log,
@@ -50,6 +55,8 @@
       const sessions = openEventSessions(options, onEvent, context.writeProgress);
       try {
         for (const session of sessions) await session.open();
+        isPast = false;
+        past.sort((a, b) => a.atMs - b.atMs).forEach(writeEvent);
         if (settings.follow) await sleepUntilInterrupted();
       } finally {
         await Promise.all(sessions.map(session => session.close()));
