--- a/bench/capacity/CapacityBench.ts
+++ b/bench/capacity/CapacityBench.ts
@@ -15,8 +15,9 @@
 import {CLAIM_SLOPES} from './ClaimSlopes.js';
 import {CONFIGURATION_SLOPES} from './ConfigurationSlopes.js';
 import {measureIdleEntries, toCpuSamples, type IdleEntry} from './IdleDaemons.js';
-import {fitLine} from './LeastSquares.js';
+import {fitLine, type Sample} from './LeastSquares.js';
 import {MEMBER_SLOPES} from './MemberSlopes.js';
+import {PEER_SLOPES} from './PeerSlopes.js';
 import {measureProcessMemory} from './ProcessMemory.js';
 import {REPLICA_SLOPES} from './ReplicaSlopes.js';
 import type {SlopeDefinition} from './SlopeDefinition.js';
@@ -28,6 +29,7 @@
   ...CONFIGURATION_SLOPES,
   ...CLAIM_SLOPES,
   ...MEMBER_SLOPES,
+  ...PEER_SLOPES,
   ...REPLICA_SLOPES,
 ];
 
@@ -41,11 +43,12 @@
 /** Measures, prints each slope with its residuals, and writes the page. */
 export async function runCapacityBench({pagePath, writeLine}: CapacityBenchOptions): Promise<void> {
   const idle = await measureIdleEntries();
-  const slopes = SLOPE_DEFINITIONS.map(definition => {
-    const measured = measureSlope(definition);
+  const slopes: MeasuredSlope[] = [];
+  for (const definition of SLOPE_DEFINITIONS) {
+    const measured = await measureSlope(definition);
     writeLine(describe(measured));
-    return measured;
-  });
+    slopes.push(measured);
+  }
   const rows = workOutAll(slopes);
   const memory = toTable(
     ['process, idle', 'resident MB'],
@@ -78,8 +81,9 @@
   });
 }
 
-function measureSlope(definition: SlopeDefinition): MeasuredSlope {
-  const samples = definition.sizes.map(size => ({size, value: definition.measure(size)}));
+async function measureSlope(definition: SlopeDefinition): Promise<MeasuredSlope> {
+  const samples: Sample[] = [];
+  for (const size of definition.sizes) samples.push({size, value: await definition.measure(size)});
   return {definition, samples, fit: fitLine(samples, definition.power)};
 }
 
--- a/bench/capacity/SlopeDefinition.ts
+++ b/bench/capacity/SlopeDefinition.ts
@@ -13,5 +13,5 @@
   /** At least four. */
   readonly sizes: readonly number[];
   /** Returns the quantity at a size. */
-  readonly measure: (size: number) => number;
+  readonly measure: (size: number) => number | Promise<number>;
 }
--- a/bench/capacity/WorkedRows.ts
+++ b/bench/capacity/WorkedRows.ts
@@ -18,8 +18,8 @@
 
 /** Default time between two probes of a daemon is 300 ms. */
 const PROBES_PER_SECOND = 1_000 / 300;
-/** A probe and its answer, as sender and as receiver. */
-const PROBE_MESSAGES_PER_SECOND = PROBES_PER_SECOND * 4;
+/** As sender and as receiver. */
+const PROBE_ROUND_TRIPS_PER_SECOND = PROBES_PER_SECOND * 2;
 const RUMOURS_PER_PROBE = 2;
 const REPORTS_PER_SECOND = 2;
 /** Lease renewals and steps of moves. */
@@ -69,7 +69,8 @@
   ...toRows('peer probe', 'one membership of all entries', 'today', [
     ['cpu', 'probe-cpu', TARGET.entries, PROBES_PER_SECOND],
     ['cpu', 'rumour-cpu', TARGET.entries, memberChangesPerSecond],
-    ['network', 'probe-bytes', RUMOURS_PER_PROBE, PROBE_MESSAGES_PER_SECOND],
+    ['cpu', 'probe-call-cpu', RUMOURS_PER_PROBE, PROBES_PER_SECOND],
+    ['network', 'probe-wire-bytes', RUMOURS_PER_PROBE, PROBE_ROUND_TRIPS_PER_SECOND],
     ['memory', 'member-heap', TARGET.entries, 1],
   ]),
   ...toRows('entry', 'every entry reads the whole list each second', 'today', [
@@ -127,7 +128,8 @@
     [
       ['cpu', 'probe-cpu', NEAR_MEMBERS, PROBES_PER_SECOND],
       ['cpu', 'rumour-cpu', NEAR_MEMBERS, memberChangesPerSecond],
-      ['network', 'probe-bytes', RUMOURS_PER_PROBE, PROBE_MESSAGES_PER_SECOND],
+      ['cpu', 'probe-call-cpu', RUMOURS_PER_PROBE, PROBES_PER_SECOND],
+      ['network', 'probe-wire-bytes', RUMOURS_PER_PROBE, PROBE_ROUND_TRIPS_PER_SECOND],
       ['memory', 'member-heap', NEAR_MEMBERS, 1],
     ],
   ),
