Capacity: claims gathered at two entries, sizes named by what they count; a design note of the operators' client

Cause: main gathers claims at two entries now, so that the appends of every owner are no longer today's mechanism.

--- a/bench/capacity/AppendRows.ts
+++ b/bench/capacity/AppendRows.ts
@@ -19,8 +19,9 @@
 const FLEET_STEPS_PER_SECOND = 2;
 /** One append every 50 ms, with claims and outcomes together. */
 const COLLECTOR_APPENDS_PER_SECOND = 20;
-/** A claim and an outcome. */
-const RECORDS_PER_CLAIM = 2;
+const GATHERERS = 2;
+/** One append every 20 ms. */
+const GATHERER_APPENDS_PER_SECOND = 50;
 
 const COMMON: ReadonlyArray<Omit<AppendRow, 'phase'>> = [
   {
@@ -32,14 +33,14 @@
   {source: 'steps of moves and orders', writers: 1, timesPerSecond: FLEET_STEPS_PER_SECOND},
 ];
 
-/** All sources; a batch of claims rarely holds two at the rate of one owner, so each claim is an append of its own. */
+/** All sources. */
 export const APPEND_ROWS: readonly AppendRow[] = [
   ...COMMON.map(row => ({...row, phase: 'today' as const})),
   {
-    source: 'claims and outcomes, by each owner',
+    source: 'claims and outcomes, by two gatherers',
     phase: 'today',
-    writers: TARGET.entries,
-    timesPerSecond: TARGET.claimsPerSecondPerEntry * RECORDS_PER_CLAIM,
+    writers: GATHERERS,
+    timesPerSecond: GATHERER_APPENDS_PER_SECOND,
   },
   ...COMMON.map(row => ({...row, phase: 'replacement' as const})),
   {
--- a/bench/capacity/CapacityBench.ts
+++ b/bench/capacity/CapacityBench.ts
@@ -83,12 +83,16 @@
 
 async function measureSlope(definition: SlopeDefinition): Promise<MeasuredSlope> {
   const samples: Sample[] = [];
-  for (const size of definition.sizes) samples.push({size, value: await definition.measure(size)});
+  for (const itemCount of definition.sizes) {
+    samples.push({itemCount, value: await definition.measure(itemCount)});
+  }
   return {definition, samples, fit: fitLine(samples, definition.power)};
 }
 
 function describe({definition, samples, fit}: MeasuredSlope): string {
-  const points = samples.map(({size, value}) => `${size}:${formatNumber(value)}`).join(' ');
+  const points = samples
+    .map(({itemCount, value}) => `${itemCount}:${formatNumber(value)}`)
+    .join(' ');
   const residuals = fit.residualPercents.map(percent => `${formatPercent(percent)}%`).join(' ');
   return `${definition.id} (${definition.valueUnit}) ${points} | residuals ${residuals}`;
 }
--- a/bench/capacity/CapacityPage.ts
+++ b/bench/capacity/CapacityPage.ts
@@ -51,9 +51,9 @@
  * @param slope - Its slope as printed.
  */
 export function workOut(row: WorkedRow, slope: PageSlope): PageRow {
-  const {resource, size, timesPerSecond} = row;
+  const {resource, itemCount, timesPerSecond} = row;
   const divisor = RESOURCE_DIVISORS[resource];
-  const valueOnce = (slope.intercept + slope.slope * size ** slope.power) / divisor;
+  const valueOnce = (slope.intercept + slope.slope * itemCount ** slope.power) / divisor;
   const value = valueOnce * timesPerSecond;
   const left = ((BUDGET[resource] / timesPerSecond) * divisor - slope.intercept) / slope.slope;
   const sizeLimit = slope.slope <= 0 ? Infinity : Math.max(0, left) ** (1 / slope.power);
@@ -81,7 +81,7 @@
       definition.id,
       definition.description,
       definition.sizeUnit,
-      samples.map(({size}) => size).join(', '),
+      samples.map(({itemCount}) => itemCount).join(', '),
       formatNumber(intercept),
       formatNumber(slope),
       String(power),
@@ -102,7 +102,7 @@
     row.role,
     row.mechanism,
     row.slopeId,
-    String(row.size),
+    String(row.itemCount),
     formatNumber(row.timesPerSecond),
     row.resource,
     formatNumber(value, VALUE_DIGITS),
--- a/bench/capacity/IdleDaemons.ts
+++ b/bench/capacity/IdleDaemons.ts
@@ -34,7 +34,10 @@
 
 /** Returns processor time by backend servers, for a fit. */
 export function toCpuSamples(entries: readonly IdleEntry[]): readonly Sample[] {
-  return entries.map(({backendServers, cpuPercent}) => ({size: backendServers, value: cpuPercent}));
+  return entries.map(({backendServers, cpuPercent}) => ({
+    itemCount: backendServers,
+    value: cpuPercent,
+  }));
 }
 
 async function measureIdleEntry(backendServers: number): Promise<IdleEntry> {
--- a/bench/capacity/LeastSquares.ts
+++ b/bench/capacity/LeastSquares.ts
@@ -2,7 +2,7 @@
 
 /** A measured point. */
 export interface Sample {
-  readonly size: number;
+  readonly itemCount: number;
   readonly value: number;
 }
 
@@ -23,8 +23,8 @@
  * @param power - Power of the size that the value follows; 1 for a line.
  */
 export function fitLine(samples: readonly Sample[], power = 1): LineFit {
-  const points = samples.map(({size, value}) => ({
-    x: size ** power,
+  const points = samples.map(({itemCount, value}) => ({
+    x: itemCount ** power,
     y: value,
     weight: value ** -2,
   }));
--- a/bench/capacity/SlopeDefinition.ts
+++ b/bench/capacity/SlopeDefinition.ts
@@ -12,6 +12,6 @@
   readonly power?: number;
   /** At least four. */
   readonly sizes: readonly number[];
-  /** Returns the quantity at a size. */
-  readonly measure: (size: number) => number | Promise<number>;
+  /** Returns the quantity at a number of items. */
+  readonly measure: (itemCount: number) => number | Promise<number>;
 }
--- a/bench/capacity/WorkedRows.ts
+++ b/bench/capacity/WorkedRows.ts
@@ -11,7 +11,7 @@
   readonly phase: Phase;
   readonly resource: Resource;
   readonly slopeId: string;
-  readonly size: number;
+  readonly itemCount: number;
   /** Times a second; 1 for memory. */
   readonly timesPerSecond: number;
 }
@@ -39,13 +39,13 @@
   phase: Phase,
   parts: ReadonlyArray<readonly [Resource, string, number, number]>,
 ): readonly WorkedRow[] {
-  return parts.map(([resource, slopeId, size, timesPerSecond]) => ({
+  return parts.map(([resource, slopeId, itemCount, timesPerSecond]) => ({
     role,
     mechanism,
     phase,
     resource,
     slopeId,
-    size,
+    itemCount,
     timesPerSecond,
   }));
 }
--- a/tests/bench/LeastSquares.test.ts
+++ b/tests/bench/LeastSquares.test.ts
@@ -6,7 +6,10 @@
   function doTest(name: string, power: number, intercept: number, slope: number) {
     t.test(name, t => {
       const sizes = [10, 100, 1_000, 5_000];
-      const samples = sizes.map(size => ({size, value: intercept + slope * size ** power}));
+      const samples = sizes.map(size => ({
+        itemCount: size,
+        value: intercept + slope * size ** power,
+      }));
       const fit = fitLine(samples, power);
       t.ok(Math.abs(fit.intercept - intercept) < 1e-6);
       t.ok(Math.abs(fit.slope - slope) < 1e-9);
@@ -18,7 +21,7 @@
   doTest('finds a line', 1, 40, 2.5);
   doTest('finds a square', 2, 7, 0.125);
   t.test('gives the residual of a sample that lies off the line', t => {
-    const samples = [1, 2, 3, 4].map(size => ({size, value: size === 3 ? 3.3 : size}));
+    const samples = [1, 2, 3, 4].map(size => ({itemCount: size, value: size === 3 ? 3.3 : size}));
     const {residualPercents} = fitLine(samples);
     t.ok((residualPercents[2] ?? 0) > 3);
     t.ok((residualPercents[0] ?? 0) < 1);
--- a/tests/docs/Capacity.test.ts
+++ b/tests/docs/Capacity.test.ts
@@ -50,7 +50,7 @@
       t.equal(status, 'measured');
       t.ok(sizes.length >= MIN_SIZES && values.length === sizes.length);
       const fit = fitLine(
-        sizes.map((size, index) => ({size, value: values[index] ?? 0})),
+        sizes.map((size, index) => ({itemCount: size, value: values[index] ?? 0})),
         power,
       );
       for (const [index, size] of sizes.entries()) {
@@ -77,7 +77,7 @@
       const {row, value} = rows[index] ?? {};
       t.same(
         [cells[2], cells[3], cells[6]],
-        [row?.slopeId, String(row?.size), formatNumber(value ?? 0, DIGITS)],
+        [row?.slopeId, String(row?.itemCount), formatNumber(value ?? 0, DIGITS)],
       );
     });
     for (const resource of Object.keys(BUDGET) as Resource[]) {
