--- /dev/null
+++ b/bench/request/measureRouting.ts
@@ -0,0 +1,97 @@
+/** Compares routing policies on one mix: tokens recomputed and time to the first token. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {chooseBackendServer, type ChooseServer} from '../../src/controllers/routing/index.js';
+import {createRandom} from '../../standins/utils/random.js';
+import {ServingHarness} from '../../tests/support/ServingHarness.js';
+import {createMix, type MixedRequest} from './PromptMix.js';
+import {summarize, type DurationSummary} from './Percentiles.js';
+
+/** What a policy cost. */
+export interface PolicyResult {
+  readonly policy: string;
+  readonly seed: number;
+  readonly failed: number;
+  readonly promptTokens: number;
+  /** Prompt tokens that engines computed though some engine had computed them before. */
+  readonly recomputedTokens: number;
+  readonly firstToken: DurationSummary;
+}
+
+const SEEDS = [11, 12, 13];
+const ENGINES = 6;
+const REQUESTS = 400;
+const MEAN_INTERVAL_MS = 40;
+const CACHE_TOKENS = 16_384;
+
+/** Runs each policy on fresh engines with the same mix. */
+export async function measureRouting(): Promise<readonly PolicyResult[]> {
+  const results: PolicyResult[] = [];
+  for (const seed of SEEDS) {
+    const random = createRandom(seed);
+    const mix = createMix({requests: REQUESTS, meanIntervalMs: MEAN_INTERVAL_MS, random});
+    for (const [policy, choose] of Object.entries(createPolicies())) {
+      results.push(await measurePolicy(policy, choose, seed, mix));
+    }
+  }
+  return results;
+}
+
+function createPolicies(): Readonly<Record<string, ChooseServer>> {
+  let turn = 0;
+  return {
+    prefix: chooseBackendServer,
+    'least-loaded': (view, request, nowMs, random) =>
+      chooseBackendServer({...view, getCachedTokens: () => 0}, request, nowMs, random),
+    'round-robin': (view, request, nowMs, random) => {
+      const {servers} = view;
+      turn += 1;
+      const rotated = servers.filter((unused, index) => index === turn % servers.length);
+      return chooseBackendServer({...view, servers: rotated}, request, nowMs, random);
+    },
+  };
+}
+
+async function measurePolicy(
+  policy: string,
+  choose: ChooseServer,
+  seed: number,
+  mix: readonly MixedRequest[],
+): Promise<PolicyResult> {
+  const engines = Array.from({length: ENGINES}, (unused, index) => ({
+    instanceId: `engine-${index + 1}`,
+    profile: {timeScale: 1, cacheTokens: CACHE_TOKENS},
+  }));
+  const harness = new ServingHarness({engines, chooseServer: choose});
+  await harness.start();
+  const firstTokensMs: number[] = [];
+  const startMs = performance.now();
+  const answers = await Promise.allSettled(
+    mix.map(async ({atMs, prompt, maxTokens}) => {
+      await sleep(Math.max(0, atMs - (performance.now() - startMs)));
+      const sentMs = performance.now();
+      const answer = await harness.chat(prompt, maxTokens, count => {
+        if (count === 1) firstTokensMs.push(performance.now() - sentMs);
+      });
+      if (answer.tokens.length !== maxTokens) throw new Error(answer.body.slice(0, 200));
+    }),
+  );
+  const runs = engines.flatMap(({instanceId}) =>
+    harness.getEngine(instanceId).getLedger().getEntries(),
+  );
+  await harness.stop();
+  const promptTokens = runs.reduce((sum, run) => sum + run.promptTokens, 0);
+  const computedTokens = runs.reduce((sum, run) => sum + run.promptTokens - run.cachedTokens, 0);
+  return {
+    policy,
+    seed,
+    failed: answers.filter(({status}) => status === 'rejected').length,
+    promptTokens,
+    recomputedTokens: computedTokens - countDistinctTokens(mix),
+    firstToken: summarize(firstTokensMs),
+  };
+}
+
+/** Counts the words that are new in the mix: those that no cache could have held. */
+function countDistinctTokens(mix: readonly MixedRequest[]): number {
+  return new Set(mix.flatMap(({prompt}) => prompt.split(' '))).size;
+}
--- a/src/controllers/routing/RoutingTypes.ts
+++ b/src/controllers/routing/RoutingTypes.ts
@@ -39,6 +39,14 @@
   readonly deadlineAtMs: number;
 }
 
+/** Chooses a backend server; `chooseBackendServer` or another policy. */
+export type ChooseServer = (
+  view: RoutingView,
+  request: RoutingRequest,
+  nowMs: number,
+  random: () => number,
+) => RoutingDecision;
+
 /** The chosen backend server, or why none was chosen. */
 export type RoutingDecision =
   | {
--- a/src/controllers/routing/index.ts
+++ b/src/controllers/routing/index.ts
@@ -7,6 +7,6 @@
   type CacheEventSlice,
   type PrefixIndexOptions,
 } from './PrefixIndex.js';
-export type {RoutingDecision, RoutingRequest, RoutingView} from './RoutingTypes.js';
+export type {ChooseServer, RoutingDecision, RoutingRequest, RoutingView} from './RoutingTypes.js';
 export {getUsableVersions, isBadVersion} from './usableVersions.js';
 export {getAllowedServers} from './allowedServers.js';
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Blackboard, type Incident} from '../blackboard/index.js';
 import {ClaimService} from '../claims/index.js';
+import {chooseBackendServer} from '../controllers/routing/index.js';
 import {EngineClient} from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
 import {FleetFold} from '../folds/index.js';
@@ -251,6 +252,7 @@
       claims: this.claims,
       admission,
       tracker,
+      chooseServer: chooseBackendServer,
       retryBudget,
       quarantine,
       evidence,
--- a/src/http/RequestContext.ts
+++ b/src/http/RequestContext.ts
@@ -6,7 +6,7 @@
 import type {EvidenceRecorder} from '../controllers/moves/index.js';
 import type {QuarantineLedger} from '../controllers/quarantine/index.js';
 import type {RetryBudget} from '../controllers/retry/index.js';
-import type {RoutingView} from '../controllers/routing/index.js';
+import type {ChooseServer, RoutingView} from '../controllers/routing/index.js';
 import type {EngineClient, ServerTracker} from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
 import type {Metrics} from '../metrics/index.js';
@@ -21,6 +21,8 @@
   readonly claims: Pick<ClaimService, 'claim' | 'recordOutcome'>;
   readonly admission: AdmissionGates;
   readonly tracker: ServerTracker;
+  /** Routing policy. */
+  readonly chooseServer: ChooseServer;
   readonly retryBudget: RetryBudget;
   readonly quarantine: QuarantineLedger;
   readonly evidence: EvidenceRecorder;
--- a/src/http/ServerChooser.ts
+++ b/src/http/ServerChooser.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendServer} from '../blackboard/index.js';
 import type {AttemptFailureKind} from '../controllers/retry/index.js';
-import {chooseBackendServer, type RoutingDecision} from '../controllers/routing/index.js';
+import type {RoutingDecision} from '../controllers/routing/index.js';
 import {ServingError} from '../errors/index.js';
 import {getRoutingView, type HandlerContext} from './RequestContext.js';
 
@@ -109,7 +109,7 @@
       return {kind: 'refused', errorKind: 'configuration-unknown', reason: 'no configuration'};
     }
     const {workspace, service, requestClass, promptTokens, blockHashes, deadlineAtMs} = request;
-    return chooseBackendServer(
+    return context.chooseServer(
       getRoutingView(context, configuration),
       {
         service: service.name,
--- a/tests/support/ServingHarness.ts
+++ b/tests/support/ServingHarness.ts
@@ -3,6 +3,7 @@
 import {request} from 'undici';
 import {Blackboard, type Instance} from '../../src/blackboard/index.js';
 import type {Configuration, Service} from '../../src/configuration/index.js';
+import {chooseBackendServer, type ChooseServer} from '../../src/controllers/routing/index.js';
 import {EngineClient} from '../../src/engine/index.js';
 import {ServerWatcher} from '../../src/entry/ServerWatcher.js';
 import {CallersServer, Handover, ServingParts, type HandlerContext} from '../../src/http/index.js';
@@ -26,6 +27,8 @@
 export interface ServingHarnessOptions {
   readonly engines: readonly EnginePlan[];
   readonly service?: Partial<Service>;
+  /** Routing policy; the system's own where absent. */
+  readonly chooseServer?: ChooseServer;
 }
 
 /** What a caller got. */
@@ -86,6 +89,7 @@
       engine,
       metrics,
       tracker,
+      chooseServer: options.chooseServer ?? chooseBackendServer,
       retryBudget,
       quarantine,
       evidence,
