Cheaper timeouts on the plain path

Cause: a profile of the entry under 1,000 calls/s showed 396 ms in DOMException: AbortSignal.timeout fires after each call has long ended, and the caller's signal was aborted at every end. Timers are cleared now and the abort has a reason made once.

--- a/src/http/CallersServer.ts
+++ b/src/http/CallersServer.ts
@@ -13,6 +13,8 @@
 import {PlainHandler} from './PlainHandler.js';
 import type {CallerRequest, HandlerContext} from './RequestContext.js';
 
+/** Made once, since an abort without a reason makes an exception each time. */
+const CALLER_GONE = new ServingError('the caller has gone', {kind: 'internal'});
 const HEADERS_TIMEOUT_MS = 10_000;
 const MAX_HEADER_BYTES = 16_384;
 const SERVICE_PATH = /^\/v1\/services\/([a-z0-9-]+)(\/.*)$/;
@@ -130,7 +132,9 @@
     }
     const workspace = getWorkspaceOrThrow(request, configuration, context.getNowMs());
     const gone = new AbortController();
-    response.once('close', () => gone.abort());
+    response.once('close', () => {
+      if (!response.writableFinished) gone.abort(CALLER_GONE);
+    });
     return {request, response, url, requestId, workspace, configuration, signal: gone.signal};
   }
 
--- a/src/http/PlainSender.ts
+++ b/src/http/PlainSender.ts
@@ -6,7 +6,7 @@
 import {getLoadBand, getPrefillBand} from '../controllers/moves/index.js';
 import {getFingerprint} from '../controllers/quarantine/index.js';
 import {decideRetry, type AttemptFailureKind} from '../controllers/retry/index.js';
-import {isUnconnected, type PlainAnswer} from '../engine/index.js';
+import {AttemptError, isUnconnected, type PlainAnswer} from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
 import type {CallerRequest, HandlerContext} from './RequestContext.js';
 import {ServerChooser, type ChosenServer} from './ServerChooser.js';
@@ -105,6 +105,8 @@
     const sentAtMs = context.getNowMs();
     const waitMs = Math.max(1, Math.min(timeoutMs, deadlineAtMs - sentAtMs));
     const openRequests = context.tracker.getOpenRequests(instanceId);
+    const timeout = new AbortController();
+    const timer = setTimeout(() => timeout.abort(createTimeout(server, waitMs)), waitMs);
     this.attempts += 1;
     context.tracker.addRequest(instanceId);
     context.quarantine.addAttempt({attemptId, fingerprint, service: service.name, instanceId});
@@ -120,7 +122,7 @@
           'x-attempt-id': attemptId,
           'x-workspace': caller.workspace.name,
         },
-        signal: AbortSignal.timeout(waitMs),
+        signal: timeout.signal,
       });
       this.addAnswer(server, answer.status, context.getNowMs() - sentAtMs, openRequests);
       return answer;
@@ -130,6 +132,7 @@
       await noteServerFailure(context, server, failure);
       throw cause;
     } finally {
+      clearTimeout(timer);
       context.tracker.removeRequest(instanceId);
       const cleared = context.quarantine.removeAttempt(attemptId, true, context.getNowMs());
       if (cleared.length > 0) void context.reportIncidents(cleared);
@@ -240,7 +243,14 @@
 
 function getFailure(cause: unknown): AttemptFailureKind {
   if (isUnconnected(cause)) return 'not-connected';
-  return cause instanceof Error && cause.name === 'TimeoutError' ? 'silent' : 'broken';
+  return cause instanceof AttemptError ? cause.failure : 'broken';
+}
+
+function createTimeout({instanceId}: BackendServer, waitMs: number): AttemptError {
+  return new AttemptError(`backend server ${instanceId} gave no answer within ${waitMs} ms`, {
+    kind: 'backend-timeout',
+    failure: 'silent',
+  });
 }
 
 function pickHeaders(headers: IncomingHttpHeaders): Readonly<Record<string, string>> {
