Capacity: hysteresis on prices

Cause: each change of a price would have moved instances between failure domains, at the cost of a cold start each. Choice: a spread that is safe is kept while it costs no more than 1.15 of the cheapest one; versions without a spare stay where they are.

--- a/src/controllers/capacity/CapacityController.ts
+++ b/src/controllers/capacity/CapacityController.ts
@@ -1,7 +1,7 @@
 /** Decides which backend servers to start and which to stop, so that any one failure domain may be lost at least cost. */
 import type {Instance} from '../../blackboard/index.js';
 import type {Market, Offer} from './Offers.js';
-import {spreadInstances, type DomainCount, type DomainCost} from './Spread.js';
+import {getSpreadCost, spreadInstances, type DomainCount, type DomainCost} from './Spread.js';
 import type {VersionNeed} from './VersionNeeds.js';
 
 /** An instance that was started and isn't listed yet. */
@@ -66,6 +66,8 @@
   readonly effects: readonly CapacityEffect[];
 }
 
+/** A spread is kept while it costs no more than this times the cheapest one. */
+const MAX_EXTRA_COST_FACTOR = 1.15;
 /** At most this many backend servers of a version are drained at a time. */
 const MAX_DRAINS = 2;
 
@@ -106,11 +108,50 @@
 
 function getWantedSpread(view: CapacityView, need: VersionNeed): readonly DomainCount[] {
   const domains = getDomainCosts(view);
-  if (need.isSpared) return spreadInstances(need.replicas, domains);
-  const [cheapest] = domains;
+  if (!need.isSpared) return getUnsparedSpread(view, need, domains);
+  const cheapest = spreadInstances(need.replicas, domains);
+  const present = getPresentSpread(view, need);
+  return isGoodEnough(present, cheapest, need, domains) ? present : cheapest;
+}
+
+/** Without a spare any failure domain will do, so what is there stays. */
+function getUnsparedSpread(
+  view: CapacityView,
+  need: VersionNeed,
+  [cheapest]: readonly DomainCost[],
+): readonly DomainCount[] {
+  const present = getPresentSpread(view, need);
+  if (countInstances(present) === need.replicas) return present;
   return cheapest ? [{failureDomain: cheapest.failureDomain, count: need.replicas}] : [];
 }
 
+function getPresentSpread(view: CapacityView, need: VersionNeed): readonly DomainCount[] {
+  const present = [...getServing(view, need), ...getPending(view, need)];
+  return view.openDomains.map(failureDomain => ({
+    failureDomain,
+    count: present.filter(one => one.failureDomain === failureDomain).length,
+  }));
+}
+
+/** Hysteresis keeps instances from moving on every change of a price. */
+function isGoodEnough(
+  present: readonly DomainCount[],
+  cheapest: readonly DomainCount[],
+  {replicas}: VersionNeed,
+  domains: readonly DomainCost[],
+): boolean {
+  const largest = Math.max(0, ...present.map(({count}) => count));
+  const isSafe = domains.length < 2 || countInstances(present) - largest >= replicas;
+  const maxCost = getSpreadCost(cheapest, domains) * MAX_EXTRA_COST_FACTOR;
+  return (
+    isSafe && countInstances(present) >= replicas && getSpreadCost(present, domains) <= maxCost
+  );
+}
+
+function countInstances(spread: readonly DomainCount[]): number {
+  return spread.reduce((sum, {count}) => sum + count, 0);
+}
+
 /** Returns each open failure domain once, with its cheapest offer. */
 function getDomainCosts({offers, openDomains}: CapacityView): readonly DomainCost[] {
   return openDomains.flatMap(failureDomain => {
--- a/src/controllers/capacity/Spread.ts
+++ b/src/controllers/capacity/Spread.ts
@@ -35,7 +35,7 @@
     return fill(cheapestFirst, needed + largest, largest);
   });
   return spreads.reduce((best, spread) =>
-    getCost(spread, domains) < getCost(best, domains) ? spread : best,
+    getSpreadCost(spread, domains) < getSpreadCost(best, domains) ? spread : best,
   );
 }
 
@@ -53,9 +53,18 @@
   });
 }
 
-function getCost(spread: readonly DomainCount[], domains: readonly DomainCost[]): number {
+/**
+ * Returns the cost of a spread per hour. A failure domain without an offer counts as the dearest.
+ * @param spread - The spread.
+ * @param domains - Failure domains with their costs.
+ */
+export function getSpreadCost(
+  spread: readonly DomainCount[],
+  domains: readonly DomainCost[],
+): number {
+  const dearest = Math.max(0, ...domains.map(({costUsdPerHour}) => costUsdPerHour));
   return spread.reduce((sum, {failureDomain, count}) => {
     const domain = domains.find(one => one.failureDomain === failureDomain);
-    return sum + count * (domain?.costUsdPerHour ?? 0);
+    return sum + count * (domain?.costUsdPerHour ?? dearest);
   }, 0);
 }
