--- a/tests/controllers/capacity/CapacityController.test.ts
+++ b/tests/controllers/capacity/CapacityController.test.ts
@@ -220,6 +220,14 @@
     {instances: [...whole, {...createInstance('i-9', 'tema', 'live'), version: 'v7'}]},
     [],
   );
+  const [accra, kasoa, tema] = createView({}).offers;
+  const dearTema = [accra, kasoa, {...tema, costUsdPerHour: 2.5}];
+  doTest('stays on a small change of price', {instances: whole, offers: dearTema}, []);
+  const tooDearTema = [accra, kasoa, {...tema, costUsdPerHour: 9}];
+  doTest('moves on a large change of price', {instances: whole, offers: tooDearTema}, [
+    'start accra guidance/v1/new-guidance-v1-4-0/0',
+    'start kasoa guidance/v1/new-guidance-v1-4-1/0',
+  ]);
   doTest(
     'waits for what was started',
     {
