--- a/bench/capacity/CapacityBench.ts
+++ b/bench/capacity/CapacityBench.ts
@@ -14,8 +14,10 @@
 } from './CapacityPage.js';
 import {CLAIM_SLOPES} from './ClaimSlopes.js';
 import {CONFIGURATION_SLOPES} from './ConfigurationSlopes.js';
-import {fitLine} from './LeastSquares.js';
+import {measureIdleEntries, toCpuSamples, type IdleEntry} from './IdleDaemons.js';
+import {fitLine, type Sample} from './LeastSquares.js';
 import {MEMBER_SLOPES} from './MemberSlopes.js';
+import {PEER_SLOPES} from './PeerSlopes.js';
 import {measureProcessMemory} from './ProcessMemory.js';
 import {REPLICA_SLOPES} from './ReplicaSlopes.js';
 import type {SlopeDefinition} from './SlopeDefinition.js';
@@ -27,6 +29,7 @@
   ...CONFIGURATION_SLOPES,
   ...CLAIM_SLOPES,
   ...MEMBER_SLOPES,
+  ...PEER_SLOPES,
   ...REPLICA_SLOPES,
 ];
 
@@ -38,12 +41,14 @@
 }
 
 /** Measures, prints each slope with its residuals, and writes the page. */
-export function runCapacityBench({pagePath, writeLine}: CapacityBenchOptions): void {
-  const slopes = SLOPE_DEFINITIONS.map(definition => {
-    const measured = measureSlope(definition);
+export async function runCapacityBench({pagePath, writeLine}: CapacityBenchOptions): Promise<void> {
+  const idle = await measureIdleEntries();
+  const slopes: MeasuredSlope[] = [];
+  for (const definition of SLOPE_DEFINITIONS) {
+    const measured = await measureSlope(definition);
     writeLine(describe(measured));
-    return measured;
-  });
+    slopes.push(measured);
+  }
   const rows = workOutAll(slopes);
   const memory = toTable(
     ['process, idle', 'resident MB'],
@@ -54,6 +59,7 @@
     ['today', formatRows('today', rows)],
     ['replacement', formatRows('replacement', rows)],
     ['memory', memory],
+    ['idle', formatIdleEntries(idle)],
     ['appends', formatAppends(APPEND_ROWS)],
   ];
   tables.forEach(([, text]) => writeLine(text));
@@ -75,13 +81,34 @@
   });
 }
 
-function measureSlope(definition: SlopeDefinition): MeasuredSlope {
-  const samples = definition.sizes.map(size => ({size, value: definition.measure(size)}));
+async function measureSlope(definition: SlopeDefinition): Promise<MeasuredSlope> {
+  const samples: Sample[] = [];
+  for (const itemCount of definition.sizes) {
+    samples.push({itemCount, value: await definition.measure(itemCount)});
+  }
   return {definition, samples, fit: fitLine(samples, definition.power)};
 }
 
 function describe({definition, samples, fit}: MeasuredSlope): string {
-  const points = samples.map(({size, value}) => `${size}:${formatNumber(value)}`).join(' ');
+  const points = samples
+    .map(({itemCount, value}) => `${itemCount}:${formatNumber(value)}`)
+    .join(' ');
   const residuals = fit.residualPercents.map(percent => `${formatPercent(percent)}%`).join(' ');
   return `${definition.id} (${definition.valueUnit}) ${points} | residuals ${residuals}`;
 }
+
+function formatIdleEntries(entries: readonly IdleEntry[]): string {
+  const fit = fitLine(toCpuSamples(entries));
+  const rows = entries.map(({backendServers, cpuPercent, residentMb}, index) => [
+    String(backendServers),
+    formatNumber(cpuPercent, 3),
+    formatNumber(fit.intercept + fit.slope * backendServers, 3),
+    formatPercent(fit.residualPercents[index] ?? 0),
+    formatNumber(residentMb, 3),
+  ]);
+  const line = `${formatNumber(fit.intercept, 3)} + ${formatNumber(fit.slope, 3)} a backend server`;
+  return toTable(
+    ['backend servers', '% of a core', 'fitted', 'residual %', 'resident MB'],
+    [...rows, ['fit', line, '', '', '']],
+  );
+}
