Settings are defined in one way; experiment of a leaving failure domain

Ruled out: one list of all settings, since binaries differ. Conclusion: createDefineSetting names the variable after the flag.

--- a/bench/bin/run-bench.ts
+++ b/bench/bin/run-bench.ts
@@ -1,7 +1,10 @@
 #!/usr/bin/env node
 /** Runs the project's measurements: `npm run bench -- capacity`. */
-import {command, flag, subcommands} from 'cmd-ts';
+import {command, flag, number, option, string, subcommands} from 'cmd-ts';
+import {writeFile} from 'node:fs/promises';
 import {runCapacityBench} from '../capacity/index.js';
+import {runLeavingDomain} from '../experiments/index.js';
+import {createHtmlReport, createMarkdownTable} from '../../src/load/index.js';
 import {runCommandLine, type RunnableCommand} from '../../src/settings/index.js';
 
 const PAGE_PATH = 'docs/CAPACITY.md';
@@ -20,6 +23,27 @@
           writeLine: line => void process.stdout.write(`${line}\n`),
         }),
     }),
+    'leaving-domain': command({
+      name: 'leaving-domain',
+      description:
+        'What callers get while a failure domain leaves and returns, with and without a spare',
+      args: {
+        seed: option({type: number, long: 'seed', defaultValue: () => 1}),
+        report: option({type: string, long: 'report', defaultValue: () => ''}),
+      },
+      handler: async ({seed, report}) => {
+        const options = {
+          title: 'A failure domain leaves and returns',
+          command: `npm run bench -- leaving-domain --seed ${seed}`,
+          loads: await runLeavingDomain({
+            seed,
+            writeLine: line => void process.stdout.write(`${line}\n`),
+          }),
+        };
+        process.stdout.write(`${createMarkdownTable(options)}\n`);
+        if (report !== '') await writeFile(report, createHtmlReport(options));
+      },
+    }),
   },
 }) as unknown as RunnableCommand;
 
--- /dev/null
+++ b/bench/experiments/index.ts
@@ -0,0 +1,1 @@
+export {runLeavingDomain, type LeavingDomainOptions} from './LeavingDomain.js';
--- a/src/entry/EntrySettings.ts
+++ b/src/entry/EntrySettings.ts
@@ -1,13 +1,17 @@
 /** Settings of the entry daemon. */
 import {ServingError} from '../errors/index.js';
 import {
+  LOG_LEVELS,
+  createDefineSetting,
   parseHttpUrl,
   parseIpNumber,
   parseList,
+  parseLogLevel,
+  parseOptionalIpNumber,
   parsePort,
   parseText,
   parseWholeNumber,
-  type SettingDefinition,
+  type LogLevel,
   type SettingDefinitions,
 } from '../settings/index.js';
 
@@ -23,7 +27,7 @@
   readonly deploymentKeys: readonly string[];
   readonly statsdAddress: string | undefined;
   readonly statsdPort: number;
-  readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+  readonly logLevel: LogLevel;
   readonly listIntervalMs: number;
   readonly reportIntervalMs: number;
   readonly drainTimeoutMs: number;
@@ -33,7 +37,7 @@
   readonly maxQueuedRequests: number;
 }
 
-const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const;
+const define = createDefineSetting('BUCKTHORN');
 const MAX_INTERVAL_MS = 60_000;
 const MAX_DRAIN_TIMEOUT_MS = 600_000;
 const MAX_BODY_BYTES = 64_000_000;
@@ -74,7 +78,7 @@
   statsdAddress: define(
     'statsd-address',
     'IP number of a StatsD server for metrics',
-    parseOptionalIp,
+    parseOptionalIpNumber,
     '',
   ),
   statsdPort: define('statsd-port', 'UDP port of the StatsD server', parsePort, '8125'),
@@ -148,29 +152,9 @@
   }
 }
 
-function define<Value>(
-  flag: string,
-  description: string,
-  parse: (text: string) => Value,
-  defaultText?: string,
-): SettingDefinition<Value> {
-  const variable = `BUCKTHORN_${flag.toUpperCase().replaceAll('-', '_')}`;
-  return {flag, variable, description, parse, defaultText};
-}
-
-function parseOptionalIp(text: string): string | undefined {
-  return text === '' ? undefined : parseIpNumber(text);
-}
-
 function parseDeploymentKey(text: string): string {
   if (text.length < MIN_KEY_LENGTH) {
     throw new Error(`has a key of fewer than ${MIN_KEY_LENGTH} characters`);
   }
   return text;
 }
-
-function parseLogLevel(text: string): EntrySettings['logLevel'] {
-  const level = LOG_LEVELS.find(candidate => candidate === text);
-  if (!level) throw new Error(`is none of ${LOG_LEVELS.join(', ')}`);
-  return level;
-}
--- a/src/fleet/FleetSettings.ts
+++ b/src/fleet/FleetSettings.ts
@@ -1,10 +1,14 @@
 /** Settings of `buckthorn-fleet`. */
 import {
+  createDefineSetting,
   parseHttpUrl,
   parseIpNumber,
+  parseLogLevel,
+  parseOptionalIpNumber,
   parsePort,
   parseText,
   parseWholeNumber,
+  type LogLevel,
   type SettingDefinitions,
 } from '../settings/index.js';
 
@@ -24,57 +28,19 @@
   readonly leaseTermMs: number;
 }
 
-/** Least severity that is logged. */
-export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
-
-const LOG_LEVELS: readonly LogLevel[] = ['debug', 'info', 'warn', 'error'];
+const define = createDefineSetting('BUCKTHORN');
 const MIN_LEASE_TERM_MS = 500;
 const MAX_LEASE_TERM_MS = 120_000;
 
 /** Definitions of the settings. */
 export const fleetSettings: SettingDefinitions<FleetSettings> = {
-  instanceId: {
-    flag: 'instance-id',
-    variable: 'BUCKTHORN_INSTANCE_ID',
-    description: 'Id of this instance on the platform',
-    parse: parseText,
-  },
-  address: {
-    flag: 'address',
-    variable: 'BUCKTHORN_ADDRESS',
-    description: 'IP number of this instance',
-    parse: parseIpNumber,
-  },
-  failureDomain: {
-    flag: 'failure-domain',
-    variable: 'BUCKTHORN_FAILURE_DOMAIN',
-    description: 'Failure domain of this instance',
-    parse: parseText,
-  },
-  logUrl: {
-    flag: 'log-url',
-    variable: 'BUCKTHORN_LOG_URL',
-    description: "URL of the platform's log service",
-    parse: parseHttpUrl,
-  },
-  cloudUrl: {
-    flag: 'cloud-url',
-    variable: 'BUCKTHORN_CLOUD_URL',
-    description: "URL of the platform's cloud API",
-    parse: parseHttpUrl,
-  },
-  listUrl: {
-    flag: 'list-url',
-    variable: 'BUCKTHORN_LIST_URL',
-    description: "URL of the platform's instance list",
-    parse: parseHttpUrl,
-  },
-  weightsUrl: {
-    flag: 'weights-url',
-    variable: 'BUCKTHORN_WEIGHTS_URL',
-    description: "URL of the platform's weight store",
-    parse: parseHttpUrl,
-  },
+  instanceId: define('instance-id', 'Id of this instance on the platform', parseText),
+  address: define('address', 'IP number of this instance', parseIpNumber),
+  failureDomain: define('failure-domain', 'Failure domain of this instance', parseText),
+  logUrl: define('log-url', "URL of the platform's log service", parseHttpUrl),
+  cloudUrl: define('cloud-url', "URL of the platform's cloud API", parseHttpUrl),
+  listUrl: define('list-url', "URL of the platform's instance list", parseHttpUrl),
+  weightsUrl: define('weights-url', "URL of the platform's weight store", parseHttpUrl),
   deploymentKey: {
     flag: 'deployment-key',
     variable: 'BUCKTHORN_DEPLOYMENT_KEY',
@@ -82,38 +48,23 @@
     parse: parseText,
     isSecret: true,
   },
-  statsdAddress: {
-    flag: 'statsd-address',
-    variable: 'BUCKTHORN_STATSD_ADDRESS',
-    description: 'IP number of the StatsD server',
-    parse: text => (text === '' ? undefined : parseIpNumber(text)),
-    defaultText: '',
-  },
-  statsdPort: {
-    flag: 'statsd-port',
-    variable: 'BUCKTHORN_STATSD_PORT',
-    description: 'UDP port of the StatsD server',
-    parse: parsePort,
-    defaultText: '8125',
-  },
-  logLevel: {
-    flag: 'log-level',
-    variable: 'BUCKTHORN_LOG_LEVEL',
-    description: 'Least severity that is logged: debug, info, warn or error',
-    parse: parseLogLevel,
-    defaultText: 'info',
-  },
-  leaseTermMs: {
-    flag: 'lease-term-ms',
-    variable: 'BUCKTHORN_LEASE_TERM_MS',
-    description: "Term of the fleet holder's lease",
-    parse: parseWholeNumber(MIN_LEASE_TERM_MS, MAX_LEASE_TERM_MS),
-    defaultText: '6000',
-  },
+  statsdAddress: define(
+    'statsd-address',
+    'IP number of the StatsD server',
+    parseOptionalIpNumber,
+    '',
+  ),
+  statsdPort: define('statsd-port', 'UDP port of the StatsD server', parsePort, '8125'),
+  logLevel: define(
+    'log-level',
+    'Least severity that is logged: debug, info, warn or error',
+    parseLogLevel,
+    'info',
+  ),
+  leaseTermMs: define(
+    'lease-term-ms',
+    "Term of the fleet holder's lease",
+    parseWholeNumber(MIN_LEASE_TERM_MS, MAX_LEASE_TERM_MS),
+    '6000',
+  ),
 };
-
-function parseLogLevel(text: string): LogLevel {
-  const level = LOG_LEVELS.find(one => one === text);
-  if (!level) throw new Error(`is none of ${LOG_LEVELS.join(', ')}`);
-  return level;
-}
--- a/src/load/LoadSettings.ts
+++ b/src/load/LoadSettings.ts
@@ -1,10 +1,10 @@
 /** Settings of the load tool. */
 import {
+  createDefineSetting,
   parseHttpUrl,
   parseList,
   parseText,
   parseWholeNumber,
-  type SettingDefinition,
   type SettingDefinitions,
 } from '../settings/index.js';
 import type {LoadKind, LoadWorkspace} from './LoadPlan.js';
@@ -27,6 +27,7 @@
   readonly reportPath: string;
 }
 
+const define = createDefineSetting('BUCKTHORN_LOAD');
 const MAX_DURATION_MS = 600_000;
 const MAX_RATE_PER_SECOND = 5_000;
 const MAX_OPEN_REQUESTS = 10_000;
@@ -92,16 +93,6 @@
   reportPath: define('report', 'HTML file to write', text => text, ''),
 };
 
-function define<Value>(
-  flag: string,
-  description: string,
-  parse: (text: string) => Value,
-  defaultText?: string,
-): SettingDefinition<Value> {
-  const variable = `BUCKTHORN_LOAD_${flag.toUpperCase().replaceAll('-', '_')}`;
-  return {flag, variable, description, parse, defaultText};
-}
-
 /** A load goes to this machine only. */
 function parseLoopbackUrl(text: string): string {
   const url = parseHttpUrl(text);
--- a/src/settings/SettingDefinition.ts
+++ b/src/settings/SettingDefinition.ts
@@ -22,6 +22,25 @@
   readonly [Name in keyof Values]: SettingDefinition<Values[Name]>;
 };
 
+/** Makes a setting whose variable is named after its flag. */
+export type DefineSetting = <Value>(
+  flag: string,
+  description: string,
+  parse: (text: string) => Value,
+  defaultText?: string,
+) => SettingDefinition<Value>;
+
+/**
+ * Returns a function that makes settings of one binary or group of binaries.
+ * @param prefix - Start of the variables' names, such as `BUCKTHORN`.
+ */
+export function createDefineSetting(prefix: string): DefineSetting {
+  return (flag, description, parse, defaultText) => {
+    const variable = `${prefix}_${flag.toUpperCase().replaceAll('-', '_')}`;
+    return {flag, variable, description, parse, defaultText};
+  };
+}
+
 /**
  * Reads one setting.
  * @param definition - The setting.
@@ -100,3 +119,21 @@
       .filter(item => item.length > 0)
       .map(parseItem);
 }
+
+/** Severities that a daemon can log from, the least first. */
+export const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const;
+
+/** Severity that a daemon logs from. */
+export type LogLevel = (typeof LOG_LEVELS)[number];
+
+/** Accepts a severity. */
+export function parseLogLevel(text: string): LogLevel {
+  const level = LOG_LEVELS.find(candidate => candidate === text);
+  if (!level) throw new Error(`is none of ${LOG_LEVELS.join(', ')}`);
+  return level;
+}
+
+/** Accepts an IP number, or an empty text for none. */
+export function parseOptionalIpNumber(text: string): string | undefined {
+  return text === '' ? undefined : parseIpNumber(text);
+}
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,11 +1,17 @@
 export {
+  LOG_LEVELS,
+  createDefineSetting,
   parseHttpUrl,
   parseIpNumber,
   parseList,
+  parseLogLevel,
+  parseOptionalIpNumber,
   parsePort,
   parseSetting,
   parseText,
   parseWholeNumber,
+  type DefineSetting,
+  type LogLevel,
   type SettingDefinition,
   type SettingDefinitions,
 } from './SettingDefinition.js';
