A request ends at its deadline; refusals are counted by workspace; pools of gone servers are closed

Cause: a running stream had no deadline of its own, and connection pools of backend servers that had gone stayed open.

--- a/src/entry/ServerWatcher.ts
+++ b/src/entry/ServerWatcher.ts
@@ -7,7 +7,7 @@
 export interface ServerWatcherOptions {
   readonly blackboard: Blackboard;
   readonly list: Pick<InstanceListClient, 'getInstances'>;
-  readonly engine: Pick<EngineClient, 'getReport' | 'getCacheEvents'>;
+  readonly engine: Pick<EngineClient, 'getReport' | 'getCacheEvents' | 'keepOnly'>;
   readonly tracker: ServerTracker;
   readonly listIntervalMs: number;
   readonly reportIntervalMs: number;
@@ -82,6 +82,7 @@
     const servers = instances.flatMap(instance => this.createServer(instance) ?? []);
     blackboard.setSection('backendServers', {servers});
     this.options.tracker.observeServers(servers);
+    this.options.engine.keepOnly(servers);
   }
 
   private createServer(instance: Instance): BackendServer | undefined {
--- a/src/http/CallersServer.ts
+++ b/src/http/CallersServer.ts
@@ -13,6 +13,8 @@
 import {PlainHandler} from './PlainHandler.js';
 import type {CallerRequest, HandlerContext} from './RequestContext.js';
 
+/** Label of requests that were refused before their workspace was known. */
+const UNKNOWN_WORKSPACE = 'unknown';
 /** Made once, since an abort without a reason makes an exception each time. */
 const CALLER_GONE = new ServingError('the caller has gone', {kind: 'internal'});
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -89,13 +91,16 @@
     const {context} = this.options;
     const requestId = context.createId();
     response.setHeader(REQUEST_ID_HEADER, requestId);
+    let workspace = UNKNOWN_WORKSPACE;
     try {
       const url = new URL(request.url ?? '/', 'http://entry');
       if (await this.serveOperator(request, response, url)) return;
-      await this.serveCaller(this.createCallerRequest(request, response, url, requestId));
+      const caller = this.createCallerRequest(request, response, url, requestId);
+      workspace = caller.workspace.name;
+      await this.serveCaller(caller);
     } catch (error) {
       const servingError = toServingError(error);
-      context.metrics.addCount('request.errors', {kind: servingError.kind});
+      context.metrics.addCount('request.errors', {kind: servingError.kind, workspace});
       sendError(response, servingError, requestId);
       if (!request.complete) request.resume();
     }
--- a/src/http/CompletionRun.ts
+++ b/src/http/CompletionRun.ts
@@ -94,6 +94,8 @@
     context.retryBudget.addFirstTry(context.getNowMs());
     const cancel = () => this.current?.attempt.cancel(createGoneError());
     accepted.signal.addEventListener('abort', cancel, {once: true});
+    const leftMs = Math.max(0, accepted.deadlineAtMs - context.getNowMs());
+    const deadline = setTimeout(() => this.current?.attempt.cancel(createLateError()), leftMs);
     try {
       while (!this.isFinished()) {
         const location = await this.handing;
@@ -102,6 +104,7 @@
       }
       return {kind: 'answered', result: this.getResult()};
     } finally {
+      clearTimeout(deadline);
       accepted.signal.removeEventListener('abort', cancel);
       context.runs.removeRun(this);
     }
@@ -298,6 +301,13 @@
   }
 }
 
+function createLateError(): AttemptError {
+  return new AttemptError('the deadline of the request has passed', {
+    kind: 'backend-timeout',
+    failure: 'silent',
+  });
+}
+
 function createGoneError(): AttemptError {
   return new AttemptError('the caller has gone', {kind: 'backend-failed', failure: 'moved'});
 }
--- a/tests/http/survival.test.ts
+++ b/tests/http/survival.test.ts
@@ -76,6 +76,18 @@
       }),
     (t, harness, busy) => t.equal(getRuns(harness, busy)[0].end, 'cancelled'),
   );
+  doTest(
+    'takes its KV cache along where prefill is slow',
+    {
+      engines: TWO_ENGINES.map(plan => ({...plan, profile: {prefillTokensPerSecond: 100}})),
+    },
+    (harness, busy) =>
+      harness.changeInstance(busy, {state: 'leaving', leavingAtMs: Date.now() + 1_200}),
+    (t, harness, busy) => {
+      const [run] = getRuns(harness, busy === 'a' ? 'b' : 'a');
+      t.ok(run.cachedTokens > 0, 'the other server computes only what came after the export');
+    },
+  );
   doTest('survives the unannounced death of its server', {engines: TWO_ENGINES}, (harness, busy) =>
     harness.kill(busy),
   );
