--- a/tests/support/FleetHarness.ts
+++ b/tests/support/FleetHarness.ts
@@ -1,5 +1,7 @@
 /** A platform of stand-ins with fleet daemons in this process, for tests of the daemons' wiring. */
+import {spawn, type ChildProcess} from 'node:child_process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {createStartBackend} from '../../standins/bin/startedBackends.js';
 import {Platform, type Price} from '../../standins/platform/index.js';
@@ -9,6 +11,7 @@
 import {LogClient} from '../../src/log/index.js';
 import {decodeRecord, encodeRecord, type LogBody, type LogStream} from '../../src/records/index.js';
 
+const FLEET_BINARY = fileURLToPath(new URL('../../src/bin/buckthorn-fleet.js', import.meta.url));
 const ADDRESS = '127.0.0.1';
 /** Term of the daemons' lease. */
 export const LEASE_TERM_MS = 1_000;
@@ -28,6 +31,12 @@
   readonly stops: ReadonlyArray<{readonly instanceId: string}>;
 }
 
+/** A load as the weight store's ledger shows it. */
+export interface LedgerLoad {
+  readonly instanceId: string;
+  readonly fencingToken: number;
+}
+
 /** Runs the platform and the daemons of one test. */
 export class FleetHarness {
   private readonly platform: Platform;
@@ -93,6 +102,18 @@
     return daemon;
   }
 
+  /** Starts a daemon as a process of its own, which a test may freeze; the test ends it. */
+  spawnDaemon(instanceId: string): ChildProcess {
+    const urls = ['log', 'cloud', 'list', 'weights'] as const;
+    const args = urls.flatMap(service => [`--${service}-url`, this.getUrl(service)]);
+    const names = ['--instance-id', instanceId, '--address', ADDRESS, '--failure-domain', 'oslo-a'];
+    const rest = ['--deployment-key', 'test-key', '--lease-term-ms', String(LEASE_TERM_MS)];
+    const logLevel = ['--log-level', 'error'];
+    return spawn(process.execPath, [FLEET_BINARY, ...names, ...args, ...rest, ...logLevel], {
+      stdio: 'ignore',
+    });
+  }
+
   /** Stops a daemon as SIGTERM does. */
   async stopDaemon(daemon: FleetDaemon): Promise<void> {
     this.daemons.splice(this.daemons.indexOf(daemon), 1);
@@ -132,6 +153,12 @@
     return (await call('GET', `${this.getUrl('cloud')}/standin/ledger`)) as CloudLedger;
   }
 
+  /** Returns the loads that the weight store was asked for, in order. */
+  async getLoads(): Promise<readonly LedgerLoad[]> {
+    const ledger = await call('GET', `${this.getUrl('weights')}/standin/ledger`);
+    return (ledger as {readonly loads: readonly LedgerLoad[]}).loads;
+  }
+
   private getLog(): LogClient {
     if (!this.log) throw new Error('the platform was not started');
     return this.log;
