Operators' client: a record that stands twice counts by its first place; answers given again keep what is in force

Cause: where an append's answer is lost, the record is appended again; the verdict of the second copy was taken where one read brought both, so that an accepted configuration was told as refused. A wait failed at the first error of the instance list. An interview turned a workspace of weight 2 into a large one. Ruled out: a repeat filter in the configuration's fold; the compare-and-set refuses the copy, and only the client asked wrongly.

--- a/bench/bin/run-bench.ts
+++ b/bench/bin/run-bench.ts
@@ -2,10 +2,29 @@
 /** Runs the project's measurements: `npm run bench -- capacity`. */
 import {command, flag, subcommands} from 'cmd-ts';
 import {runCapacityBench} from '../capacity/index.js';
+import {measureMissingBackend, measureTableSwap} from '../related/index.js';
 import {runCommandLine, type RunnableCommand} from '../../src/settings/index.js';
 
 const PAGE_PATH = 'docs/CAPACITY.md';
 
+async function runRelated(): Promise<void> {
+  const {serverCounts, swapMicros, inPlaceMicros, swapFit} = measureTableSwap();
+  writeLine('backend servers | whole swap, us | in place, us');
+  serverCounts.forEach((count, index) =>
+    writeLine(`${count} | ${swapMicros[index]?.toFixed(2)} | ${inPlaceMicros[index]?.toFixed(2)}`),
+  );
+  writeLine(`residuals % ${swapFit.residualPercents.map(percent => percent.toFixed(1)).join(' ')}`);
+  for (const {status, callers, answered} of await measureMissingBackend()) {
+    writeLine(
+      `no backend server answered with ${status}: ${answered} of ${callers} callers served`,
+    );
+  }
+}
+
+function writeLine(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
 const commands = subcommands({
   name: 'bench',
   description: 'Measurements of this machine; never part of a verdict',
@@ -17,9 +36,15 @@
       handler: ({dry}) =>
         runCapacityBench({
           pagePath: dry ? undefined : PAGE_PATH,
-          writeLine: line => void process.stdout.write(`${line}\n`),
+          writeLine,
         }),
     }),
+    related: command({
+      name: 'related',
+      description: 'Trials of two ideas of the related reading',
+      args: {},
+      handler: runRelated,
+    }),
   },
 }) as unknown as RunnableCommand;
 
--- a/bench/capacity/WorkedRows.ts
+++ b/bench/capacity/WorkedRows.ts
@@ -136,7 +136,7 @@
   ...toRows('entry', 'changes of the list over the relay tree', 'replacement', [
     ['network', 'list-bytes', 1, memberChangesPerSecond * RELAY_COPIES],
   ]),
-  ...toRows('entry', 'the 32 backend servers used last, one report a second', 'replacement', [
+  ...toRows('entry', 'relayed reports of the 32 backend servers used last', 'replacement', [
     ['network', 'report-bytes', SERVER_SUBSET, SUBSET_REPORTS_PER_SECOND],
     ['memory', 'server-heap', SERVER_SUBSET, 1],
     ['cpu', 'routing-cpu', SERVER_SUBSET, requestsPerSecondPerEntry],
--- a/bench/capacity/index.ts
+++ b/bench/capacity/index.ts
@@ -13,3 +13,5 @@
 export {fitLine, type LineFit, type Sample} from './LeastSquares.js';
 export {BUDGET, RESOURCE_UNITS, TARGET, type Resource} from './Target.js';
 export {WORKED_ROWS, type Phase, type WorkedRow} from './WorkedRows.js';
+export {createBackendServer} from './Fixtures.js';
+export {measureCpuMicros} from './Measure.js';
--- a/src/operator/InForceWait.ts
+++ b/src/operator/InForceWait.ts
@@ -38,12 +38,25 @@
   const giveUpAtMs = getNowMs() + timeoutMs;
   let last: InForceCount | undefined;
   for (;;) {
-    const count = countInForce(revision, await getEntryStatuses());
-    const isNew = last?.entriesInForce !== count.entriesInForce || last?.entries !== count.entries;
-    if (isNew) onCount(count);
-    last = count;
-    const isEverywhere = count.entries > 0 && count.missing.length === 0;
-    if (isEverywhere || getNowMs() >= giveUpAtMs) return count;
+    const isLate = getNowMs() >= giveUpAtMs;
+    const statuses = await getEntryStatuses().catch(rethrowWhen(isLate));
+    const count = statuses && countInForce(revision, statuses);
+    if (count && !isSameCount(last, count)) onCount(count);
+    last = count ?? last;
+    const isEverywhere = count && count.entries > 0 && count.missing.length === 0;
+    if (count && (isEverywhere || isLate)) return count;
     await sleep(POLL_MS);
   }
 }
+
+function isSameCount(a: InForceCount | undefined, b: InForceCount): boolean {
+  return a?.entriesInForce === b.entriesInForce && a.entries === b.entries;
+}
+
+/** The platform's list may be out for a moment; its error counts only once the time is over. */
+function rethrowWhen(isLate: boolean): (error: unknown) => undefined {
+  return error => {
+    if (isLate) throw error;
+    return undefined;
+  };
+}
--- a/src/operator/StreamSession.ts
+++ b/src/operator/StreamSession.ts
@@ -40,7 +40,8 @@
   private readonly options: StreamSessionOptions<Verdict>;
   private readonly tailer: LogTailer;
   private readonly writer: LogWriter;
-  private pendingVerdict: Verdict | undefined;
+  /** Verdicts on this process's records by offset; a repeated append has one of its own, which is never asked for. */
+  private readonly ownVerdicts = new Map<number, Verdict>();
 
   constructor(options: StreamSessionOptions<Verdict>) {
     const {stream, log, writer, getNowMs, timeoutMs, onGap} = options;
@@ -86,7 +87,7 @@
    */
   async propose(body: LogBody): Promise<JudgedRecord<Verdict>> {
     const {offset} = await this.writer.propose(body);
-    const verdict = this.pendingVerdict;
+    const verdict = this.ownVerdicts.get(offset);
     if (verdict === undefined) {
       throw new ServingError(`no verdict at offset ${offset}`, {kind: 'internal'});
     }
@@ -100,7 +101,7 @@
     const placed = {offset, record, atMs};
     fold.applyRecord(placed);
     const verdict = getVerdict();
-    if (record.writer === writer) this.pendingVerdict = verdict ?? this.pendingVerdict;
+    if (record.writer === writer && verdict !== undefined) this.ownVerdicts.set(offset, verdict);
     onApplied?.(placed, atMs, verdict);
     this.writer.observe(placed);
   }
--- a/src/questionnaire/AnswerTexts.ts
+++ b/src/questionnaire/AnswerTexts.ts
@@ -25,7 +25,7 @@
     }),
     workspaces: getNames('workspaces').map(name => ({
       name,
-      size: getText(`workspaces.${name}.size`),
+      ...toDraftSize(getText(`workspaces.${name}.size`)),
     })),
     requestClasses: getNames('requestClasses').map(name => {
       const numbers = splitWords(getText(`requestClasses.${name}`)).map(toNumber);
@@ -68,10 +68,19 @@
 
 function toDraftRoutes(text: string, isIdempotent: boolean): readonly DraftAnswer[] {
   if (text === 'none') return [];
-  return splitList(text).map(item => {
-    const [method, pathPrefix] = splitWords(item);
-    return {methods: [method], pathPrefix, isIdempotent};
-  });
+  const methodsByPath = new Map<string, string[]>();
+  for (const item of splitList(text)) {
+    const [method = '', pathPrefix = ''] = splitWords(item);
+    methodsByPath.set(pathPrefix, [...(methodsByPath.get(pathPrefix) ?? []), method]);
+  }
+  return [...methodsByPath].map(([pathPrefix, methods]) => ({methods, pathPrefix, isIdempotent}));
+}
+
+/** A size by name, or share weight and open requests as two numbers. */
+function toDraftSize(text: string): {readonly [field: string]: DraftAnswer} {
+  const [shareWeight = '', maxOpenRequests] = splitWords(text);
+  if (maxOpenRequests === undefined) return {size: text};
+  return {shareWeight: toNumber(shareWeight), maxOpenRequests: toNumber(maxOpenRequests)};
 }
 
 function toNumber(text: string): string | number {
--- a/src/questionnaire/ConfigurationGenerator.ts
+++ b/src/questionnaire/ConfigurationGenerator.ts
@@ -8,6 +8,7 @@
 } from '../configuration/index.js';
 import type {Answers, ServiceAnswer, WorkspaceAnswer} from './Answers.js';
 import {getKeyNotAfterMs, getKeySha256} from './AnswersCheck.js';
+import {WORKSPACE_SIZES} from './WorkspaceSizes.js';
 
 /** A bearer key made for a workspace; shown once, since only its hash is kept. */
 export interface GeneratedKey {
@@ -30,8 +31,6 @@
 }
 
 const MS_PER_SECOND = 1_000;
-const SHARE_WEIGHTS = {small: 1, large: 4} as const;
-const MAX_OPEN_REQUESTS = {small: 64, large: 256} as const;
 
 /**
  * Generates the configuration that the answers ask for.
@@ -81,11 +80,12 @@
 }
 
 function toWorkspace(answer: WorkspaceAnswer, keys: Workspace['keys']): Workspace {
+  const size = WORKSPACE_SIZES.find(({name}) => name === answer.size) ?? WORKSPACE_SIZES[0];
   return {
     name: answer.name,
     keys,
-    shareWeight: answer.shareWeight ?? SHARE_WEIGHTS[answer.size],
-    maxOpenRequests: answer.maxOpenRequests ?? MAX_OPEN_REQUESTS[answer.size],
+    shareWeight: answer.shareWeight ?? size.shareWeight,
+    maxOpenRequests: answer.maxOpenRequests ?? size.maxOpenRequests,
   };
 }
 
--- a/src/questionnaire/Questions.ts
+++ b/src/questionnaire/Questions.ts
@@ -1,5 +1,6 @@
 /** The questions of the interactive questionnaire; which ones are asked depends on the answers so far. */
-import type {Configuration} from '../configuration/index.js';
+import type {Configuration, Workspace} from '../configuration/index.js';
+import {WORKSPACE_SIZES} from './WorkspaceSizes.js';
 
 /** Answers as typed, by the question's id. */
 export type AnswerTexts = ReadonlyMap<string, string>;
@@ -61,7 +62,7 @@
     ...getNames('workspaces').map(name =>
       ask(
         `workspaces.${name}.size`,
-        `Is workspace ${name} small or large? A large one gets four times the share when capacity is short.`,
+        `Is workspace ${name} small or large? A large one gets four times the share when capacity is short. Or share weight and open requests, as in "2 128".`,
         'small',
       ),
     ),
@@ -159,8 +160,8 @@
     ],
     ['staleConfigurationGraceSeconds', String(inForce.staleConfigurationGraceMs / 1_000)],
   ]);
-  for (const {name, shareWeight} of inForce.workspaces) {
-    texts.set(`workspaces.${name}.size`, shareWeight > 1 ? 'large' : 'small');
+  for (const workspace of inForce.workspaces) {
+    texts.set(`workspaces.${workspace.name}.size`, getSizeText(workspace));
   }
   for (const {
     name,
@@ -178,6 +179,13 @@
   return texts;
 }
 
+function getSizeText({shareWeight, maxOpenRequests}: Workspace): string {
+  const size = WORKSPACE_SIZES.find(
+    known => known.shareWeight === shareWeight && known.maxOpenRequests === maxOpenRequests,
+  );
+  return size?.name ?? `${shareWeight} ${maxOpenRequests}`;
+}
+
 function addServiceTexts(
   texts: Map<string, string>,
   service: Configuration['services'][number],
--- a/tests/operator/ConfigurationStream.test.ts
+++ b/tests/operator/ConfigurationStream.test.ts
@@ -6,14 +6,22 @@
 import {FakeLog} from '../support/FakeLog.js';
 import {assertRejectsKind} from '../support/assertions.js';
 
+/** Longer than the writer's pause between appends, so that a read brings a record with its repeat. */
+const LONG_READ_MS = 250;
 const ANSWERS_PATH = 'examples/barnehageplass.answers.yaml';
 const {configuration: CONFIGURATION} = generateConfiguration(
   await readAnswersFile(ANSWERS_PATH, 0),
   {inForce: undefined, createKey: () => 'key'},
 );
 
-function createLog(): FakeLog {
-  return new FakeLog({getNowMs: Date.now, sleep: systemSleep});
+function createLog(isAnswerLost = false): FakeLog {
+  const chooseFate = () => ({delayMs: 1, answerDelayMs: 1, isLost: false, isAnswerLost});
+  return new FakeLog({
+    getNowMs: Date.now,
+    sleep: systemSleep,
+    chooseFate,
+    readDelayMs: isAnswerLost ? LONG_READ_MS : 1,
+  });
 }
 
 async function openStream(log: FakeLog, writer: string, timeoutMs = 5_000) {
@@ -51,6 +59,15 @@
     await Promise.all(streams.map(stream => stream.close()));
   });
 
+  await t.test('publish holds where the answers are lost and the record stands twice', async t => {
+    const log = createLog(true);
+    const stream = await openStream(log, 'a');
+    const {isAccepted, revision, offset} = await stream.publish(CONFIGURATION, 0, 'kari');
+    t.same({isAccepted, revision, offset}, {isAccepted: true, revision: 1, offset: 0});
+    t.ok(log.getRecords('configuration').length > 1);
+    await stream.close();
+  });
+
   await t.test('publish tells of a log that is out', async t => {
     const log = createLog();
     const stream = await openStream(log, 'a', 300);
--- a/tests/questionnaire/Interview.test.ts
+++ b/tests/questionnaire/Interview.test.ts
@@ -79,17 +79,12 @@
   await t.test('offers what is in force as defaults', async t => {
     const example = await readAnswersFile('examples/barnehageplass.answers.yaml', 0);
     const options = {inForce: undefined, createKey: () => 'key'};
-    const {configuration} = generateConfiguration(example, options);
+    const [first, ...others] = example.workspaces;
+    const workspaces = first ? [{...first, shareWeight: 2}, ...others] : others;
+    const {configuration} = generateConfiguration({...example, workspaces}, options);
     const {answers} = await runInterview(new Array<string>(200).fill(''), configuration);
     const again = generateConfiguration(answers, {...options, inForce: configuration});
-    const getMethods = ({services}: Configuration) =>
-      services.flatMap(({routes}) => routes.flatMap(({methods}) => methods)).sort();
-    t.same(getMethods(again.configuration), getMethods(configuration));
-    const withoutRoutes = ({services, ...rest}: Configuration) => ({
-      ...rest,
-      services: services.map(service => ({...service, routes: []})),
-    });
-    t.same(withoutRoutes(again.configuration), withoutRoutes(configuration));
+    t.same(again.configuration, configuration);
   });
 
   await t.test('publishes nothing where the input ends', async t => {
