--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -41,6 +41,7 @@
   warmth: WarmthState;
   concurrency: ConcurrencyLimitState | undefined;
   openRequests: number;
+  usedAtMs: number | undefined;
   reportedAtMs: number;
   downUntilMs: number;
 }
@@ -107,12 +108,23 @@
     return this.servers.get(instanceId)?.openRequests ?? 0;
   }
 
+  /**
+   * Returns the instant at which this entry last had a try open at a backend server; undefined for never.
+   * @param instanceId - The backend server.
+   */
+  getUsedAtMs(instanceId: string): number | undefined {
+    const tracked = this.servers.get(instanceId);
+    return tracked && tracked.openRequests > 0 ? this.options.getNowMs() : tracked?.usedAtMs;
+  }
+
   /**
    * Notes a try that is sent.
    * @param instanceId - The backend server.
    */
   addRequest(instanceId: string): void {
-    this.getServer(instanceId).openRequests += 1;
+    const tracked = this.getServer(instanceId);
+    tracked.openRequests += 1;
+    tracked.usedAtMs = this.options.getNowMs();
   }
 
   /**
@@ -121,7 +133,10 @@
    */
   removeRequest(instanceId: string): void {
     const tracked = this.servers.get(instanceId);
-    if (tracked) tracked.openRequests = Math.max(0, tracked.openRequests - 1);
+    if (tracked) {
+      tracked.openRequests = Math.max(0, tracked.openRequests - 1);
+      tracked.usedAtMs = this.options.getNowMs();
+    }
     this.wakeSlotWaiters();
   }
 
@@ -261,6 +276,7 @@
       warmth: createWarmth(this.options.getNowMs()),
       concurrency: undefined,
       openRequests: 0,
+      usedAtMs: undefined,
       reportedAtMs: 0,
       downUntilMs: 0,
     };
