Callers that reach no entry were not accepted; calls are kept beside the ledgers of a failed scenario

Cause: 01-announced-reclaim-of-entry failed once by a call to an entry that was gone already; nothing had accepted it.

--- a/scenarios/callers/CallRecord.ts
+++ b/scenarios/callers/CallRecord.ts
@@ -5,6 +5,8 @@
   readonly entryUrl: string;
   readonly startedAtMs: number;
   readonly endedAtMs: number;
+  /** Whether a connection stood; without one nothing can have been accepted. */
+  readonly isConnected: boolean;
   /** Absent where the connection broke before an answer. */
   readonly status?: number;
   /** What a refusal said about whether the request ran. */
--- a/scenarios/runner/Evidence.ts
+++ b/scenarios/runner/Evidence.ts
@@ -27,8 +27,9 @@
   return expectedText === undefined || getAnswerText(attempt) === expectedText;
 }
 
-/** Returns whether an attempt was refused before any part of an answer came. */
-export function isRefusal({status = 0, run, tokens = []}: CallAttempt): boolean {
+/** Returns whether an attempt was refused, or reached no entry, before any part of an answer came. */
+export function isRefusal({isConnected, status = 0, run, tokens = []}: CallAttempt): boolean {
+  if (!isConnected) return true;
   return status >= 400 && run !== undefined && tokens.length === 0;
 }
 
--- a/scenarios/runner/ScenarioRunner.ts
+++ b/scenarios/runner/ScenarioRunner.ts
@@ -1,5 +1,5 @@
 /** Runs a scenario with real processes and gives its verdicts. */
-import {mkdtemp, rm} from 'node:fs/promises';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -41,6 +41,7 @@
   }
   const isPassed = verdicts.every(({findings}) => findings.length === 0);
   if (isPassed) await rm(folder, {recursive: true});
+  else await writeFile(join(folder, 'calls.json'), JSON.stringify(world.getRecords()));
   return {verdicts, isPassed, folder};
 }
 
--- a/scenarios/runner/ScenarioWorld.ts
+++ b/scenarios/runner/ScenarioWorld.ts
@@ -1,7 +1,7 @@
 /** Everything that a running scenario consists of: processes, callers, operators and what was seen. */
 import {request} from 'undici';
 import {createRandom} from '../../standins/utils/random.js';
-import {CallerLoad} from '../callers/index.js';
+import {CallerLoad, type CallRecord} from '../callers/index.js';
 import {Deployment, type BackendPlan, type DaemonPlan} from '../deployment/index.js';
 import type {LoadPlan, Scenario, StartPlan, Target} from '../language/index.js';
 import {getLedgerPath} from './LedgerReader.js';
@@ -97,6 +97,11 @@
     return load;
   }
 
+  /** Returns all calls that have ended. */
+  getRecords(): readonly CallRecord[] {
+    return [...this.loads.values()].flatMap(load => load.getRecords());
+  }
+
   /** Waits until all callers have their answers. */
   async waitForLoads(): Promise<void> {
     await Promise.all([...this.loads.values()].map(load => load.waitForEnd()));
--- a/tests/scenarios/CallExpectations.test.ts
+++ b/tests/scenarios/CallExpectations.test.ts
@@ -13,8 +13,11 @@
   entryUrl: 'http://127.0.0.1:1',
   startedAtMs: 0,
   endedAtMs: 10,
+  isConnected: true,
   isWhole: true,
 };
+const UNCONNECTED = {...ATTEMPT, isConnected: false, isWhole: false};
+const LOST = {...ATTEMPT, isWhole: false};
 const REFUSED = {...ATTEMPT, status: 503, run: 'not-run'};
 const ANSWERED = {...ATTEMPT, status: 201, text: 'first'};
 const RUN = {body: '{"call":"call-1."}', startedAtMs: 5} as RunEntry;
@@ -42,6 +45,13 @@
   doTest('a broken stream', checkAnswers([stream(['a '], false)], false), 1);
   doTest('a token twice', checkAnswers([stream(['a ', 'b ', 'b '], true)], false), 1);
   doTest('a token missing', checkAnswers([stream(['a '], true)], false), 1);
+  doTest(
+    'no entry there, then an answer',
+    checkAnswers([createRecord([UNCONNECTED, ANSWERED])], false),
+    0,
+  );
+  doTest('no entry there at all', checkAnswers([createRecord([UNCONNECTED])], false), 1);
+  doTest('a lost answer, then one', checkAnswers([createRecord([LOST, ANSWERED])], false), 1);
   doTest('a refusal', checkAnswers([createRecord([REFUSED])], false), 1);
   doTest('a refusal that may be', checkAnswers([createRecord([REFUSED])], true), 0);
   doTest('one run', checkRuns([createRecord([ANSWERED])], [RUN]), 0);
