--- a/bench/bin/run-bench.ts
+++ b/bench/bin/run-bench.ts
@@ -4,8 +4,8 @@
 import {writeFile} from 'node:fs/promises';
 import {runCapacityBench} from '../capacity/index.js';
 import {runLeavingDomain} from '../experiments/index.js';
-import {createHtmlReport, createMarkdownTable} from '../../src/load/index.js';
 import {measureMissingBackend, measureTableSwap} from '../related/index.js';
+import {createHtmlReport, createMarkdownTable} from '../../src/load/index.js';
 import {runCommandLine, type RunnableCommand} from '../../src/settings/index.js';
 
 const PAGE_PATH = 'docs/CAPACITY.md';
@@ -42,6 +42,12 @@
           writeLine,
         }),
     }),
+    related: command({
+      name: 'related',
+      description: 'Trials of two ideas of the related reading',
+      args: {},
+      handler: runRelated,
+    }),
     'leaving-domain': command({
       name: 'leaving-domain',
       description:
@@ -59,16 +65,10 @@
             writeLine,
           }),
         };
-        writeLine(createMarkdownTable(options));
+        process.stdout.write(`${createMarkdownTable(options)}\n`);
         if (report !== '') await writeFile(report, createHtmlReport(options));
       },
     }),
-    related: command({
-      name: 'related',
-      description: 'Trials of two ideas of the related reading',
-      args: {},
-      handler: runRelated,
-    }),
   },
 }) as unknown as RunnableCommand;
 
