Concurrency limit no longer collapses to one request a server after an overload

Cause: when 2 of 8 engines were reclaimed at 40 requests/s, the entries' own limit fell to 1 at the six that stayed and never rose: fast answers to cached prompts had become the usual ratio, so that 70 ms on a prediction of 40 ms counted as an overload, and the limit had nothing added while it was lowered. Queues at the entries grew while the engines ran at 22 ms a token. A test that rises from an overload after cached prompts failed first (limit 1 after 60 calm answers). Conclusion: slack on both times, a usual ratio of 1 at least, and the square root added also while the limit is lowered.

--- a/src/controllers/admission/concurrencyLimit.ts
+++ b/src/controllers/admission/concurrencyLimit.ts
@@ -33,7 +33,10 @@
 const SMOOTHING = 0.2;
 /** Part of the limit that must be in use for a sample to raise it. */
 const MIN_UTILISATION = 0.5;
-const MIN_EXPECTED_MS = 1;
+/** Added to both times, so that a few milliseconds on a short prediction are no sign of overload. */
+const SLACK_MS = 100;
+/** A server that keeps to its prediction is not overloaded, however fast it was before. */
+const MIN_USUAL_RATIO = 1;
 
 /**
  * Returns the state before any sample: the highest limit, which the first slow answers lower.
@@ -44,8 +47,9 @@
 }
 
 /**
- * Returns the state after an answer. The limit falls while first tokens come later than usual for their prediction, and
- * rises by the square root of itself while they come in time and the limit is in use.
+ * Returns the state after an answer. The limit falls while first tokens come later than usual for their prediction.
+ * While the limit is in use, the square root of itself is added at each answer: it rises while answers come in time, and an
+ * overload settles at a few requests instead of one, from where it finds its way up again.
  * @param state - State before it.
  * @param sample - The answer.
  * @param bounds - Bounds of the limit.
@@ -55,14 +59,16 @@
   sample: LatencySample,
   {minLimit, maxLimit}: ConcurrencyBounds,
 ): ConcurrencyLimitState {
-  const ratio = sample.observedMs / Math.max(MIN_EXPECTED_MS, sample.expectedMs);
+  const ratio = (sample.observedMs + SLACK_MS) / (sample.expectedMs + SLACK_MS);
   const weight = ratio > state.usualRatio ? RISING_RATIO_WEIGHT : FALLING_RATIO_WEIGHT;
   const learnedRatio = Math.min(ratio, state.usualRatio * MAX_RATIO_STEP);
-  const usualRatio = state.usualRatio + weight * (learnedRatio - state.usualRatio);
+  const usualRatio = Math.max(
+    MIN_USUAL_RATIO,
+    state.usualRatio + weight * (learnedRatio - state.usualRatio),
+  );
   const gradient = clamp((TOLERANCE * state.usualRatio) / ratio, MIN_GRADIENT, MAX_GRADIENT);
   const isInUse = sample.openRequests >= state.limit * MIN_UTILISATION;
-  if (gradient === MAX_GRADIENT && !isInUse) return {limit: state.limit, usualRatio};
-  const target = state.limit * gradient + (gradient === MAX_GRADIENT ? Math.sqrt(state.limit) : 0);
+  const target = state.limit * gradient + (isInUse ? Math.sqrt(state.limit) : 0);
   const limit = state.limit + SMOOTHING * (target - state.limit);
   return {limit: clamp(limit, minLimit, maxLimit), usualRatio};
 }
--- a/tests/controllers/admission/concurrencyLimit.test.ts
+++ b/tests/controllers/admission/concurrencyLimit.test.ts
@@ -54,5 +54,26 @@
       t.end();
     },
   );
+  t.test('rises again after an overload, though cached prompts had made fast answers usual', t => {
+    const run = (
+      start: ReturnType<typeof createConcurrencyLimit>,
+      expectedMs: number,
+      observedMs: number,
+      answers: number,
+    ) => {
+      let state = start;
+      for (let i = 0; i < answers; i++) {
+        const openRequests = Math.floor(state.limit);
+        state = updateConcurrencyLimit(state, {expectedMs, observedMs, openRequests}, BOUNDS);
+      }
+      return state;
+    };
+    const usual = run(createConcurrencyLimit(BOUNDS), 300, 100, 500);
+    const overloaded = run(usual, 40, 2_000, 100);
+    const calm = run(overloaded, 40, 70, 60);
+    t.ok(overloaded.limit < BOUNDS.maxLimit / 2, `${overloaded.limit} in the overload`);
+    t.ok(calm.limit > BOUNDS.maxLimit / 2, `${calm.limit} after it`);
+    t.end();
+  });
   t.end();
 });
