--- a/standins/engine/ModelEngine.ts
+++ b/standins/engine/ModelEngine.ts
@@ -3,7 +3,7 @@
 import {BackendLifecycle, type BackendIdentity} from '../backend/index.js';
 import {isVersionBad, type Faults} from '../faults/index.js';
 import {StandinServer, type Exchange, type Route} from '../http/index.js';
-import {describeBody, RunLedger, type RunEntry} from '../ledger/index.js';
+import {RunLedger} from '../ledger/index.js';
 import {AnswerWriter} from './AnswerWriter.js';
 import {CacheEventLog} from './CacheEventLog.js';
 import {
@@ -12,9 +12,11 @@
   type CompletionRequest,
 } from './CompletionRequest.js';
 import type {EngineProfile} from './EngineProfile.js';
-import {EngineScheduler, type EngineJob} from './EngineScheduler.js';
+import {EngineRuns} from './EngineRuns.js';
+import {EngineScheduler} from './EngineScheduler.js';
 import {EngineWarmth} from './EngineWarmth.js';
-import {KvTransfers, kvImportSchema} from './KvTransfers.js';
+import {createKvRoutes} from './kvRoutes.js';
+import {KvTransfers} from './KvTransfers.js';
 import {OrderDesk, orderSchema} from './OrderDesk.js';
 import {PrefixCache} from './PrefixCache.js';
 
@@ -40,11 +42,6 @@
   readonly onDown: (reason: 'crashed' | 'taken-away') => void;
 }
 
-interface OpenRun {
-  readonly job: EngineJob;
-  readonly entry: RunEntry;
-}
-
 /** Serves one version of one model. */
 export class ModelEngine {
   private readonly options: ModelEngineOptions;
@@ -57,7 +54,7 @@
   private readonly scheduler: EngineScheduler;
   private readonly transfers: KvTransfers;
   private readonly orders: OrderDesk;
-  private readonly openRuns = new Map<RunEntry, OpenRun>();
+  private readonly runs: EngineRuns;
   private loadReport: object = {};
   private reportTimer: NodeJS.Timeout | undefined;
   private isServing = true;
@@ -74,6 +71,8 @@
     this.scheduler = new EngineScheduler(profile, this.cache, () =>
       this.warmth.getSlowdownFactor(),
     );
+    const {ledger, scheduler, warmth} = this;
+    this.runs = new EngineRuns({ledger, scheduler, warmth});
     this.transfers = new KvTransfers(profile, this.cache);
     this.orders = new OrderDesk(options.honoursFencingTokens);
     this.lifecycle = new BackendLifecycle({
@@ -134,13 +133,7 @@
         handler: exchange => exchange.sendJson(200, this.loadReport),
       },
       {method: 'GET', path: /^\/cache\/events$/, handler: exchange => this.sendEvents(exchange)},
-      {method: 'POST', path: /^\/cache\/export$/, handler: exchange => this.exportKv(exchange)},
-      {method: 'POST', path: /^\/cache\/import$/, handler: exchange => this.importKv(exchange)},
-      {
-        method: 'GET',
-        path: /^\/cache\/exports\/([^/]+)$/,
-        handler: (exchange, [kvId]) => this.sendExport(exchange, kvId),
-      },
+      ...createKvRoutes(this.transfers, requestId => this.runs.getBlocks(requestId)),
       {
         method: 'POST',
         path: /^\/orders$/,
@@ -161,86 +154,27 @@
   ): Promise<void> {
     const body = await exchange.readText();
     const request = parse(JSON.parse(body));
-    const {service, version} = this.lifecycle.getIdentity();
+    const identity = this.lifecycle.getIdentity();
+    const {service, version} = identity;
     if (request.model !== service || !this.isServing) {
       exchange.sendJson(404, {error: {message: `model ${request.model} is not served here`}});
       return;
     }
-    const entry = this.addEntry(exchange, body);
+    const entry = this.runs.addEntry(exchange, body, identity);
     if (this.isCrashedBy(body, entry.openRequests)) {
       await this.goDown('crashed');
       return;
     }
     const badEffect = this.getBadEffect(exchange.url.pathname, entry.openRequests);
     if (badEffect === 'fail') {
-      this.ledger.endEntry(entry, 'failed', Date.now());
+      this.runs.failRun(entry);
       exchange.sendJson(500, {error: {message: `version ${version} failed`}});
       return;
     }
     const slowdownFactor =
       badEffect === 'slow' ? (this.server.getFaults().badVersion?.slowdownFactor ?? 1) : 1;
-    this.run(exchange, request, entry, slowdownFactor);
-  }
-
-  private run(
-    exchange: Exchange,
-    request: CompletionRequest,
-    entry: RunEntry,
-    slowdownFactor: number,
-  ): void {
-    const id = `cmpl-${entry.requestId}`;
-    const writer = new AnswerWriter(exchange, request, id, entry.version);
-    const job: EngineJob = {
-      ...request,
-      slowdownFactor,
-      onAdmitted: (promptTokens, cachedTokens) => {
-        Object.assign(entry, {promptTokens, cachedTokens});
-      },
-      onToken: token => {
-        entry.firstTokenAtMs ??= Date.now();
-        entry.generatedTokens += 1;
-        writer.addToken(token);
-      },
-      onEnd: reason => {
-        this.finishRun(entry);
-        writer.finish(reason, entry);
-      },
-    };
-    this.openRuns.set(entry, {job, entry});
-    exchange.onClosed(() => this.cancelRun(entry));
-    this.scheduler.addJob(job);
-  }
-
-  private finishRun(entry: RunEntry): void {
-    this.openRuns.delete(entry);
-    this.ledger.endEntry(entry, 'finished', Date.now());
-    this.warmth.countFinished();
-  }
-
-  private cancelRun(entry: RunEntry): void {
-    const run = this.openRuns.get(entry);
-    if (!run) return;
-    this.openRuns.delete(entry);
-    this.scheduler.removeJob(run.job);
-    this.ledger.endEntry(entry, 'cancelled', Date.now());
-  }
-
-  private addEntry(exchange: Exchange, body: string): RunEntry {
-    return this.ledger.addEntry({
-      ...pickIdentity(this.lifecycle.getIdentity()),
-      ...describeBody(body),
-      requestId: exchange.getHeader('x-request-id') ?? '',
-      attemptId: exchange.getHeader('x-attempt-id') ?? '',
-      method: exchange.method,
-      path: exchange.url.pathname,
-      openRequests: this.openRuns.size + 1,
-      wasCold: this.warmth.isCold(),
-      startedAtMs: Date.now(),
-      promptTokens: 0,
-      cachedTokens: 0,
-      generatedTokens: 0,
-      end: 'running',
-    });
+    const writer = new AnswerWriter(exchange, request, `cmpl-${entry.requestId}`, version);
+    this.runs.startRun(exchange, request, entry, writer, slowdownFactor);
   }
 
   private isCrashedBy(body: string, openRequests: number): boolean {
@@ -294,27 +228,6 @@
     exchange.sendJson(200, this.events.getEvents(from, max, Date.now() - delayMs));
   }
 
-  private async exportKv(exchange: Exchange): Promise<void> {
-    const {requestId} = (await exchange.readJson()) as {requestId?: string};
-    const run = [...this.openRuns.values()].find(({entry}) => entry.requestId === requestId);
-    const blocks = run && this.scheduler.getBlocks(run.job);
-    if (!blocks || requestId === undefined) {
-      exchange.sendJson(404, {error: `request ${requestId} is not running here`});
-      return;
-    }
-    exchange.sendJson(200, this.transfers.addExport(requestId, blocks));
-  }
-
-  private async importKv(exchange: Exchange): Promise<void> {
-    const source = kvImportSchema.parse(await exchange.readJson());
-    exchange.sendJson(200, {tokens: await this.transfers.importFrom(source)});
-  }
-
-  private sendExport(exchange: Exchange, kvId: string): void {
-    const blocks = this.transfers.getExport(kvId);
-    exchange.sendJson(blocks ? 200 : 404, blocks ?? {error: `no export ${kvId}`});
-  }
-
   private async takeOrder(exchange: Exchange): Promise<void> {
     const order = orderSchema.parse(await exchange.readJson());
     if (!this.orders.takeOrder(order, Date.now())) {
@@ -336,7 +249,7 @@
 
   private async goDown(reason: 'crashed' | 'taken-away'): Promise<void> {
     this.lifecycle.abandon();
-    this.ledger.endAll('crashed', Date.now());
+    this.runs.crashAll();
     await this.shutDown();
     this.options.onDown(reason);
   }
@@ -344,14 +257,9 @@
   private async shutDown(): Promise<void> {
     clearInterval(this.reportTimer);
     this.scheduler.stop();
-    this.openRuns.clear();
     await this.server.stop();
   }
 }
 
 const MS_PER_SECOND = 1_000;
 const MAX_EVENTS = 1_000;
-
-function pickIdentity({instanceId, service, version, failureDomain}: BackendIdentity) {
-  return {instanceId, service, version, failureDomain};
-}
--- a/tests/standins/engine/ModelEngine.test.ts
+++ b/tests/standins/engine/ModelEngine.test.ts
@@ -101,6 +101,30 @@
     t.ok(events.length >= 3);
   });
 
+  t.test('an imported KV cache spares the prompt', async t => {
+    const [from, to] = [await startEngine(), await startEngine()];
+    t.teardown(() => Promise.all([from.engine.stop(), to.engine.stop()]));
+    const content = Array.from({length: 60}, (unused, index) => `word${index}`).join(' ');
+    const long = {...CHAT, messages: [{role: 'user', content}], stream: true, max_tokens: 1_000};
+    const running = await request(`${from.url}/v1/chat/completions`, {
+      method: 'POST',
+      headers: {'x-request-id': 'r1'},
+      body: JSON.stringify(long),
+    });
+    const exported = await from.call('POST', '/cache/export', {requestId: 'r1'});
+    const {kvId} = JSON.parse(exported.text);
+    const source = {kvId, fromAddress: '127.0.0.1', fromPort: from.engine.getPort()};
+    await to.call('POST', '/cache/import', source);
+    running.body.destroy();
+    running.body.on('error', () => undefined);
+    const answered = await to.call('POST', '/v1/chat/completions', {
+      ...long,
+      stream: false,
+      max_tokens: 1,
+    });
+    t.equal(JSON.parse(answered.text).usage.prompt_tokens_details.cached_tokens, 48);
+  });
+
   t.test('refuses an order with an old fencing token', async t => {
     const {engine, call} = await startEngine();
     t.teardown(() => engine.stop());
