--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -105,6 +105,7 @@
       tracker: this.serving.tracker,
       list: this.list,
       engine: this.engine,
+      getNowMs,
       listIntervalMs: settings.listIntervalMs,
       reportIntervalMs: settings.reportIntervalMs,
     });
--- a/src/entry/ServerWatcher.ts
+++ b/src/entry/ServerWatcher.ts
@@ -2,6 +2,7 @@
 import type {BackendServer, Blackboard, Instance} from '../blackboard/index.js';
 import type {EngineClient, ServerReport, ServerTracker} from '../engine/index.js';
 import type {InstanceListClient} from '../platform/index.js';
+import {isReportDue} from './reportSchedule.js';
 
 /** Options of a `ServerWatcher`. */
 export interface ServerWatcherOptions {
@@ -9,6 +10,7 @@
   readonly list: Pick<InstanceListClient, 'getInstances'>;
   readonly engine: Pick<EngineClient, 'getReport' | 'getCacheEvents' | 'keepOnly'>;
   readonly tracker: ServerTracker;
+  readonly getNowMs: () => number;
   readonly listIntervalMs: number;
   readonly reportIntervalMs: number;
 }
@@ -17,6 +19,7 @@
 export class ServerWatcher {
   private readonly options: ServerWatcherOptions;
   private readonly reports = new Map<string, ServerReport>();
+  private readonly askedAtMs = new Map<string, number>();
   private readonly timers: NodeJS.Timeout[] = [];
 
   constructor(options: ServerWatcherOptions) {
@@ -47,11 +50,24 @@
 
   private async readReports(): Promise<void> {
     const {servers} = this.options.blackboard.getSection('backendServers');
-    await Promise.all(servers.map(server => this.readReport(server)));
+    const nowMs = this.options.getNowMs();
+    const due = servers.filter(({instanceId}) => this.isReportDue(instanceId, nowMs));
+    await Promise.all(due.map(server => this.readReport(server, nowMs)));
     this.writeServers();
   }
 
-  private async readReport(server: BackendServer): Promise<void> {
+  private isReportDue(instanceId: string, nowMs: number): boolean {
+    const {tracker, reportIntervalMs} = this.options;
+    const view = {
+      askedAtMs: this.askedAtMs.get(instanceId),
+      usedAtMs: tracker.getUsedAtMs(instanceId),
+      activeIntervalMs: reportIntervalMs,
+    };
+    return isReportDue(view, nowMs);
+  }
+
+  private async readReport(server: BackendServer, nowMs: number): Promise<void> {
+    this.askedAtMs.set(server.instanceId, nowMs);
     const report = await this.options.engine.getReport(server).catch(() => undefined);
     if (report) this.reports.set(server.instanceId, report);
     if (report && this.hasCache(server)) await this.readCacheEvents(server);
@@ -71,8 +87,10 @@
 
   private forgetMissing(instances: readonly Instance[]): void {
     const listed = new Set(instances.map(({instanceId}) => instanceId));
-    for (const instanceId of this.reports.keys()) {
-      if (!listed.has(instanceId)) this.reports.delete(instanceId);
+    for (const instanceId of [...this.askedAtMs.keys()]) {
+      if (listed.has(instanceId)) continue;
+      this.reports.delete(instanceId);
+      this.askedAtMs.delete(instanceId);
     }
   }
 
