--- a/src/controllers/admission/concurrencyLimit.ts
+++ b/src/controllers/admission/concurrencyLimit.ts
@@ -33,7 +33,8 @@
 const SMOOTHING = 0.2;
 /** Part of the limit that must be in use for a sample to raise it. */
 const MIN_UTILISATION = 0.5;
-const MIN_EXPECTED_MS = 1;
+/** Time that counts as noise of the network and of the engine's steps, which matters for short predictions. */
+const LATENCY_SLACK_MS = 50;
 
 /**
  * Returns the state before any sample: the highest limit, which the first slow answers lower.
@@ -55,7 +56,7 @@
   sample: LatencySample,
   {minLimit, maxLimit}: ConcurrencyBounds,
 ): ConcurrencyLimitState {
-  const ratio = sample.observedMs / Math.max(MIN_EXPECTED_MS, sample.expectedMs);
+  const ratio = sample.observedMs / (sample.expectedMs + LATENCY_SLACK_MS);
   const weight = ratio > state.usualRatio ? RISING_RATIO_WEIGHT : FALLING_RATIO_WEIGHT;
   const learnedRatio = Math.min(ratio, state.usualRatio * MAX_RATIO_STEP);
   const usualRatio = state.usualRatio + weight * (learnedRatio - state.usualRatio);
--- a/src/controllers/routing/RoutingTypes.ts
+++ b/src/controllers/routing/RoutingTypes.ts
@@ -21,6 +21,8 @@
   readonly ownFailureDomain: string;
   /** Returns the requests that this entry has open at a backend server. */
   getOpenRequests(instanceId: string): number;
+  /** Returns the uncached tokens of this entry's tries that have had no first token; absent for none. */
+  readonly getPendingPrefillTokens?: (instanceId: string) => number;
   /** Returns how many requests this entry may have open at a backend server; absent to go by warmth alone. */
   readonly getConcurrencyLimit?: (server: BackendServer, service: Service) => number;
   /** Returns the longest cached prefix in tokens. */
--- a/src/controllers/routing/chooseBackendServer.ts
+++ b/src/controllers/routing/chooseBackendServer.ts
@@ -89,6 +89,7 @@
     server,
     ownFailureDomain: view.ownFailureDomain,
     openRequests: view.getOpenRequests(server.instanceId),
+    pendingPrefillTokens: view.getPendingPrefillTokens?.(server.instanceId) ?? 0,
     uncachedTokens: Math.max(0, request.promptTokens - cachedTokens),
   });
 }
--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -41,6 +41,7 @@
   warmth: WarmthState;
   concurrency: ConcurrencyLimitState | undefined;
   openRequests: number;
+  pendingPrefillTokens: number;
   reportedAtMs: number;
   downUntilMs: number;
 }
@@ -125,6 +126,24 @@
     this.wakeSlotWaiters();
   }
 
+  /**
+   * Returns the uncached tokens of this entry's tries that have had no first token.
+   * @param instanceId - The backend server.
+   */
+  getPendingPrefillTokens(instanceId: string): number {
+    return this.servers.get(instanceId)?.pendingPrefillTokens ?? 0;
+  }
+
+  /**
+   * Notes that a try waits for its first token, or no longer does.
+   * @param instanceId - The backend server.
+   * @param tokens - Its uncached tokens; negative where it waits no longer.
+   */
+  addPendingPrefill(instanceId: string, tokens: number): void {
+    const tracked = this.getServer(instanceId);
+    tracked.pendingPrefillTokens = Math.max(0, tracked.pendingPrefillTokens + tokens);
+  }
+
   /**
    * Waits until a try has ended somewhere or limits may have changed.
    * @param maxWaitMs - Longest wait.
@@ -261,6 +280,7 @@
       warmth: createWarmth(this.options.getNowMs()),
       concurrency: undefined,
       openRequests: 0,
+      pendingPrefillTokens: 0,
       reportedAtMs: 0,
       downUntilMs: 0,
     };
--- a/src/http/CompletionObserver.ts
+++ b/src/http/CompletionObserver.ts
@@ -17,6 +17,8 @@
 
 /** A try under observation. */
 export interface ObservedAttempt {
+  /** Notes that a token came; only the first counts. */
+  noteToken(): void;
   /**
    * Ends the observation.
    * @param error - How the try failed; undefined where it ended the answer.
@@ -59,7 +61,19 @@
     context.quarantine.addAttempt({attemptId, fingerprint, service: service.name, instanceId});
     context.metrics.addCount('request.tries', this.tags);
     const sample = {openRequests, cachedTokens, isWarm: warmth === 'warm'};
-    return {end: error => this.endAttempt(started, error, sample)};
+    let waitingTokens = Math.max(1, accepted.promptTokens - cachedTokens);
+    context.tracker.addPendingPrefill(instanceId, waitingTokens);
+    const noteToken = () => {
+      if (waitingTokens > 0) context.tracker.addPendingPrefill(instanceId, -waitingTokens);
+      waitingTokens = 0;
+    };
+    return {
+      noteToken,
+      end: error => {
+        noteToken();
+        this.endAttempt(started, error, sample);
+      },
+    };
   }
 
   /**
--- a/src/http/CompletionRun.ts
+++ b/src/http/CompletionRun.ts
@@ -209,7 +209,10 @@
     this.current = {attempt, server};
     const observed = observer.startAttempt({attempt, attemptId, server, expectedFirstTokenMs});
     try {
-      await attempt.run(event => this.applyEvent(attemptId, passedTokens.length, event, onToken));
+      await attempt.run(event => {
+        if (event.kind === 'token') observed.noteToken();
+        this.applyEvent(attemptId, passedTokens.length, event, onToken);
+      });
       assembly.finish(attemptId, 'stop');
       observed.end(undefined);
       return undefined;
--- a/src/http/RequestContext.ts
+++ b/src/http/RequestContext.ts
@@ -68,6 +68,7 @@
     ownInstanceId,
     ownFailureDomain,
     getOpenRequests: instanceId => tracker.getOpenRequests(instanceId),
+    getPendingPrefillTokens: instanceId => tracker.getPendingPrefillTokens(instanceId),
     getConcurrencyLimit: (server, service) => tracker.getLimit(server, service),
     getCachedTokens: (instanceId, blockHashes) =>
       tracker.prefixes.getCachedTokens(instanceId, blockHashes, getNowMs()),
