--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -42,6 +42,7 @@
   concurrency: ConcurrencyLimitState | undefined;
   openRequests: number;
   pendingPrefillTokens: number;
+  usedAtMs: number | undefined;
   reportedAtMs: number;
   downUntilMs: number;
 }
@@ -108,12 +109,23 @@
     return this.servers.get(instanceId)?.openRequests ?? 0;
   }
 
+  /**
+   * Returns the instant at which this entry last had a try open at a backend server; undefined for never.
+   * @param instanceId - The backend server.
+   */
+  getUsedAtMs(instanceId: string): number | undefined {
+    const tracked = this.servers.get(instanceId);
+    return tracked && tracked.openRequests > 0 ? this.options.getNowMs() : tracked?.usedAtMs;
+  }
+
   /**
    * Notes a try that is sent.
    * @param instanceId - The backend server.
    */
   addRequest(instanceId: string): void {
-    this.getServer(instanceId).openRequests += 1;
+    const tracked = this.getServer(instanceId);
+    tracked.openRequests += 1;
+    tracked.usedAtMs = this.options.getNowMs();
   }
 
   /**
@@ -122,7 +134,10 @@
    */
   removeRequest(instanceId: string): void {
     const tracked = this.servers.get(instanceId);
-    if (tracked) tracked.openRequests = Math.max(0, tracked.openRequests - 1);
+    if (tracked) {
+      tracked.openRequests = Math.max(0, tracked.openRequests - 1);
+      tracked.usedAtMs = this.options.getNowMs();
+    }
     this.wakeSlotWaiters();
   }
 
@@ -281,6 +296,7 @@
       concurrency: undefined,
       openRequests: 0,
       pendingPrefillTokens: 0,
+      usedAtMs: undefined,
       reportedAtMs: 0,
       downUntilMs: 0,
     };
--- a/src/http/CompletionObserver.ts
+++ b/src/http/CompletionObserver.ts
@@ -2,6 +2,7 @@
 import type {BackendServer} from '../blackboard/index.js';
 import {getLoadBand, getPrefillBand} from '../controllers/moves/index.js';
 import {getCompletionPath, type AttemptError, type EngineUsage} from '../engine/index.js';
+import type {MetricTags} from '../metrics/index.js';
 import type {CompletionAttempt} from './CompletionAttempt.js';
 import type {AcceptedCompletion} from './CompletionRun.js';
 import {noteServerFailure} from './serverFailures.js';
@@ -30,13 +31,17 @@
 export class CompletionObserver {
   private readonly context: HandlerContext;
   private readonly accepted: AcceptedCompletion;
-  private readonly tags: {readonly workspace: string; readonly class: string};
+  private readonly tags: MetricTags;
   private lastAttemptId = '';
 
   constructor(context: HandlerContext, accepted: AcceptedCompletion) {
     this.context = context;
     this.accepted = accepted;
-    this.tags = {workspace: accepted.workspace, class: accepted.requestClass.name};
+    this.tags = {
+      workspace: accepted.workspace,
+      class: accepted.requestClass.name,
+      service: accepted.service.name,
+    };
   }
 
   /**
