--- a/src/engine/EngineClient.ts
+++ b/src/engine/EngineClient.ts
@@ -4,8 +4,8 @@
 import {z} from 'zod';
 import type {BackendServer, LoadReport} from '../blackboard/index.js';
 import type {CacheEventSlice} from '../controllers/routing/index.js';
-import type {AttemptFailureKind} from '../controllers/retry/index.js';
-import {AttemptError} from './AttemptError.js';
+import {createBrokenError, createStatusError} from './attemptErrors.js';
+import {readChunk, type EngineEvent} from './EngineEvent.js';
 import {getCompletionPath, type CompletionFormat} from './CompletionBody.js';
 
 /** One try of a completion at one backend server. */
@@ -21,18 +21,6 @@
   readonly signal: AbortSignal;
 }
 
-/** What an engine counted. */
-export interface EngineUsage {
-  readonly promptTokens: number;
-  readonly cachedTokens: number;
-}
-
-/** What an engine's stream tells. */
-export type EngineEvent =
-  | {readonly kind: 'token'; readonly text: string}
-  | {readonly kind: 'finished'; readonly finishReason: string}
-  | {readonly kind: 'usage'; readonly usage: EngineUsage};
-
 /** A move of KV cache. */
 export interface CacheMove {
   readonly requestId: string;
@@ -59,22 +47,6 @@
 
 const END_OF_STREAM = '[DONE]';
 
-const chunkSchema = z.object({
-  choices: z.array(
-    z.object({
-      delta: z.object({content: z.string().nullish()}).optional(),
-      text: z.string().optional(),
-      finish_reason: z.string().nullish(),
-    }),
-  ),
-  usage: z
-    .object({
-      prompt_tokens: z.number(),
-      prompt_tokens_details: z.object({cached_tokens: z.number()}).nullish(),
-    })
-    .nullish(),
-});
-
 const loadSchema = z.object({
   runningRequests: z.number(),
   queuedRequests: z.number(),
@@ -314,68 +286,3 @@
   const host = server.address.includes(':') ? `[${server.address}]` : server.address;
   return `http://${host}:${server.port}`;
 }
-
-function readChunk(data: string): readonly EngineEvent[] {
-  const chunk = chunkSchema.parse(JSON.parse(data));
-  const events: EngineEvent[] = [];
-  for (const choice of chunk.choices) {
-    const text = choice.delta?.content ?? choice.text ?? '';
-    if (text.length > 0) events.push({kind: 'token', text});
-    if (choice.finish_reason) events.push({kind: 'finished', finishReason: choice.finish_reason});
-  }
-  if (chunk.usage) {
-    const promptTokens = chunk.usage.prompt_tokens;
-    const cachedTokens = chunk.usage.prompt_tokens_details?.cached_tokens ?? 0;
-    events.push({kind: 'usage', usage: {promptTokens, cachedTokens}});
-  }
-  return events;
-}
-
-const STATUS_NOT_FOUND = 404;
-const STATUS_TOO_MANY = 429;
-const STATUS_UNAVAILABLE = 503;
-const FIRST_SERVER_ERROR = 500;
-/** Errors that come before a connection stands, so that nothing can have been sent. */
-const UNCONNECTED_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
-/**
- * Returns whether an error shows that no connection stood.
- * @param error - What a call threw.
- */
-export function isUnconnected(error: unknown): boolean {
-  const code = (error as {readonly code?: unknown}).code;
-  return typeof code === 'string' && UNCONNECTED_ERROR_CODES.has(code);
-}
-
-function createStatusError(server: BackendServer, status: number, text: string): AttemptError {
-  const failure = getStatusFailure(status);
-  return new AttemptError(
-    `backend server ${server.instanceId} answered ${status}: ${text.slice(0, 200)}`,
-    {
-      failure,
-      kind: failure === 'rejected' ? 'bad-request' : 'backend-failed',
-      run: failure === 'refused' ? 'not-run' : 'unknown',
-    },
-  );
-}
-
-/** A model that isn't served here any more is served elsewhere. */
-function getStatusFailure(status: number): AttemptFailureKind {
-  if ([STATUS_NOT_FOUND, STATUS_TOO_MANY, STATUS_UNAVAILABLE].includes(status)) return 'refused';
-  return status >= FIRST_SERVER_ERROR ? 'failed' : 'rejected';
-}
-
-function createBrokenError(server: BackendServer, cause: unknown): AttemptError {
-  if (cause instanceof AttemptError) return cause;
-  const reason = cause instanceof Error ? cause.message : String(cause);
-  return new AttemptError(`backend server ${server.instanceId} failed: ${reason}`, {
-    kind: 'backend-failed',
-    failure: isUnconnected(cause) ? 'not-connected' : 'broken',
-    cause,
-  });
-}
--- a/src/engine/index.ts
+++ b/src/engine/index.ts
@@ -9,14 +9,13 @@
   type CompletionFormat,
 } from './CompletionBody.js';
 export {AttemptError, toAttemptError, type AttemptErrorOptions} from './AttemptError.js';
+export {isUnconnected} from './attemptErrors.js';
+export type {EngineEvent, EngineUsage} from './EngineEvent.js';
 export {
   EngineClient,
-  isUnconnected,
   type CacheMove,
   type EngineCall,
   type EngineClientOptions,
-  type EngineEvent,
-  type EngineUsage,
   type PlainAnswer,
   type ServerReport,
 } from './EngineClient.js';
