--- a/src/http/PlainSender.ts
+++ b/src/http/PlainSender.ts
@@ -217,7 +217,8 @@
   }
 
   private getTags() {
-    return {workspace: this.call.caller.workspace.name, class: PLAIN_CLASS};
+    const {caller, service} = this.call;
+    return {workspace: caller.workspace.name, class: PLAIN_CLASS, service: service.name};
   }
 }
 
