--- a/bench/bin/run-bench.ts
+++ b/bench/bin/run-bench.ts
@@ -4,11 +4,30 @@
 import {writeFile} from 'node:fs/promises';
 import {runCapacityBench} from '../capacity/index.js';
 import {runLeavingDomain} from '../experiments/index.js';
+import {measureMissingBackend, measureTableSwap} from '../related/index.js';
 import {createHtmlReport, createMarkdownTable} from '../../src/load/index.js';
 import {runCommandLine, type RunnableCommand} from '../../src/settings/index.js';
 
 const PAGE_PATH = 'docs/CAPACITY.md';
 
+async function runRelated(): Promise<void> {
+  const {serverCounts, swapMicros, inPlaceMicros, swapFit} = measureTableSwap();
+  writeLine('backend servers | whole swap, us | in place, us');
+  serverCounts.forEach((count, index) =>
+    writeLine(`${count} | ${swapMicros[index]?.toFixed(2)} | ${inPlaceMicros[index]?.toFixed(2)}`),
+  );
+  writeLine(`residuals % ${swapFit.residualPercents.map(percent => percent.toFixed(1)).join(' ')}`);
+  for (const {status, callers, answered} of await measureMissingBackend()) {
+    writeLine(
+      `no backend server answered with ${status}: ${answered} of ${callers} callers served`,
+    );
+  }
+}
+
+function writeLine(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
 const commands = subcommands({
   name: 'bench',
   description: 'Measurements of this machine; never part of a verdict',
@@ -20,9 +39,15 @@
       handler: ({dry}) =>
         runCapacityBench({
           pagePath: dry ? undefined : PAGE_PATH,
-          writeLine: line => void process.stdout.write(`${line}\n`),
+          writeLine,
         }),
     }),
+    related: command({
+      name: 'related',
+      description: 'Trials of two ideas of the related reading',
+      args: {},
+      handler: runRelated,
+    }),
     'leaving-domain': command({
       name: 'leaving-domain',
       description:
@@ -37,7 +62,7 @@
           command: `npm run bench -- leaving-domain --seed ${seed}`,
           loads: await runLeavingDomain({
             seed,
-            writeLine: line => void process.stdout.write(`${line}\n`),
+            writeLine,
           }),
         };
         process.stdout.write(`${createMarkdownTable(options)}\n`);
--- a/tests/support/ServingHarness.ts
+++ b/tests/support/ServingHarness.ts
@@ -80,6 +80,7 @@
       list: {
         getInstances: async () => ({instances: [...this.instances.values()], readAtMs: getNowMs()}),
       },
+      getNowMs,
       listIntervalMs: 50,
       reportIntervalMs: 50,
     });
