--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -41,6 +41,8 @@
   warmth: WarmthState;
   concurrency: ConcurrencyLimitState | undefined;
   openRequests: number;
+  pendingPrefillTokens: number;
+  usedAtMs: number | undefined;
   reportedAtMs: number;
   downUntilMs: number;
 }
@@ -107,12 +109,23 @@
     return this.servers.get(instanceId)?.openRequests ?? 0;
   }
 
+  /**
+   * Returns the instant at which this entry last had a try open at a backend server; undefined for never.
+   * @param instanceId - The backend server.
+   */
+  getUsedAtMs(instanceId: string): number | undefined {
+    const tracked = this.servers.get(instanceId);
+    return tracked && tracked.openRequests > 0 ? this.options.getNowMs() : tracked?.usedAtMs;
+  }
+
   /**
    * Notes a try that is sent.
    * @param instanceId - The backend server.
    */
   addRequest(instanceId: string): void {
-    this.getServer(instanceId).openRequests += 1;
+    const tracked = this.getServer(instanceId);
+    tracked.openRequests += 1;
+    tracked.usedAtMs = this.options.getNowMs();
   }
 
   /**
@@ -121,10 +134,31 @@
    */
   removeRequest(instanceId: string): void {
     const tracked = this.servers.get(instanceId);
-    if (tracked) tracked.openRequests = Math.max(0, tracked.openRequests - 1);
+    if (tracked) {
+      tracked.openRequests = Math.max(0, tracked.openRequests - 1);
+      tracked.usedAtMs = this.options.getNowMs();
+    }
     this.wakeSlotWaiters();
   }
 
+  /**
+   * Returns the uncached tokens of this entry's tries that have had no first token.
+   * @param instanceId - The backend server.
+   */
+  getPendingPrefillTokens(instanceId: string): number {
+    return this.servers.get(instanceId)?.pendingPrefillTokens ?? 0;
+  }
+
+  /**
+   * Notes that a try waits for its first token, or no longer does.
+   * @param instanceId - The backend server.
+   * @param tokens - Its uncached tokens; negative where it waits no longer.
+   */
+  addPendingPrefill(instanceId: string, tokens: number): void {
+    const tracked = this.getServer(instanceId);
+    tracked.pendingPrefillTokens = Math.max(0, tracked.pendingPrefillTokens + tokens);
+  }
+
   /**
    * Waits until a try has ended somewhere or limits may have changed.
    * @param maxWaitMs - Longest wait.
@@ -261,6 +295,8 @@
       warmth: createWarmth(this.options.getNowMs()),
       concurrency: undefined,
       openRequests: 0,
+      pendingPrefillTokens: 0,
+      usedAtMs: undefined,
       reportedAtMs: 0,
       downUntilMs: 0,
     };
--- a/src/http/CallersServer.ts
+++ b/src/http/CallersServer.ts
@@ -13,6 +13,10 @@
 import {PlainHandler} from './PlainHandler.js';
 import type {CallerRequest, HandlerContext} from './RequestContext.js';
 
+/** Label of requests that were refused before their workspace was known. */
+const UNKNOWN_WORKSPACE = 'unknown';
+/** Made once, since an abort without a reason makes an exception each time. */
+const CALLER_GONE = new ServingError('the caller has gone', {kind: 'internal'});
 const HEADERS_TIMEOUT_MS = 10_000;
 const MAX_HEADER_BYTES = 16_384;
 const SERVICE_PATH = /^\/v1\/services\/([a-z0-9-]+)(\/.*)$/;
@@ -87,13 +91,16 @@
     const {context} = this.options;
     const requestId = context.createId();
     response.setHeader(REQUEST_ID_HEADER, requestId);
+    let workspace = UNKNOWN_WORKSPACE;
     try {
       const url = new URL(request.url ?? '/', 'http://entry');
       if (await this.serveOperator(request, response, url)) return;
-      await this.serveCaller(this.createCallerRequest(request, response, url, requestId));
+      const caller = this.createCallerRequest(request, response, url, requestId);
+      workspace = caller.workspace.name;
+      await this.serveCaller(caller);
     } catch (error) {
       const servingError = toServingError(error);
-      context.metrics.addCount('request.errors', {kind: servingError.kind});
+      context.metrics.addCount('request.errors', {kind: servingError.kind, workspace});
       sendError(response, servingError, requestId);
       if (!request.complete) request.resume();
     }
@@ -130,7 +137,9 @@
     }
     const workspace = getWorkspaceOrThrow(request, configuration, context.getNowMs());
     const gone = new AbortController();
-    response.once('close', () => gone.abort());
+    response.once('close', () => {
+      if (!response.writableFinished) gone.abort(CALLER_GONE);
+    });
     return {request, response, url, requestId, workspace, configuration, signal: gone.signal};
   }
 
--- a/src/http/CompletionObserver.ts
+++ b/src/http/CompletionObserver.ts
@@ -2,6 +2,7 @@
 import type {BackendServer} from '../blackboard/index.js';
 import {getLoadBand, getPrefillBand} from '../controllers/moves/index.js';
 import {getCompletionPath, type AttemptError, type EngineUsage} from '../engine/index.js';
+import type {MetricTags} from '../metrics/index.js';
 import type {CompletionAttempt} from './CompletionAttempt.js';
 import type {AcceptedCompletion} from './CompletionRun.js';
 import {noteServerFailure} from './serverFailures.js';
@@ -17,6 +18,8 @@
 
 /** A try under observation. */
 export interface ObservedAttempt {
+  /** Notes that a token came; only the first counts. */
+  noteToken(): void;
   /**
    * Ends the observation.
    * @param error - How the try failed; undefined where it ended the answer.
@@ -28,13 +31,17 @@
 export class CompletionObserver {
   private readonly context: HandlerContext;
   private readonly accepted: AcceptedCompletion;
-  private readonly tags: {readonly workspace: string; readonly class: string};
+  private readonly tags: MetricTags;
   private lastAttemptId = '';
 
   constructor(context: HandlerContext, accepted: AcceptedCompletion) {
     this.context = context;
     this.accepted = accepted;
-    this.tags = {workspace: accepted.workspace, class: accepted.requestClass.name};
+    this.tags = {
+      workspace: accepted.workspace,
+      class: accepted.requestClass.name,
+      service: accepted.service.name,
+    };
   }
 
   /**
@@ -59,7 +66,19 @@
     context.quarantine.addAttempt({attemptId, fingerprint, service: service.name, instanceId});
     context.metrics.addCount('request.tries', this.tags);
     const sample = {openRequests, cachedTokens, isWarm: warmth === 'warm'};
-    return {end: error => this.endAttempt(started, error, sample)};
+    let waitingTokens = Math.max(1, accepted.promptTokens - cachedTokens);
+    context.tracker.addPendingPrefill(instanceId, waitingTokens);
+    const noteToken = () => {
+      if (waitingTokens > 0) context.tracker.addPendingPrefill(instanceId, -waitingTokens);
+      waitingTokens = 0;
+    };
+    return {
+      noteToken,
+      end: error => {
+        noteToken();
+        this.endAttempt(started, error, sample);
+      },
+    };
   }
 
   /**
