Refusals of keyed requests say 'not run' only where it is known; drains, gaps and relay of the fleet stream wired

Ruled out: asking for the key's history before admission, which can't exclude a claim in flight elsewhere. Conclusion: what a refusal says of a keyed request is never more than is known.

--- a/src/controllers/membership/probeMembers.ts
+++ b/src/controllers/membership/probeMembers.ts
@@ -159,7 +159,8 @@
     return {state, target: dead[Math.floor(random() * dead.length)]};
   }
   const probed = members.filter(member => member.state !== 'dead').map(member => member.instanceId);
-  const rest = state.probeOrder.filter(id => probed.includes(id));
+  const probedIds = new Set(probed);
+  const rest = state.probeOrder.filter(id => probedIds.has(id));
   const [first, ...probeOrder] = rest.length > 0 ? rest : shuffle(probed, random);
   if (first === undefined) return {state: {...state, probeOrder: []}};
   return {state: {...state, probeOrder}, target: state.others.get(first)};
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -6,11 +6,12 @@
 import {chooseBackendServer} from '../controllers/routing/index.js';
 import {EngineClient} from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
-import {FleetFold} from '../folds/index.js';
+import {FleetFold, markDrainingInstances} from '../folds/index.js';
 import {CallersServer, Handover, ServingParts, type HandlerContext} from '../http/index.js';
 import {LogClient, LogWriter, StreamFollower} from '../log/index.js';
 import type {Logger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
+import type {StreamRelay} from '../peer/index.js';
 import {InstanceListClient} from '../platform/index.js';
 import {ClaimantWatch, createClaimant} from './ClaimantWatch.js';
 import type {EntrySettings} from './EntrySettings.js';
@@ -43,6 +44,7 @@
   private readonly fleetWriter: LogWriter;
   private readonly fleetFollower: StreamFollower;
   private readonly peers: PeerParts;
+  private readonly fleetRelay: StreamRelay;
   private readonly serving: ServingParts;
   private readonly watcher: ServerWatcher;
   private readonly server: CallersServer;
@@ -92,6 +94,12 @@
       isClaimantLive: claimant => this.isClaimantLive(claimant, getNowMs()),
     });
     this.peers.addClaimService(this.claims);
+    this.fleetRelay = this.peers.createRelay({
+      stream: 'fleet',
+      follower: this.fleetFollower,
+      fold: this.fleetFold,
+      onAdopted: () => this.writeFleetSections(),
+    });
     this.serving = new ServingParts({
       blackboard: this.blackboard,
       metrics: this.metrics,
@@ -105,6 +113,7 @@
       tracker: this.serving.tracker,
       list: this.list,
       engine: this.engine,
+      markInstances: instances => markDrainingInstances(instances, this.fleetFold.getDrains()),
       getNowMs,
       listIntervalMs: settings.listIntervalMs,
       reportIntervalMs: settings.reportIntervalMs,
@@ -128,6 +137,7 @@
     this.serving.incidents.setSpreader(incidents => this.spreadIncidents(incidents));
     await this.server.start();
     await this.peers.start(this.server.getPort());
+    this.fleetRelay.start();
     this.options.logger.info({port: this.getPort(), peerPort: this.getPeerPort()}, 'entry listens');
   }
 
@@ -157,6 +167,7 @@
     this.serving.stop();
     await this.server.stop();
     await this.claims.stop();
+    await this.fleetRelay.stop();
     await this.peers.stop();
     await this.fleetFollower.stop();
     await Promise.all([this.log.close(), this.list.close(), this.engine.close()]);
--- a/src/entry/PeerParts.ts
+++ b/src/entry/PeerParts.ts
@@ -10,10 +10,13 @@
   PeerClient,
   PeerKeys,
   PeerServer,
+  StreamRelay,
   fromWireIncidents,
   createClaimGathering,
   createClaimHandlers,
+  createReadLogHandler,
   toWireIncident,
+  type StreamRelayOptions,
 } from '../peer/index.js';
 import type {EntrySettings} from './EntrySettings.js';
 import {fromWireHandedRequest, toWireHandedRequest} from './handoverCodec.js';
@@ -42,6 +45,7 @@
   private readonly server: PeerServer;
   private readonly configuration: ConfigurationFollower;
   private membership: MembershipLoop | undefined;
+  private readonly relays: StreamRelay[] = [];
   private peerPort = 0;
 
   constructor(options: PeerPartsOptions) {
@@ -69,7 +73,7 @@
     this.peerPort = await this.server.start();
     this.membership = this.createMembership(callersPort);
     this.server.addHandlers({
-      ...this.configuration.getHandlers(),
+      ...createReadLogHandler([this.configuration, ...this.relays]),
       ...this.membership.getHandlers(),
       reportIncidents: ({incidents}) => {
         this.options.onIncidents(fromWireIncidents(incidents));
@@ -97,6 +101,22 @@
     this.server.addHandlers(createClaimHandlers(claims));
   }
 
+  /**
+   * Passes a stream on between entries, for those that are cut off from the log alone.
+   * @param options - The stream and what follows it.
+   */
+  createRelay(
+    options: Pick<StreamRelayOptions, 'stream' | 'follower' | 'fold' | 'onAdopted'>,
+  ): StreamRelay {
+    const {blackboard, settings, writer, getNowMs, random} = this.options;
+    const {instanceId: ownInstanceId} = settings;
+    const {client} = this;
+    const shared = {client, blackboard, ownInstanceId, writer, getNowMs, random};
+    const relay = new StreamRelay({...options, ...shared});
+    this.relays.push(relay);
+    return relay;
+  }
+
   /** Returns the port for peers; 0 before the start. */
   getPort(): number {
     return this.peerPort;
--- a/src/entry/ServerWatcher.ts
+++ b/src/entry/ServerWatcher.ts
@@ -10,6 +10,8 @@
   readonly list: Pick<InstanceListClient, 'getInstances'>;
   readonly engine: Pick<EngineClient, 'getReport' | 'getCacheEvents' | 'keepOnly'>;
   readonly tracker: ServerTracker;
+  /** Marks instances that the fleet's holder drains as leaving. */
+  readonly markInstances: (instances: readonly Instance[]) => readonly Instance[];
   readonly getNowMs: () => number;
   readonly listIntervalMs: number;
   readonly reportIntervalMs: number;
@@ -43,8 +45,9 @@
     const {blackboard, list} = this.options;
     const section = await list.getInstances().catch(() => undefined);
     if (!section) return;
-    blackboard.setSection('instances', section);
-    this.forgetMissing(section.instances);
+    const instances = this.options.markInstances(section.instances);
+    blackboard.setSection('instances', {...section, instances});
+    this.forgetMissing(instances);
     this.writeServers();
   }
 
--- a/src/errors/ServingError.ts
+++ b/src/errors/ServingError.ts
@@ -19,6 +19,8 @@
   custom: class extends ModernError {
     readonly kind: ErrorKind;
     readonly run: RunState;
+    /** Whether the thrower knows of this request what `run` says, beyond the kind's rule. */
+    readonly isRunKnown: boolean;
     readonly retryAfterMs: number | undefined;
 
     /**
@@ -32,6 +34,7 @@
       this.kind = options?.kind ?? 'internal';
       const rule = getAnswerRule(this.kind);
       this.run = options?.run ?? rule.run;
+      this.isRunKnown = options?.run !== undefined;
       this.retryAfterMs = options?.retryAfterMs ?? rule.retryAfterMs;
     }
   },
--- a/src/fleet/ConfigurationStream.ts
+++ b/src/fleet/ConfigurationStream.ts
@@ -26,6 +26,7 @@
       log,
       getNowMs,
       onRecords: records => records.forEach(record => this.applyRecord(record)),
+      onGap: () => this.fold.markIncomplete(),
     });
   }
 
--- a/src/http/CallersServer.ts
+++ b/src/http/CallersServer.ts
@@ -99,7 +99,7 @@
       workspace = caller.workspace.name;
       await this.serveCaller(caller);
     } catch (error) {
-      const servingError = toServingError(error);
+      const servingError = withTrueRun(toServingError(error), request);
       context.metrics.addCount('request.errors', {kind: servingError.kind, workspace});
       sendError(response, servingError, requestId);
       if (!request.complete) request.resume();
@@ -174,3 +174,14 @@
     });
   }
 }
+
+/**
+ * Returns the error with a `run` that is true of a request whose key may have been used before: only an error that was
+ * thrown with knowledge of the key may say "not run".
+ */
+function withTrueRun(error: ServingError, request: IncomingMessage): ServingError {
+  const isKeyed = request.headers['idempotency-key'] !== undefined;
+  if (!isKeyed || error.run !== 'not-run' || error.isRunKnown) return error;
+  const {kind, retryAfterMs, message} = error;
+  return new ServingError(message, {kind, retryAfterMs, run: 'unknown', cause: error});
+}
--- a/src/http/PlainHandler.ts
+++ b/src/http/PlainHandler.ts
@@ -5,7 +5,7 @@
 import type {ClaimAnswer, ClaimRequest} from '../claims/index.js';
 import type {Service, ServiceRoute} from '../configuration/index.js';
 import {isUnconnected, type PlainAnswer} from '../engine/index.js';
-import {ServingError} from '../errors/index.js';
+import {ServingError, toServingError} from '../errors/index.js';
 import type {StoredAnswer} from '../records/index.js';
 import {PLAIN_CLASS, PlainSender, createPlainFailure, type PlainCall} from './PlainSender.js';
 import {readBody} from './RequestBody.js';
@@ -125,7 +125,7 @@
           server = (await sender.chooseServer()).server;
         } catch (error) {
           this.record({workspace, key, attemptId, run: 'not-run'});
-          throw error;
+          throw createNotRunError(error);
         }
       }
     }
@@ -156,12 +156,19 @@
   );
 }
 
+/** The key is held by this attempt and nothing was sent, so it is known that the request never ran. */
+function createNotRunError(cause: unknown): ServingError {
+  const {kind, message, retryAfterMs} = toServingError(cause);
+  return new ServingError(message, {kind, retryAfterMs, run: 'not-run', cause});
+}
+
 function createClaimRefusal(verdict: string, isKnownNotRun: boolean): ServingError {
   const run = isKnownNotRun ? ('not-run' as const) : ('unknown' as const);
   switch (verdict) {
     case 'fingerprint-mismatch':
       return new ServingError('the Idempotency-Key was used for another request', {
         kind: 'idempotency-key-reused',
+        run: 'not-run',
       });
     case 'held':
       return new ServingError('a request with this Idempotency-Key is under way', {
--- a/src/operator/ConfigurationStream.ts
+++ b/src/operator/ConfigurationStream.ts
@@ -31,6 +31,7 @@
       getVerdict: () => this.fold.getLastVerdict(),
       onGap: () => {
         this.hasGap = true;
+        this.fold.markIncomplete();
       },
     });
   }
--- a/tests/support/ServingHarness.ts
+++ b/tests/support/ServingHarness.ts
@@ -81,6 +81,7 @@
         getInstances: async () => ({instances: [...this.instances.values()], readAtMs: getNowMs()}),
       },
       getNowMs,
+      markInstances: instances => instances,
       listIntervalMs: 50,
       reportIntervalMs: 50,
     });
