--- a/src/http/PlainHandler.ts
+++ b/src/http/PlainHandler.ts
@@ -2,7 +2,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendServer} from '../blackboard/index.js';
-import type {ClaimAnswer, ClaimRequest} from '../claims/index.js';
+import {isClaimFresh, type ClaimAnswer, type ClaimRequest} from '../claims/index.js';
 import type {Service, ServiceRoute} from '../configuration/index.js';
 import {isUnconnected, type PlainAnswer} from '../engine/index.js';
 import {ServingError, toServingError} from '../errors/index.js';
@@ -25,6 +25,14 @@
   readonly claimAnswer: ClaimAnswer;
 }
 
+/** A claim that was granted to this entry. */
+interface GrantedClaim {
+  readonly workspace: string;
+  readonly key: string;
+  readonly attemptId: string;
+  readonly grantedAtMs: number;
+}
+
 /** Answers `/v1/services/{service}/{path}` with any method. */
 export class PlainHandler {
   private readonly context: HandlerContext;
@@ -85,7 +93,8 @@
     const {verdict, answer, isKnownNotRun} = claimAnswer;
     if (verdict === 'done' && answer) return decodeAnswer(answer);
     if (verdict !== 'granted') throw createClaimRefusal(verdict, isKnownNotRun);
-    return this.sendClaimed(sender, server, attempt, service.requestTimeoutMs);
+    const granted = {...attempt, grantedAtMs: this.context.getNowMs()};
+    return this.sendClaimed(sender, server, granted, service.requestTimeoutMs);
   }
 
   /** Claims a key; where another attempt holds it, waits a while for that one's outcome. */
@@ -104,12 +113,16 @@
   private async sendClaimed(
     sender: PlainSender,
     firstServer: BackendServer,
-    claim: {readonly workspace: string; readonly key: string; readonly attemptId: string},
+    claim: GrantedClaim,
     timeoutMs: number,
   ): Promise<PlainAnswer> {
-    const {workspace, key, attemptId} = claim;
+    const {workspace, key, attemptId, grantedAtMs} = claim;
     let server = firstServer;
     for (;;) {
+      if (!isClaimFresh(grantedAtMs, this.context.getNowMs())) {
+        this.record({workspace, key, attemptId, run: 'not-run'});
+        throw createStaleClaimError();
+      }
       try {
         const answer = await sender.send(server, attemptId, timeoutMs);
         const kept = answer.body.length <= MAX_KEPT_ANSWER_BYTES ? encodeAnswer(answer) : undefined;
@@ -162,6 +175,14 @@
   return new ServingError(message, {kind, retryAfterMs, run: 'not-run', cause});
 }
 
+/** A paused process may find that its caller has long gone elsewhere; nothing was sent, and nobody else gets the key. */
+function createStaleClaimError(): ServingError {
+  return new ServingError('the claim was granted too long ago to be used', {
+    kind: 'deadline-unreachable',
+    run: 'not-run',
+  });
+}
+
 function createClaimRefusal(verdict: string, isKnownNotRun: boolean): ServingError {
   const run = isKnownNotRun ? ('not-run' as const) : ('unknown' as const);
   switch (verdict) {
