Capacity drains nothing that is needed where no offer is known

Ruled out: the stand-in's prices alone, since a real price feed can have gaps or exceed every price limit. Conclusion: never below the needed replicas.

--- a/src/controllers/capacity/CapacityController.ts
+++ b/src/controllers/capacity/CapacityController.ts
@@ -203,7 +203,9 @@
     const count = wanted.find(one => one.failureDomain === failureDomain)?.count ?? 0;
     return [...there].sort(byDrainOrder).slice(0, Math.max(there.length - count, 0));
   });
-  return drain(view, surplus);
+  // Where no offer is known, nothing is wanted anywhere; that is no reason to stop what serves.
+  const keptCount = Math.max(need.replicas, countInstances(wanted));
+  return drain(view, surplus.slice(0, Math.max(serving.length - keptCount, 0)));
 }
 
 /** Servers of other versions that nobody asked for are left alone; operators may try them out. */
--- a/tests/controllers/capacity/CapacityController.test.ts
+++ b/tests/controllers/capacity/CapacityController.test.ts
@@ -223,6 +223,7 @@
   const [accra, kasoa, tema] = createView({}).offers;
   const dearTema = [accra, kasoa, {...tema, costUsdPerHour: 2.5}];
   doTest('stays on a small change of price', {instances: whole, offers: dearTema}, []);
+  doTest('stops nothing where no offer is known', {instances: whole, offers: []}, []);
   const tooDearTema = [accra, kasoa, {...tema, costUsdPerHour: 9}];
   doTest('moves on a large change of price', {instances: whole, offers: tooDearTema}, [
     'start accra guidance/v1/new-guidance-v1-4-0/0',
