Scenarios wait for work where a verdict needs earlier work

Seen again with eight copies of the old file side by side: 1 of 8 failed with these words, the ledger of booking-1 empty (load average 36). Ruled out: late work; with the bound set to 0 the last request came at most 817 ms after the notice. The bounds of 5 s stand. run-tests prints the failed assertions themselves; the tail of the output had cut off the reason.

--- a/scenarios/language/scenarioSchema.ts
+++ b/scenarios/language/scenarioSchema.ts
@@ -76,6 +76,8 @@
   load: loadSchema.optional(),
   /** Waits until all callers have their answers. */
   awaitLoads: z.strictObject({}).optional(),
+  /** Waits until a backend server of the target has got work, or got it again since a step. */
+  awaitWork: targetSchema.extend({after: z.string().optional()}).optional(),
   waitMs: durationMs.optional(),
   /** Starts a backend server, or an entry or fleet daemon that ended before. */
   start: startSchema.optional(),
--- a/scenarios/runner/StepRunner.ts
+++ b/scenarios/runner/StepRunner.ts
@@ -1,6 +1,8 @@
 /** Runs the steps of a scenario. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Step} from '../language/index.js';
+import {selectRuns} from './Evidence.js';
+import {readLedgers} from './LedgerReader.js';
 import {createConfiguration} from './ScenarioConfiguration.js';
 import type {ScenarioWorld} from './ScenarioWorld.js';
 
@@ -10,6 +12,8 @@
 };
 
 const EXIT_TIMEOUT_MS = 60_000;
+const WORK_TIMEOUT_MS = 30_000;
+const POLL_MS = 50;
 
 /** Does what each step says. */
 export class StepRunner {
@@ -20,6 +24,7 @@
   private readonly runs: StepRuns = {
     load: async plan => this.world.startLoad(plan),
     awaitLoads: async () => this.world.waitForLoads(),
+    awaitWork: async step => this.waitForWork(step),
     waitMs: async durationMs => sleep(durationMs),
     start: async plan => this.world.startInstance(plan),
     notice: async step => this.announceReclaim(step),
@@ -57,6 +62,17 @@
     for (const timer of this.timers) clearTimeout(timer);
   }
 
+  private async waitForWork({after, ...target}: StepOf<'awaitWork'>): Promise<void> {
+    const fromMs = after === undefined ? 0 : this.world.getMarkOrThrow(after);
+    const endAtMs = Date.now() + WORK_TIMEOUT_MS;
+    for (;;) {
+      const runs = selectRuns(await readLedgers(this.world.folder), target);
+      if (runs.some(({startedAtMs}) => startedAtMs > fromMs)) return;
+      if (Date.now() > endAtMs) throw new Error(`no work came to ${JSON.stringify(target)}`);
+      await sleep(POLL_MS);
+    }
+  }
+
   private async announceReclaim({graceMs, ...target}: StepOf<'notice'>): Promise<void> {
     const instanceIds = this.world.getInstanceIds(target);
     const {cloud} = this.world.deployment.getPlatformUrlsOrThrow();
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -11,7 +11,9 @@
 
 const ROOT = dirname(dirname(fileURLToPath(import.meta.url)));
 const FILE_TIMEOUT_MS = 240_000;
-const TAIL_LINES = 80;
+const TAIL_LINES = 40;
+const FAILURE_LINES = 30;
+const MAX_FAILURES = 10;
 /** Tests of whole processes share the machine, so few files run at once. */
 const MAX_PARALLEL = Math.max(2, Math.floor(cpus().length / 3));
 
@@ -83,6 +85,18 @@
   return results;
 }
 
+/** Returns the first failed assertions of a file with what tap says of each. */
+function readFailures(output) {
+  const lines = output.split('\n');
+  const starts = lines.flatMap((line, index) => (/^\s*not ok\b/.test(line) ? [index] : []));
+  return starts.slice(0, MAX_FAILURES).map(start => {
+    const length = lines
+      .slice(start, start + FAILURE_LINES)
+      .findIndex(line => line.trim() === '...');
+    return lines.slice(start, start + (length < 0 ? FAILURE_LINES : length + 1)).join('\n');
+  });
+}
+
 const asked = process.argv.slice(2);
 const all = listTests(join(ROOT, 'dist', 'tests'));
 const chosen = all.filter(
@@ -108,6 +122,8 @@
     passedOver.push(...known.map(result => `${source} | ${result.name}`));
     if (bad.length - known.length + unexplained + skipped > 0) {
       console.log(`FAILED ${source} (exit ${code})`);
+      console.log(readFailures(output).join('\n'));
+      console.log('The end of its output:');
       console.log(output.split('\n').slice(-TAIL_LINES).join('\n'));
     }
   }
