Quickstart's cloud offers the example's failure domains and machine classes

Cause: the stand-in's default offers name domains a to d, so the fleet's holder of npm start found no offer that its configuration allows and never started a replica.

--- a/scenarios/bin/quickstart.ts
+++ b/scenarios/bin/quickstart.ts
@@ -9,6 +9,7 @@
 import {Deployment, type BackendPlan, type DaemonPlan} from '../deployment/index.js';
 
 const FAILURE_DOMAINS = ['ostlandet-a', 'ostlandet-b', 'ostlandet-c', 'ostlandet-d'] as const;
+const MACHINE_CLASSES = ['gpu-small', 'gpu-large', 'cpu-small'] as const;
 const ANSWERS_PATH = join('examples', 'barnehageplass.answers.yaml');
 const DEPLOYMENT_KEY = 'quickstart-deployment-key';
 const WORKSPACE_KEY = 'demo-oslo';
@@ -38,6 +39,7 @@
     backends: planBackends(),
     daemons: [...planDaemons('entry'), ...planDaemons('fleet')],
     deploymentKey: DEPLOYMENT_KEY,
+    platformFlags: planPlatformFlags(),
   });
   try {
     print('Starting stand-ins, three entries and three fleet daemons ...');
@@ -72,6 +74,14 @@
   return [...plan('engine', MODEL, MODEL_SERVERS), ...plan('plain', 'booking', PLAIN_SERVERS)];
 }
 
+/** The cloud stand-in offers what the example's configuration may buy. */
+function planPlatformFlags(): readonly string[] {
+  return [
+    ...['--failure-domains', FAILURE_DOMAINS.join(',')],
+    ...['--machine-classes', MACHINE_CLASSES.join(',')],
+  ];
+}
+
 function planDaemons(role: DaemonPlan['role']): readonly DaemonPlan[] {
   return Array.from({length: DAEMONS_PER_ROLE}, (_, i) => ({
     instanceId: `${role}-${i + 1}`,
