--- a/scenarios/bin/quickstart.ts
+++ b/scenarios/bin/quickstart.ts
@@ -222,11 +222,17 @@
   const [entryUrl] = deployment.getEntryUrls();
   const {log, list} = deployment.getPlatformUrlsOrThrow();
   print(`
-The system runs. Log ${log}, instance list ${list}. A next step:
+The system runs. A next step for callers:
 
   curl -N ${entryUrl}/v1/chat/completions -H 'Authorization: Bearer ${WORKSPACE_KEY}' \\
     -d '{"model": "${MODEL}", "stream": true, "max_tokens": 20, "messages": [{"role": "user", "content": "hello"}]}'
 
+For operators, in another terminal (docs/operators/first-day.md goes on from here):
+
+  export BUCKTHORN_LOG_URL=${log} BUCKTHORN_LIST_URL=${list}
+  export BUCKTHORN_DEPLOYMENT_KEY=${DEPLOYMENT_KEY}
+  node dist/src/bin/buckthornctl.js instances
+
 Stop with Ctrl-C.`);
   await waitForStopSignal();
 }
