A backend server that is slow to answer its health check is not taken for dead

Cause: the check after a broken connection took any failure, its own timeout too, for a crash, and went over a kept connection that may be lost itself. A stalled server with one broken connection put all requests running there under suspicion of being poison. Test first: 'takes the connection and is slow to answer' failed before (4 passed, 1 failed), 5 passed after.

--- a/src/engine/EngineClient.ts
+++ b/src/engine/EngineClient.ts
@@ -1,6 +1,6 @@
 /** Client of model engines: opens answer streams and reads their tokens. */
 import {createParser} from 'eventsource-parser';
-import {Pool, request, type Dispatcher} from 'undici';
+import {Client, errors, Pool, request, type Dispatcher} from 'undici';
 import {z} from 'zod';
 import type {BackendServer, LoadReport} from '../blackboard/index.js';
 import type {CacheEventSlice} from '../controllers/routing/index.js';
@@ -172,20 +172,26 @@
   }
 
   /**
-   * Asks over a new connection whether a backend server still answers at all.
+   * Asks over a new connection whether a backend server still runs. One that takes the connection and is slow to answer
+   * does: slowness isn't death.
    * @param server - The backend server.
    */
-  async isAnswering(server: BackendServer): Promise<boolean> {
+  async isAlive(server: BackendServer): Promise<boolean> {
+    const {connectTimeoutMs, reportTimeoutMs} = this.options;
+    const client = new Client(getOrigin(server), {connect: {timeout: connectTimeoutMs}});
     try {
-      const response = await request(`${getOrigin(server)}/health`, {
-        dispatcher: this.getPool(server),
-        reset: true,
-        signal: AbortSignal.timeout(this.options.reportTimeoutMs),
+      const response = await client.request({
+        method: 'GET',
+        path: '/health',
+        headersTimeout: reportTimeoutMs,
+        bodyTimeout: reportTimeoutMs,
       });
       await response.body.dump();
       return true;
-    } catch {
-      return false;
+    } catch (error) {
+      return error instanceof errors.HeadersTimeoutError;
+    } finally {
+      await client.destroy();
     }
   }
 
--- a/src/http/serverFailures.ts
+++ b/src/http/serverFailures.ts
@@ -25,7 +25,7 @@
   }
   if (failure === 'not-connected') tracker.markDown(server.instanceId);
   if (failure !== 'broken') return;
-  if (await engine.isAnswering(server)) return;
+  if (await engine.isAlive(server)) return;
   await noteCrash(context, server);
 }
 
