A place at a backend server is taken when it is chosen

Cause: the choice and the count of the open request were two steps with a turn of the event loop between them. Requests that chose at the same moment (streams of a failure domain taken out, or all that wait for a place when a new server appears) all saw the same free place; a KV cache move chose its target without a count at all. Test first: 12 streams, their domain taken out, one cold server: before, the cold engine crashed and the streams never ended (timeout, 'other side closed'); after, 12 of 12 whole, at most 4 open while cold. Keyed calls hold their place while the claim is read back.

--- a/src/http/CompletionObserver.ts
+++ b/src/http/CompletionObserver.ts
@@ -14,6 +14,8 @@
   readonly attemptId: string;
   readonly server: BackendServer;
   readonly expectedFirstTokenMs: number;
+  /** Gives back the place at the backend server. */
+  readonly release: () => void;
 }
 
 /** A try under observation. */
@@ -53,7 +55,7 @@
     const {attemptId, server} = started;
     const {instanceId} = server;
     const {fingerprint, service, blockHashes} = accepted;
-    const openRequests = context.tracker.getOpenRequests(instanceId);
+    const openRequests = context.tracker.getOpenRequests(instanceId) - 1;
     const cachedTokens = context.tracker.prefixes.getCachedTokens(
       instanceId,
       blockHashes,
@@ -61,7 +63,6 @@
     );
     this.lastAttemptId = attemptId;
     const warmth = context.tracker.getWarmth(instanceId);
-    context.tracker.addRequest(instanceId);
     context.tracker.prefixes.addSent(instanceId, blockHashes, context.getNowMs());
     context.quarantine.addAttempt({attemptId, fingerprint, service: service.name, instanceId});
     context.metrics.addCount('request.tries', this.tags);
@@ -105,7 +106,7 @@
   }
 
   private endAttempt(
-    {attempt, attemptId, server, expectedFirstTokenMs}: StartedAttempt,
+    {attempt, attemptId, server, expectedFirstTokenMs, release}: StartedAttempt,
     error: AttemptError | undefined,
     sample: {
       readonly openRequests: number;
@@ -115,7 +116,7 @@
   ): void {
     const {context} = this;
     const firstTokenMs = attempt.getFirstTokenMs();
-    context.tracker.removeRequest(server.instanceId);
+    release();
     if (firstTokenMs !== undefined) {
       const observed = {expectedMs: expectedFirstTokenMs, observedMs: firstTokenMs};
       context.tracker.addFirstToken(server, observed);
--- a/src/http/CompletionRun.ts
+++ b/src/http/CompletionRun.ts
@@ -66,7 +66,7 @@
   private current:
     {readonly attempt: CompletionAttempt; readonly server: BackendServer} | undefined;
   private isMoving = false;
-  private preferred: BackendServer | undefined;
+  private preferred: ChosenServer | undefined;
   private handing: Promise<string | undefined> | undefined;
   private failures = 0;
   private silences = 0;
@@ -105,6 +105,7 @@
       return {kind: 'answered', result: this.getResult()};
     } finally {
       clearTimeout(deadline);
+      this.preferred?.release();
       accepted.signal.removeEventListener('abort', cancel);
       context.runs.removeRun(this);
     }
@@ -184,7 +185,7 @@
   }
 
   private async runAttempt(
-    {server, expectedFirstTokenMs}: ChosenServer,
+    {server, expectedFirstTokenMs, release}: ChosenServer,
     onToken: (token: string) => void,
   ): Promise<AttemptError | undefined> {
     const {context, accepted, assembly, observer} = this;
@@ -207,7 +208,13 @@
       getNowMs: context.getNowMs,
     });
     this.current = {attempt, server};
-    const observed = observer.startAttempt({attempt, attemptId, server, expectedFirstTokenMs});
+    const observed = observer.startAttempt({
+      attempt,
+      attemptId,
+      server,
+      expectedFirstTokenMs,
+      release,
+    });
     try {
       await attempt.run(event => {
         if (event.kind === 'token') observed.noteToken();
@@ -287,18 +294,24 @@
 
   private async moveCache(from: BackendServer): Promise<boolean> {
     const {context, accepted} = this;
-    const to = this.chooser.getFreeServer(from.instanceId);
-    if (!to) return false;
+    const place = this.chooser.getFreeServer(from.instanceId);
+    if (!place) return false;
     const startedAtMs = context.getNowMs();
     const timeoutMs = Math.max(1, (from.leavingAtMs ?? accepted.deadlineAtMs) - startedAtMs);
     const signal = AbortSignal.timeout(timeoutMs);
     try {
       const {requestId} = accepted;
-      const tokens = await context.engine.moveCache({requestId, from, to, signal});
+      const tokens = await context.engine.moveCache({
+        requestId,
+        from,
+        to: place.server,
+        signal,
+      });
       context.tracker.addCacheMove(tokens, context.getNowMs() - startedAtMs);
-      this.preferred = to;
+      this.preferred = place;
       return true;
     } catch {
+      place.release();
       return false;
     }
   }
--- a/src/http/PlainHandler.ts
+++ b/src/http/PlainHandler.ts
@@ -1,13 +1,14 @@
 /** Handles calls to plain services, idempotent or claimed. */
 import type {IncomingHttpHeaders} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {BackendServer} from '../blackboard/index.js';
+
 import {isClaimFresh, type ClaimAnswer, type ClaimRequest} from '../claims/index.js';
 import type {Service, ServiceRoute} from '../configuration/index.js';
 import {isUnconnected, type PlainAnswer} from '../engine/index.js';
 import {ServingError, toServingError} from '../errors/index.js';
 import type {StoredAnswer} from '../records/index.js';
 import {PLAIN_CLASS, PlainSender, createPlainFailure, type PlainCall} from './PlainSender.js';
+import type {ChosenServer} from './ServerChooser.js';
 import {readBody} from './RequestBody.js';
 import {getServiceOrThrow, type CallerRequest, type HandlerContext} from './RequestContext.js';
 
@@ -77,12 +78,21 @@
     }
   }
 
-  private async callOnce(
+  private async callOnce(call: PlainCall, sender: PlainSender, key: string): Promise<PlainAnswer> {
+    const chosen = await sender.chooseServer();
+    try {
+      return await this.claimAndSend(call, sender, chosen, key);
+    } finally {
+      chosen.release();
+    }
+  }
+
+  private async claimAndSend(
     {caller, service}: PlainCall,
     sender: PlainSender,
+    chosen: ChosenServer,
     key: string,
   ): Promise<PlainAnswer> {
-    const {server} = await sender.chooseServer();
     const claim = {
       workspace: caller.workspace.name,
       key,
@@ -94,7 +104,7 @@
     if (verdict === 'done' && answer) return decodeAnswer(answer);
     if (verdict !== 'granted') throw createClaimRefusal(verdict, isKnownNotRun);
     const granted = {...attempt, grantedAtMs: this.context.getNowMs()};
-    return this.sendClaimed(sender, server, granted, service.requestTimeoutMs);
+    return this.sendClaimed(sender, chosen, granted, service.requestTimeoutMs);
   }
 
   /** Claims a key; where another attempt holds it, waits a while for that one's outcome. */
@@ -112,30 +122,31 @@
 
   private async sendClaimed(
     sender: PlainSender,
-    firstServer: BackendServer,
+    firstChoice: ChosenServer,
     claim: GrantedClaim,
     timeoutMs: number,
   ): Promise<PlainAnswer> {
     const {workspace, key, attemptId, grantedAtMs} = claim;
-    let server = firstServer;
+    let chosen = firstChoice;
     for (;;) {
       if (!isClaimFresh(grantedAtMs, this.context.getNowMs())) {
         this.record({workspace, key, attemptId, run: 'not-run'});
         throw createStaleClaimError();
       }
       try {
-        const answer = await sender.send(server, attemptId, timeoutMs);
+        const answer = await sender.send(chosen, attemptId, timeoutMs);
         const kept = answer.body.length <= MAX_KEPT_ANSWER_BYTES ? encodeAnswer(answer) : undefined;
         this.record({workspace, key, attemptId, run: 'ran', answer: kept});
         return answer;
       } catch (cause) {
+        const {server} = chosen;
         if (!isUnconnected(cause)) {
           this.record({workspace, key, attemptId, run: 'unknown'});
           throw createPlainFailure(server, cause, 'unknown');
         }
         sender.noteUnreached(server);
         try {
-          server = (await sender.chooseServer()).server;
+          chosen = await sender.chooseServer();
         } catch (error) {
           this.record({workspace, key, attemptId, run: 'not-run'});
           throw createNotRunError(error);
--- a/src/http/PlainSender.ts
+++ b/src/http/PlainSender.ts
@@ -77,11 +77,12 @@
     const {context, call} = this;
     context.retryBudget.addFirstTry(context.getNowMs());
     for (;;) {
-      const {server} = await this.chooseServer();
+      const chosen = await this.chooseServer();
+      const {server} = chosen;
       const attemptId = `${call.caller.requestId}.${this.attempts + 1}`;
       const silenceMs = call.service.requestTimeoutMs / SILENCE_DIVISOR;
       try {
-        const answer = await this.send(server, attemptId, silenceMs);
+        const answer = await this.send(chosen, attemptId, silenceMs);
         if (!RETRIED_STATUSES.has(answer.status)) return answer;
         if (!(await this.prepareRetry(server, 'refused', undefined))) return answer;
       } catch (cause) {
@@ -92,23 +93,26 @@
   }
 
   /**
-   * Sends the call once.
-   * @param server - Backend server.
+   * Sends the call once, and gives the place back.
+   * @param chosen - Backend server.
    * @param attemptId - Id of the try.
    * @param timeoutMs - Longest wait for the answer; the request's deadline holds beside it.
    * @throws Error as undici gives it, where no answer came.
    */
-  async send(server: BackendServer, attemptId: string, timeoutMs: number): Promise<PlainAnswer> {
+  async send(
+    {server, release}: ChosenServer,
+    attemptId: string,
+    timeoutMs: number,
+  ): Promise<PlainAnswer> {
     const {context, call, fingerprint} = this;
     const {caller, method, path, body, deadlineAtMs, service} = call;
     const {instanceId} = server;
     const sentAtMs = context.getNowMs();
     const waitMs = Math.max(1, Math.min(timeoutMs, deadlineAtMs - sentAtMs));
-    const openRequests = context.tracker.getOpenRequests(instanceId);
+    const openRequests = context.tracker.getOpenRequests(instanceId) - 1;
     const timeout = new AbortController();
     const timer = setTimeout(() => timeout.abort(createTimeout(server, waitMs)), waitMs);
     this.attempts += 1;
-    context.tracker.addRequest(instanceId);
     context.quarantine.addAttempt({attemptId, fingerprint, service: service.name, instanceId});
     context.metrics.addCount('request.tries', this.getTags());
     try {
@@ -133,7 +137,7 @@
       throw cause;
     } finally {
       clearTimeout(timer);
-      context.tracker.removeRequest(instanceId);
+      release();
       const cleared = context.quarantine.removeAttempt(attemptId, true, context.getNowMs());
       if (cleared.length > 0) void context.reportIncidents(cleared);
     }
--- a/src/http/ServerChooser.ts
+++ b/src/http/ServerChooser.ts
@@ -18,10 +18,12 @@
   readonly signal: AbortSignal;
 }
 
-/** A chosen backend server. */
+/** A chosen backend server, with a place there that is held until it is given back. */
 export interface ChosenServer {
   readonly server: BackendServer;
   readonly expectedFirstTokenMs: number;
+  /** Gives the place back; later calls do nothing. */
+  readonly release: () => void;
 }
 
 /** Longest wait for a place before the choice is made again. */
@@ -44,30 +46,30 @@
 
   /**
    * Returns the backend server of the next try, as soon as one has a place.
-   * @param preferred - Backend server that holds the request's KV cache, if any.
+   * @param preferred - Place at the backend server that holds the request's KV cache, if any.
    * @param wasSent - Whether the request was sent before, so that it waits instead of being refused.
    * @throws ServingError where there is none before the deadline.
    */
-  async choose(preferred: BackendServer | undefined, wasSent: boolean): Promise<ChosenServer> {
+  async choose(preferred: ChosenServer | undefined, wasSent: boolean): Promise<ChosenServer> {
     const {request} = this;
     for (;;) {
       const busyInstanceIds = await this.passQuarantine();
       if (request.signal.aborted) throw new ServingError('the caller has gone', {kind: 'internal'});
-      const isBusy = preferred !== undefined && busyInstanceIds.has(preferred.instanceId);
-      if (preferred && !isBusy) return {server: preferred, expectedFirstTokenMs: 0};
+      if (preferred && !busyInstanceIds.has(preferred.server.instanceId)) return preferred;
+      preferred?.release();
       const decision = this.decide(busyInstanceIds);
-      if (decision.kind === 'chosen') return decision;
+      if (decision.kind === 'chosen') return this.holdPlace(decision);
       await this.waitOrThrow(decision, wasSent, busyInstanceIds.size > 0);
     }
   }
 
   /**
-   * Returns a free backend server for the request's KV cache.
+   * Returns a place at a free backend server for the request's KV cache.
    * @param leavingInstanceId - Backend server that it leaves.
    */
-  getFreeServer(leavingInstanceId: string): BackendServer | undefined {
+  getFreeServer(leavingInstanceId: string): ChosenServer | undefined {
     const decision = this.decide(new Set([leavingInstanceId]));
-    return decision.kind === 'chosen' ? decision.server : undefined;
+    return decision.kind === 'chosen' ? this.holdPlace(decision) : undefined;
   }
 
   /**
@@ -81,6 +83,21 @@
     if (failure === 'failed') this.draw = this.context.random();
   }
 
+  /** The place is taken at once, so that requests which choose at the same moment don't all get the last one. */
+  private holdPlace({
+    server,
+    expectedFirstTokenMs,
+  }: Extract<RoutingDecision, {kind: 'chosen'}>): ChosenServer {
+    const {tracker} = this.context;
+    let isHeld = true;
+    tracker.addRequest(server.instanceId);
+    const release = () => {
+      if (isHeld) tracker.removeRequest(server.instanceId);
+      isHeld = false;
+    };
+    return {server, expectedFirstTokenMs, release};
+  }
+
   private async passQuarantine(): Promise<ReadonlySet<string>> {
     const {context, request} = this;
     for (;;) {
--- a/tests/support/ServingHarness.ts
+++ b/tests/support/ServingHarness.ts
@@ -170,6 +170,16 @@
     handover.handOver(Date.now());
   }
 
+  /** Lets the entry take an engine for warm. */
+  warmUp(instanceId: string): void {
+    const {servers} = this.blackboard.getSection('backendServers');
+    const server = servers.find(known => known.instanceId === instanceId);
+    if (!server) throw new Error(`no backend server ${instanceId}`);
+    while (this.serving.tracker.getWarmth(instanceId) !== 'warm') {
+      this.serving.tracker.addFirstToken(server, {expectedMs: 1, observedMs: 1});
+    }
+  }
+
   /** Changes what the platform lists of an instance. */
   changeInstance(instanceId: string, changes: Partial<Instance>): void {
     const known = this.instances.get(instanceId);
@@ -215,7 +225,8 @@
     return {status: answer.statusCode, location: String(location), body: await answer.body.text()};
   }
 
-  private async startEngine(plan: EnginePlan): Promise<void> {
+  /** Starts an engine; the list shows it from then on. */
+  async startEngine(plan: EnginePlan): Promise<void> {
     const {instanceId, version = 'v1', failureDomain = 'oslo-a', isColdAtStart = false} = plan;
     const identity = {
       instanceId,
