A returning failure domain gets its percentage of new work

The percentage was decided (getDomainPercent) but routing didn't apply it: a returning failure domain was held by the warmth limits alone. Each request now draws one number, apart from the version's draw, and passes the domain over where the number is not below the percentage; servers there are used all the same rather than refusing. Ruled out: cutting places to the percentage (rounds to nothing, and long answers hold them), one draw for version and domain (a small version would never be offered to the domain).

Seen before: tests/controllers/routing/returningDomains failed (4 passed, 2 failed: part of the work, pass over). After: node scripts/run-tests.mjs controllers/routing: 30 passed, 0 failed. Without a returning domain a choice costs one loop over the orders.

--- a/src/controllers/routing/RoutingTypes.ts
+++ b/src/controllers/routing/RoutingTypes.ts
@@ -39,6 +39,11 @@
   /** Backend servers that earlier tries used. */
   readonly excludedInstanceIds: ReadonlySet<string>;
   readonly deadlineAtMs: number;
+  /**
+   * Number from 0 up to 1, the same for all tries of the request and independent of the draw of its version; a failure
+   * domain that returns is passed over where it is not below the domain's part. Absent for 0: none is passed over.
+   */
+  readonly domainDraw?: number;
 }
 
 /** Chooses a backend server; `chooseBackendServer` or another policy. */
--- a/src/controllers/routing/chooseBackendServer.ts
+++ b/src/controllers/routing/chooseBackendServer.ts
@@ -6,12 +6,14 @@
 import {getExpectedFirstTokenMs} from './firstTokenTime.js';
 import type {RoutingDecision, RoutingRequest, RoutingView} from './RoutingTypes.js';
 import {getAllowedServers} from './allowedServers.js';
+import {getPassedOverDomains} from './passedOverDomains.js';
 import {getUsableVersions} from './usableVersions.js';
 
 /**
  * Chooses a backend server for a request.
  *
- * The version is drawn by its share first, so that a version gets no more than its share when the others are busy.
+ * The version is drawn by its share first, so that a version gets no more than its share when the others are busy. A
+ * failure domain that returns is offered to its percentage of the requests, and to others where nothing else has a place.
  * @param view - What the entry knows.
  * @param request - What is known of the request.
  * @param nowMs - Present time.
@@ -42,6 +44,23 @@
   if (free.length === 0) {
     return refuse('overloaded', `every backend server of "${service.name}" is at its limit`);
   }
+  return chooseOffered(view, request, free, nowMs);
+}
+
+/** Passes failure domains over where the other servers can do; they are used rather than refusing the request. */
+function chooseOffered(
+  view: RoutingView,
+  request: RoutingRequest,
+  free: readonly BackendServer[],
+  nowMs: number,
+): RoutingDecision {
+  const passedOver = getPassedOverDomains(view.failureDomains, request.domainDraw ?? 0, nowMs);
+  if (passedOver.size === 0) return chooseFastest(view, request, free, nowMs);
+  const offered = free.filter(({failureDomain}) => !passedOver.has(failureDomain));
+  if (offered.length > 0) {
+    const decision = chooseFastest(view, request, offered, nowMs);
+    if (decision.kind === 'chosen') return decision;
+  }
   return chooseFastest(view, request, free, nowMs);
 }
 
--- a/src/http/ServerChooser.ts
+++ b/src/http/ServerChooser.ts
@@ -34,12 +34,14 @@
   private readonly context: HandlerContext;
   private readonly request: RoutedRequest;
   private readonly excluded = new Set<string>();
+  private readonly domainDraw: number;
   private draw: number;
 
   constructor(context: HandlerContext, request: RoutedRequest) {
     this.context = context;
     this.request = request;
     this.draw = context.random();
+    this.domainDraw = context.random();
   }
 
   /**
@@ -119,6 +121,7 @@
         blockHashes,
         excludedInstanceIds: new Set([...this.excluded, ...alsoExcluded]),
         deadlineAtMs,
+        domainDraw: this.domainDraw,
       },
       context.getNowMs(),
       () => draw,
