A suspect waits for the end of a wave and avoids the failure domains that it hits

A harmless request whose server died unannounced was tried again 300 ms later, often on a server that the same wave (or domain loss) took next, and was refused as poison. Suspects now wait while others die within a second of each other (5 s at most), and their next try avoids failure domains with a loss in the last 10 s. The loss of a failure domain is judged by servers where the request didn't run, so that copies of a poison request aren't put down to the domain. The bound of two crashes is as before.

Ruled out: not counting deaths in a wave (a poison request would get a third crash); peers' reports as signs (one death seen by five entries looks like five).

--- a/src/controllers/quarantine/QuarantineLedger.ts
+++ b/src/controllers/quarantine/QuarantineLedger.ts
@@ -1,8 +1,9 @@
 /** Finds requests that crash backend servers, and keeps each from crashing more than two. */
 import type {Incident} from '../../blackboard/index.js';
+import {LossHistory, type LossHistoryOptions, type ServerCrash} from './LossHistory.js';
 
 /** Options of a `QuarantineLedger`. */
-export interface QuarantineLedgerOptions {
+export interface QuarantineLedgerOptions extends LossHistoryOptions {
   readonly ownInstanceId: string;
   /** Time for which a suspicion stands. */
   readonly suspicionMs: number;
@@ -10,8 +11,8 @@
   readonly quarantineMs: number;
   /** Time to wait for other entries' reports before a suspect is tried again. */
   readonly settleMs: number;
-  /** Crashes in one failure domain within this time are put down to the domain. */
-  readonly domainLossWindowMs: number;
+  /** Longest wait of a suspect for the end of a wave. */
+  readonly maxWaveWaitMs: number;
   /** Returns whether another entry lives, so that its suspects are not left untried. */
   readonly isAlive?: (entryInstanceId: string) => boolean;
 }
@@ -22,6 +23,9 @@
   quarantineMs: 3_600_000,
   settleMs: 300,
   domainLossWindowMs: 1_000,
+  waveQuietMs: 1_000,
+  maxWaveWaitMs: 5_000,
+  avoidedDomainMs: 10_000,
 };
 
 /** A try of a request, as the ledger sees it. */
@@ -36,17 +40,15 @@
 export type QuarantineDecision =
   | {readonly kind: 'run'}
   /** To be sent to a backend server where no other suspect runs; no other entry tries it meanwhile. */
-  | {readonly kind: 'run-watched'; readonly busyInstanceIds: ReadonlySet<string>}
+  | {
+      readonly kind: 'run-watched';
+      readonly busyInstanceIds: ReadonlySet<string>;
+      /** Failure domains that have lost servers lately, to be used only where no other has a place. */
+      readonly avoidedDomains: ReadonlySet<string>;
+    }
   | {readonly kind: 'wait'; readonly delayMs: number}
   | {readonly kind: 'refused'};
 
-/** A crash of a backend server. */
-export interface ServerCrash {
-  readonly instanceId: string;
-  readonly failureDomain: string;
-  readonly atMs: number;
-}
-
 interface Suspicion {
   readonly service: string;
   /** Crashes by reporter and instant, so that a report heard twice counts once. */
@@ -55,8 +57,6 @@
 }
 
 const CRASHES_TO_QUARANTINE = 2;
-/** Backend servers of one failure domain lost together that make it the domain's loss. */
-const DOMAIN_LOSS_SERVERS = 3;
 const WATCH_POLL_MS = 100;
 
 /** Tracks running tries, crashes, suspects and quarantined requests. */
@@ -65,10 +65,11 @@
   private readonly attempts = new Map<string, TrackedAttempt>();
   private readonly suspicions = new Map<string, Suspicion>();
   private readonly quarantinedUntilMs = new Map<string, number>();
-  private recentCrashes: readonly ServerCrash[] = [];
+  private readonly losses: LossHistory;
 
   constructor(options: QuarantineLedgerOptions) {
     this.options = options;
+    this.losses = new LossHistory(options);
   }
 
   /**
@@ -80,13 +81,16 @@
     if ((this.quarantinedUntilMs.get(fingerprint) ?? 0) > nowMs) return {kind: 'refused'};
     const suspicion = this.suspicions.get(fingerprint);
     if (!suspicion || suspicion.expiresAtMs <= nowMs) return {kind: 'run'};
-    const lastCrashAtMs = Math.max(...suspicion.crashes.values());
-    const settledAtMs = lastCrashAtMs + this.options.settleMs;
+    const settledAtMs = this.getSettledAtMs(fingerprint, suspicion, nowMs);
     if (settledAtMs > nowMs) return {kind: 'wait', delayMs: settledAtMs - nowMs};
     if (!this.isWatcher(suspicion) || this.isRunning(fingerprint)) {
       return {kind: 'wait', delayMs: WATCH_POLL_MS};
     }
-    return {kind: 'run-watched', busyInstanceIds: this.getWatchedInstanceIds(nowMs)};
+    return {
+      kind: 'run-watched',
+      busyInstanceIds: this.getWatchedInstanceIds(nowMs),
+      avoidedDomains: this.losses.getAvoidedDomains(nowMs),
+    };
   }
 
   /**
@@ -122,9 +126,12 @@
       ({instanceId}) => instanceId === crash.instanceId,
     );
     for (const {attemptId} of running) this.attempts.delete(attemptId);
-    if (this.isDomainLoss(crash)) return [];
+    this.losses.addLoss(crash, new Set(running.map(({fingerprint}) => fingerprint)));
+    const counted = running.filter(
+      ({fingerprint}) => !this.losses.isDomainLoss(crash, fingerprint),
+    );
     const {ownInstanceId} = this.options;
-    return running.map(attempt => {
+    return counted.map(attempt => {
       this.addSuspicion(attempt, ownInstanceId, crash.atMs, crash.atMs);
       const isQuarantined = this.quarantinedUntilMs.has(attempt.fingerprint);
       const kind = isQuarantined ? 'poison-quarantined' : 'poison-suspect';
@@ -175,6 +182,18 @@
     this.quarantinedUntilMs.set(fingerprint, this.getExpiryMs('poison-quarantined', nowMs));
   }
 
+  /** Reports may cross just after a crash, and a wave would hit the next try too: a suspect waits for the end of both. */
+  private getSettledAtMs(fingerprint: string, {crashes}: Suspicion, nowMs: number): number {
+    const {settleMs, waveQuietMs, maxWaveWaitMs} = this.options;
+    const lastCrashAtMs = Math.max(...crashes.values());
+    const lossAtMs = this.losses.getLastOtherLossMs(fingerprint, nowMs, other =>
+      this.quarantinedUntilMs.has(other),
+    );
+    const settledAtMs = lastCrashAtMs + settleMs;
+    if (lossAtMs === undefined) return settledAtMs;
+    return Math.max(settledAtMs, Math.min(lossAtMs + waveQuietMs, lastCrashAtMs + maxWaveWaitMs));
+  }
+
   private clearBefore(fingerprint: string, observedAtMs: number): void {
     const suspicion = this.suspicions.get(fingerprint);
     if (!suspicion) return;
@@ -204,15 +223,6 @@
     return new Set(watched.map(({instanceId}) => instanceId));
   }
 
-  private isDomainLoss(crash: ServerCrash): boolean {
-    const earliestMs = crash.atMs - this.options.domainLossWindowMs;
-    this.recentCrashes = [...this.recentCrashes, crash].filter(({atMs}) => atMs > earliestMs);
-    const lost = this.recentCrashes.filter(
-      ({failureDomain}) => failureDomain === crash.failureDomain,
-    );
-    return new Set(lost.map(({instanceId}) => instanceId)).size >= DOMAIN_LOSS_SERVERS;
-  }
-
   private getExpiryMs(kind: 'poison-suspect' | 'poison-quarantined', nowMs: number): number {
     const {suspicionMs, quarantineMs} = this.options;
     return nowMs + (kind === 'poison-suspect' ? suspicionMs : quarantineMs);
--- a/src/controllers/quarantine/index.ts
+++ b/src/controllers/quarantine/index.ts
@@ -4,6 +4,6 @@
   QuarantineLedger,
   type QuarantineDecision,
   type QuarantineLedgerOptions,
-  type ServerCrash,
   type TrackedAttempt,
 } from './QuarantineLedger.js';
+export type {LossHistoryOptions, ServerCrash} from './LossHistory.js';
--- a/src/controllers/routing/RoutingTypes.ts
+++ b/src/controllers/routing/RoutingTypes.ts
@@ -44,6 +44,8 @@
    * domain that returns is passed over where it is not below the domain's part. Absent for 0: none is passed over.
    */
   readonly domainDraw?: number;
+  /** Failure domains that are passed over too; absent for none. */
+  readonly avoidedDomains?: ReadonlySet<string>;
 }
 
 /** Chooses a backend server; `chooseBackendServer` or another policy. */
--- a/src/controllers/routing/chooseBackendServer.ts
+++ b/src/controllers/routing/chooseBackendServer.ts
@@ -54,7 +54,7 @@
   free: readonly BackendServer[],
   nowMs: number,
 ): RoutingDecision {
-  const passedOver = getPassedOverDomains(view.failureDomains, request.domainDraw ?? 0, nowMs);
+  const passedOver = getPassedOverDomains(view.failureDomains, request, nowMs);
   if (passedOver.size === 0) return chooseFastest(view, request, free, nowMs);
   const offered = free.filter(({failureDomain}) => !passedOver.has(failureDomain));
   if (offered.length > 0) {
--- a/src/controllers/routing/passedOverDomains.ts
+++ b/src/controllers/routing/passedOverDomains.ts
@@ -2,26 +2,35 @@
 import type {FailureDomainStatus} from '../../blackboard/index.js';
 import {getDomainPercent} from '../failureDomains/index.js';
 
+/** What a request says of the failure domains that it passes over. */
+export interface PassingRequest {
+  /** Number from 0 up to 1; absent for 0. */
+  readonly domainDraw?: number;
+  /** Failure domains that it avoids. */
+  readonly avoidedDomains?: ReadonlySet<string>;
+}
+
 const NONE: ReadonlySet<string> = new Set();
 const PERCENT = 100;
 
 /**
- * Returns the returning failure domains that a request is not offered to: each is offered to its percentage of all draws.
+ * Returns the failure domains that a request is not offered to: those that it avoids, and returning ones, which are
+ * offered to their percentage of all draws.
  * @param statuses - Orders as the fleet stream gives them.
- * @param draw - Number from 0 up to 1 of the request.
+ * @param request - The request.
  * @param nowMs - Present time by the wall clock.
  */
 export function getPassedOverDomains(
   statuses: readonly FailureDomainStatus[],
-  draw: number,
+  {domainDraw = 0, avoidedDomains}: PassingRequest,
   nowMs: number,
 ): ReadonlySet<string> {
   let passedOver: Set<string> | undefined;
   for (const {name, state} of statuses) {
     if (state !== 'returning') continue;
-    if (draw * PERCENT < getDomainPercent(statuses, name, nowMs)) continue;
-    passedOver ??= new Set();
+    if (domainDraw * PERCENT < getDomainPercent(statuses, name, nowMs)) continue;
+    passedOver ??= new Set(avoidedDomains);
     passedOver.add(name);
   }
-  return passedOver ?? NONE;
+  return passedOver ?? avoidedDomains ?? NONE;
 }
--- a/src/http/ServerChooser.ts
+++ b/src/http/ServerChooser.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendServer} from '../blackboard/index.js';
 import type {AttemptFailureKind} from '../controllers/retry/index.js';
+import type {QuarantineDecision} from '../controllers/quarantine/index.js';
 import type {RoutingDecision} from '../controllers/routing/index.js';
 import {ServingError} from '../errors/index.js';
 import {getRoutingView, type HandlerContext} from './RequestContext.js';
@@ -24,6 +25,13 @@
   readonly expectedFirstTokenMs: number;
 }
 
+type Passed = Pick<
+  Extract<QuarantineDecision, {kind: 'run-watched'}>,
+  'busyInstanceIds' | 'avoidedDomains'
+>;
+
+const UNWATCHED: Passed = {busyInstanceIds: new Set(), avoidedDomains: new Set()};
+
 /** Longest wait for a place before the choice is made again. */
 const SLOT_WAIT_MS = 100;
 /** Time for which a request that has been sent before waits for any backend server at all. */
@@ -53,11 +61,12 @@
   async choose(preferred: BackendServer | undefined, wasSent: boolean): Promise<ChosenServer> {
     const {request} = this;
     for (;;) {
-      const busyInstanceIds = await this.passQuarantine();
+      const passed = await this.passQuarantine();
+      const {busyInstanceIds} = passed;
       if (request.signal.aborted) throw new ServingError('the caller has gone', {kind: 'internal'});
       const isBusy = preferred !== undefined && busyInstanceIds.has(preferred.instanceId);
       if (preferred && !isBusy) return {server: preferred, expectedFirstTokenMs: 0};
-      const decision = this.decide(busyInstanceIds);
+      const decision = this.decide(passed);
       if (decision.kind === 'chosen') return decision;
       await this.waitOrThrow(decision, wasSent, busyInstanceIds.size > 0);
     }
@@ -68,7 +77,7 @@
    * @param leavingInstanceId - Backend server that it leaves.
    */
   getFreeServer(leavingInstanceId: string): BackendServer | undefined {
-    const decision = this.decide(new Set([leavingInstanceId]));
+    const decision = this.decide({...UNWATCHED, busyInstanceIds: new Set([leavingInstanceId])});
     return decision.kind === 'chosen' ? decision.server : undefined;
   }
 
@@ -83,12 +92,12 @@
     if (failure === 'failed') this.draw = this.context.random();
   }
 
-  private async passQuarantine(): Promise<ReadonlySet<string>> {
+  private async passQuarantine(): Promise<Passed> {
     const {context, request} = this;
     for (;;) {
       const decision = context.quarantine.decide(request.fingerprint, context.getNowMs());
-      if (decision.kind === 'run') return new Set();
-      if (decision.kind === 'run-watched') return decision.busyInstanceIds;
+      if (decision.kind === 'run') return UNWATCHED;
+      if (decision.kind === 'run-watched') return decision;
       if (decision.kind === 'refused') {
         throw new ServingError('the request has crashed backend servers', {
           kind: 'poison-quarantined',
@@ -104,7 +113,7 @@
     }
   }
 
-  private decide(alsoExcluded: ReadonlySet<string>): RoutingDecision {
+  private decide({busyInstanceIds, avoidedDomains}: Passed): RoutingDecision {
     const {context, request, draw} = this;
     const {configuration} = context.blackboard.getSection('configuration');
     if (!configuration) {
@@ -119,9 +128,10 @@
         requestClass: requestClass.name,
         promptTokens,
         blockHashes,
-        excludedInstanceIds: new Set([...this.excluded, ...alsoExcluded]),
+        excludedInstanceIds: new Set([...this.excluded, ...busyInstanceIds]),
         deadlineAtMs,
         domainDraw: this.domainDraw,
+        avoidedDomains,
       },
       context.getNowMs(),
       () => draw,
--- /dev/null
+++ b/tests/controllers/quarantine/waves.test.ts
@@ -0,0 +1,153 @@
+/** Tests that requests which die with their servers in a wave are not taken for poison, and poison still is. */
+import fc from 'fast-check';
+import t from 'tap';
+import {DEFAULT_QUARANTINE, QuarantineLedger} from '../../../src/controllers/quarantine/index.js';
+import {createRandom} from '../../support/random.js';
+import {WaveWorld, type WaveDeath, type WaveWorldOptions} from '../../support/WaveWorld.js';
+
+const SEED = 20_261_212;
+const RUNS = 1_000;
+const WORLDS = 2_000;
+/** Mean time to an unannounced death in the test of single deaths. */
+const MEAN_LIFE_MS = 600_000;
+const DOMAINS = 4;
+const SERVERS_PER_DOMAIN = 6;
+const SERVERS = DOMAINS * SERVERS_PER_DOMAIN;
+
+const gapsMs = (maxGapMs: number) =>
+  fc.array(fc.integer({min: 10, max: maxGapMs}), {minLength: 5, maxLength: 12});
+
+function createDeaths(
+  servers: readonly number[],
+  gaps: readonly number[],
+  firstAtMs: number,
+): readonly WaveDeath[] {
+  let atMs = firstAtMs;
+  return servers.slice(0, gaps.length + 1).map((server, index) => {
+    if (index > 0) atMs += gaps[index - 1];
+    return {server, atMs};
+  });
+}
+
+function createWorld(changes: Partial<WaveWorldOptions>, seed: number): WaveWorld {
+  return new WaveWorld({
+    domains: DOMAINS,
+    serversPerDomain: SERVERS_PER_DOMAIN,
+    deaths: [],
+    firstServer: 0,
+    durationMs: 3_000,
+    random: createRandom(seed),
+    ...changes,
+  });
+}
+
+function shuffle(random: () => number): readonly number[] {
+  return Array.from({length: SERVERS}, (_, server) => ({server, key: random()}))
+    .sort((a, b) => a.key - b.key)
+    .map(({server}) => server);
+}
+
+function countRefused(createOptions: (random: () => number) => Partial<WaveWorldOptions>): {
+  readonly hit: number;
+  readonly refused: number;
+} {
+  let hit = 0;
+  let refused = 0;
+  for (let run = 0; run < WORLDS; run += 1) {
+    const outcome = createWorld(createOptions(createRandom(SEED + run)), SEED + run).run();
+    if (outcome.hits > 0) hit += 1;
+    if (outcome.end === 'refused') refused += 1;
+  }
+  return {hit, refused};
+}
+
+t.test('QuarantineLedger in a wave', t => {
+  t.test('refuses no harmless request whose failure domain is lost bit by bit', t => {
+    fc.assert(
+      fc.property(gapsMs(900), fc.nat(), (gaps, seed) => {
+        const domain = Array.from({length: SERVERS_PER_DOMAIN}, (_, server) => server);
+        const deaths = createDeaths(domain, gaps, 500);
+        return createWorld({deaths}, seed).run().end === 'answered';
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.end();
+  });
+  t.test('refuses no harmless request in a quick wave over all failure domains', t => {
+    fc.assert(
+      fc.property(gapsMs(250), fc.nat(), (gaps, seed) => {
+        const servers = shuffle(createRandom(seed));
+        const deaths = createDeaths(servers, gaps, 500);
+        return createWorld({deaths, firstServer: servers[0]}, seed).run().end === 'answered';
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.end();
+  });
+  t.test('lets a poison request crash two servers at most', t => {
+    fc.assert(
+      fc.property(gapsMs(900), fc.integer({min: 10, max: 2_000}), fc.nat(), (gaps, after, seed) => {
+        const servers = shuffle(createRandom(seed));
+        const deaths = createDeaths(servers, gaps, 500);
+        // Failure domains of two servers, since the loss of three is put down to the domain.
+        const domains = {domains: SERVERS / 2, serversPerDomain: 2};
+        const changes = {...domains, deaths, firstServer: servers[0], crashAfterMs: after};
+        const {crashes, end} = createWorld(changes, seed).run();
+        return crashes <= 2 && end === 'refused';
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.end();
+  });
+  t.test('does not put copies of one request down to a failure domain', t => {
+    const ledger = new QuarantineLedger({...DEFAULT_QUARANTINE, ownInstanceId: 'entry-1'});
+    const ids = ['a', 'b', 'c', 'd'];
+    for (const instanceId of ids) {
+      ledger.addAttempt({attemptId: instanceId, fingerprint: 'poison', service: 's', instanceId});
+    }
+    const kinds = ids.flatMap((instanceId, index) =>
+      ledger.addCrash({instanceId, failureDomain: 'oslo-a', atMs: index}).map(({kind}) => kind),
+    );
+    const quarantined = 'poison-quarantined';
+    t.same(kinds, ['poison-suspect', quarantined, quarantined, quarantined]);
+    t.end();
+  });
+  t.test('does not wait for ever where servers die on and on', t => {
+    const ledger = new QuarantineLedger({...DEFAULT_QUARANTINE, ownInstanceId: 'entry-1'});
+    ledger.addAttempt({attemptId: 'x', fingerprint: 'x', service: 's', instanceId: 'first'});
+    ledger.addCrash({instanceId: 'first', failureDomain: 'oslo-a', atMs: 0});
+    let nowMs = 0;
+    for (; ledger.decide('x', nowMs).kind === 'wait' && nowMs < 60_000; nowMs += 100) {
+      ledger.addCrash({instanceId: `other-${nowMs}`, failureDomain: `d-${nowMs}`, atMs: nowMs});
+    }
+    t.equal(nowMs, DEFAULT_QUARANTINE.maxWaveWaitMs);
+    t.end();
+  });
+  t.test('refuses few harmless requests in slower waves', t => {
+    const {hit, refused} = countRefused(random => {
+      const servers = shuffle(random);
+      const gaps = Array.from({length: 9}, () => 10 + random() * 490);
+      return {deaths: createDeaths(servers, gaps, 500), firstServer: servers[0]};
+    });
+    t.comment(`refused ${refused} of ${hit} that were hit`);
+    t.ok(refused < hit / 5);
+    t.end();
+  });
+  t.test(
+    'refuses the harmless request whose watched server dies by itself, which nothing tells apart',
+    t => {
+      const {hit, refused} = countRefused(random => {
+        const deaths = shuffle(random).map(server => ({
+          server,
+          atMs: -Math.log(1 - random()) * MEAN_LIFE_MS,
+        }));
+        const first = {server: deaths[0].server, atMs: 1_000};
+        return {deaths: [first, ...deaths.slice(1)], firstServer: first.server, durationMs: 10_000};
+      });
+      t.comment(`refused ${refused} of ${hit} that were hit`);
+      t.ok(refused > 0 && refused < hit / 20);
+      t.end();
+    },
+  );
+  t.end();
+});
--- a/tests/controllers/routing/returningDomains.test.ts
+++ b/tests/controllers/routing/returningDomains.test.ts
@@ -109,6 +109,13 @@
     });
   }
 
+  t.test('passes over what the request avoids, and uses it rather than refusing', t => {
+    const chooseAvoiding = (...avoided: readonly string[]) =>
+      choose(createView({}, 'in'), 0, {avoidedDomains: new Set(avoided)})(RETURNED_AT_MS);
+    t.equal(chooseAvoiding('oslo-a'), 'back-1');
+    t.equal(chooseAvoiding('oslo-a', 'oslo-b'), 'stay-1');
+    t.end();
+  });
   doTest('passes it over', prefersReturning, 'stay-1');
   doTest(
     'uses it where nothing else lives',
