Callers may name a shorter deadline in X-Request-Timeout-Ms

A caller couldn't say that it waits less long than the service's timeout, so work went on that nobody waited for. The header is an integer from 1 to the service's timeout (else 400 bad-request, not-run) and gives the deadline of admission, routing, tries, handover and claims. A claim granted after the deadline is given up unsent (not-run): a try with a millisecond left could only have ended in unknown. Ruled out: cutting silence timeouts in proportion (a slow server would be left on every try).

--- a/src/http/CompletionHandler.ts
+++ b/src/http/CompletionHandler.ts
@@ -8,6 +8,7 @@
 import {CompletionRun} from './CompletionRun.js';
 import {parseJsonBody, readBody} from './RequestBody.js';
 import {getServiceOrThrow, type CallerRequest, type HandlerContext} from './RequestContext.js';
+import {getRequestTimeoutMsOrThrow} from './requestTimeout.js';
 import {StreamWriter} from './StreamWriter.js';
 import {createWholeAnswer} from './wholeAnswer.js';
 
@@ -36,7 +37,8 @@
     const promptTokens = countPromptTokens(completion);
     const requestClass = getRequestClassOrThrow(caller, promptTokens);
     const tags = {workspace: caller.workspace.name, class: requestClass.name};
-    const deadlineAtMs = startedAtMs + service.requestTimeoutMs;
+    const timeoutMs = getRequestTimeoutMsOrThrow(caller.request.headers, service);
+    const deadlineAtMs = startedAtMs + timeoutMs;
     const release = await context.admission.enter(
       service.name,
       {
--- a/src/http/PlainHandler.ts
+++ b/src/http/PlainHandler.ts
@@ -10,6 +10,7 @@
 import {PLAIN_CLASS, PlainSender, createPlainFailure, type PlainCall} from './PlainSender.js';
 import {readBody} from './RequestBody.js';
 import {getServiceOrThrow, type CallerRequest, type HandlerContext} from './RequestContext.js';
+import {getRequestTimeoutMsOrThrow} from './requestTimeout.js';
 
 const IDEMPOTENCY_HEADER = 'idempotency-key';
 const MAX_KEY_LENGTH = 200;
@@ -53,9 +54,10 @@
     const service = getServiceOrThrow(caller, serviceName, 'plain');
     const method = caller.request.method ?? 'GET';
     const route = getRouteOrThrow(service, method, path);
+    const timeoutMs = getRequestTimeoutMsOrThrow(caller.request.headers, service);
     const key = route.isIdempotent ? undefined : getIdempotencyKeyOrThrow(caller.request.headers);
     const body = await readBody(caller.request, context.bodyLimits);
-    const deadlineAtMs = startedAtMs + service.requestTimeoutMs;
+    const deadlineAtMs = startedAtMs + timeoutMs;
     const {pathPrefix, isIdempotent} = route;
     const call = {
       caller,
@@ -87,7 +89,7 @@
   }
 
   private async callOnce(
-    {caller, service}: PlainCall,
+    {caller, deadlineAtMs}: PlainCall,
     sender: PlainSender,
     key: string,
   ): Promise<PlainAnswer> {
@@ -98,18 +100,18 @@
       attemptId: `${caller.requestId}.once`,
       fingerprint: sender.getFingerprint(),
     };
-    const {attempt, claimAnswer} = await this.claimOrWait(claim);
+    const {attempt, claimAnswer} = await this.claimOrWait(claim, deadlineAtMs);
     const {verdict, answer, isKnownNotRun} = claimAnswer;
     if (verdict === 'done' && answer) return decodeAnswer(answer);
     if (verdict !== 'granted') throw createClaimRefusal(verdict, isKnownNotRun);
     const granted = {...attempt, grantedAtMs: this.context.getNowMs()};
-    return this.sendClaimed(sender, server, granted, service.requestTimeoutMs);
+    return this.sendClaimed(sender, server, granted, deadlineAtMs);
   }
 
   /** Claims a key; where another attempt holds it, waits a while for that one's outcome. */
-  private async claimOrWait(claim: ClaimRequest): Promise<ClaimAttempt> {
+  private async claimOrWait(claim: ClaimRequest, deadlineAtMs: number): Promise<ClaimAttempt> {
     const {claims, getNowMs} = this.context;
-    const waitUntilMs = getNowMs() + HELD_WAIT_MS;
+    const waitUntilMs = Math.min(getNowMs() + HELD_WAIT_MS, deadlineAtMs);
     for (let ask = 1; ; ask += 1) {
       const attempt = {...claim, attemptId: `${claim.attemptId}.${ask}`};
       const claimAnswer = await claims.claim(attempt);
@@ -123,17 +125,18 @@
     sender: PlainSender,
     firstServer: BackendServer,
     claim: GrantedClaim,
-    timeoutMs: number,
+    deadlineAtMs: number,
   ): Promise<PlainAnswer> {
     const {workspace, key, attemptId, grantedAtMs} = claim;
     let server = firstServer;
     for (;;) {
-      if (!isClaimFresh(grantedAtMs, this.context.getNowMs())) {
+      const nowMs = this.context.getNowMs();
+      if (nowMs >= deadlineAtMs || !isClaimFresh(grantedAtMs, nowMs)) {
         this.record({workspace, key, attemptId, run: 'not-run'});
         throw createStaleClaimError();
       }
       try {
-        const answer = await sender.send(server, attemptId, timeoutMs);
+        const answer = await sender.send(server, attemptId, deadlineAtMs - nowMs);
         const kept = answer.body.length <= MAX_KEPT_ANSWER_BYTES ? encodeAnswer(answer) : undefined;
         this.record({workspace, key, attemptId, run: 'ran', answer: kept});
         return answer;
@@ -184,9 +187,9 @@
   return new ServingError(message, {kind, retryAfterMs, run: 'not-run', cause});
 }
 
-/** A paused process may find that its caller has long gone elsewhere; nothing was sent, and nobody else gets the key. */
+/** A slow log or a paused process: the caller has gone elsewhere; nothing was sent, and nobody else gets the key. */
 function createStaleClaimError(): ServingError {
-  return new ServingError('the claim was granted too long ago to be used', {
+  return new ServingError('the claim was granted too late or too long ago to be used', {
     kind: 'deadline-unreachable',
     run: 'not-run',
   });
--- a/tests/support/ServingHarness.ts
+++ b/tests/support/ServingHarness.ts
@@ -17,6 +17,7 @@
 /** An engine to start. */
 export interface EnginePlan {
   readonly instanceId: string;
+  readonly service?: string;
   readonly version?: string;
   readonly failureDomain?: string;
   readonly isColdAtStart?: boolean;
@@ -27,8 +28,12 @@
 export interface ServingHarnessOptions {
   readonly engines: readonly EnginePlan[];
   readonly service?: Partial<Service>;
+  /** Services beside `guidance`. */
+  readonly otherServices?: readonly Service[];
   /** Routing policy; the system's own where absent. */
   readonly chooseServer?: ChooseServer;
+  /** Claims of idempotency keys; without them each is refused. */
+  readonly claims?: HandlerContext['claims'];
 }
 
 /** What a caller got. */
@@ -99,7 +104,7 @@
       tries,
       admission,
       reportIncidents: this.serving.getReporter(),
-      claims: {
+      claims: options.claims ?? {
         claim: () => Promise.reject(new Error('no claims here')),
         recordOutcome: () => Promise.reject(new Error('no claims here')),
       },
@@ -217,10 +222,11 @@
   }
 
   private async startEngine(plan: EnginePlan): Promise<void> {
-    const {instanceId, version = 'v1', failureDomain = 'oslo-a', isColdAtStart = false} = plan;
+    const {instanceId, service = 'guidance', version = 'v1'} = plan;
+    const {failureDomain = 'oslo-a', isColdAtStart = false} = plan;
     const identity = {
       instanceId,
-      service: 'guidance',
+      service,
       version,
       failureDomain,
       machineClass: 'small',
@@ -255,7 +261,7 @@
         ...workspace,
         keys: workspace.name === 'small' ? [{sha256}] : [],
       })),
-      services: [service],
+      services: [service, ...(this.options.otherServices ?? [])],
     };
   }
 }
