The limit of a plain backend server adapts to latency

Answers of plain services counted as expected when they came, so their limit never moved. The engines' function now gets the usual latency of the route as prediction: the mean of answers under light use (a quarter of the places at most). A server's usual ratio is learned in light use too: learned at any time, the property test failed at a capacity of 9 after 235 answers, since the overload had become usual. The limits moved from ServerTracker to ConcurrencyLimits. Ruled out: fixed targets, low quantiles, the same prediction for warmth.

Failed first: tests/engine/ServerTracker (finds the capacity).

--- a/src/controllers/admission/index.ts
+++ b/src/controllers/admission/index.ts
@@ -13,3 +13,9 @@
   type ConcurrencyLimitState,
   type LatencySample,
 } from './concurrencyLimit.js';
+export {
+  isLightUse,
+  updateUsualLatency,
+  type UsualLatencySample,
+  type UsualLatencyState,
+} from './usualLatency.js';
--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -1,11 +1,6 @@
 /** What an entry has learned of each backend server: warmth, concurrency, cached prefixes, silence and death. */
 import type {BackendServer, Member, Warmth} from '../blackboard/index.js';
 import type {Service} from '../configuration/index.js';
-import {
-  createConcurrencyLimit,
-  updateConcurrencyLimit,
-  type ConcurrencyLimitState,
-} from '../controllers/admission/index.js';
 import {SilenceCounter} from '../controllers/retry/index.js';
 import {PrefixIndex, type CacheEventSlice} from '../controllers/routing/index.js';
 import {
@@ -16,6 +11,7 @@
   type WarmthObservation,
   type WarmthState,
 } from '../controllers/warmth/index.js';
+import {ConcurrencyLimits} from './ConcurrencyLimits.js';
 
 /** Options of a `ServerTracker`. */
 export interface ServerTrackerOptions {
@@ -25,7 +21,7 @@
   readonly getNowMs: () => number;
 }
 
-/** The first token of a try against its prediction. */
+/** The first token of a try, or the answer of a plain call, against its prediction. */
 export interface FirstTokenSample {
   readonly expectedMs: number;
   readonly observedMs: number;
@@ -39,7 +35,6 @@
 
 interface TrackedServer {
   warmth: WarmthState;
-  concurrency: ConcurrencyLimitState | undefined;
   openRequests: number;
   pendingPrefillTokens: number;
   usedAtMs: number | undefined;
@@ -54,6 +49,7 @@
   private readonly options: ServerTrackerOptions;
   private readonly servers = new Map<string, TrackedServer>();
   private readonly silences = new SilenceCounter();
+  private readonly limits = new ConcurrencyLimits();
   private readonly slotWaiters = new Set<() => void>();
   private cacheTokensPerSecond = INITIAL_CACHE_TOKENS_PER_SECOND;
 
@@ -94,7 +90,9 @@
     const {levelPart} = tracked.warmth;
     const entries = getEntries();
     const warmthLimit = getWarmthLimit({server, service, entries, ownInstanceId, levelPart});
-    const latencyLimit = Math.floor(tracked.concurrency?.limit ?? service.maxConcurrentRequests);
+    const latencyLimit = Math.floor(
+      this.limits.getLimit(server.instanceId) ?? service.maxConcurrentRequests,
+    );
     const {runningRequests = 0, queuedRequests = 0} = server.load ?? {};
     const others = Math.max(0, runningRequests + queuedRequests - tracked.openRequests);
     const sharedLimit = service.maxConcurrentRequests - others;
@@ -181,18 +179,27 @@
    * @param sample - When it came, and when it was expected.
    */
   addFirstToken(server: BackendServer, sample: FirstTokenSample): void {
-    const tracked = this.getServer(server.instanceId);
     this.silences.addAnswer(server.instanceId);
     this.observe(server.instanceId, {kind: 'first-token', ...sample});
     const service = this.options.getService(server.service);
-    if (!service) return;
-    const bounds = {minLimit: 1, maxLimit: service.maxConcurrentRequests};
-    const {openRequests} = tracked;
-    tracked.concurrency = updateConcurrencyLimit(
-      tracked.concurrency ?? createConcurrencyLimit(bounds),
-      {...sample, openRequests},
-      bounds,
-    );
+    const openRequests = this.getOpenRequests(server.instanceId);
+    if (service) this.limits.addFirstToken(server, service, {...sample, openRequests});
+  }
+
+  /**
+   * Takes the answer of a plain call. Without a prediction it counts as one in time for warmth; for the limit, the usual
+   * latency of its route stands in.
+   * @param server - The backend server.
+   * @param route - The route that was called.
+   * @param observedMs - Time that the answer took.
+   */
+  addAnswer(server: BackendServer, route: string, observedMs: number): void {
+    const {instanceId} = server;
+    this.silences.addAnswer(instanceId);
+    this.observe(instanceId, {kind: 'first-token', expectedMs: observedMs, observedMs});
+    const service = this.options.getService(server.service);
+    const openRequests = this.getOpenRequests(instanceId);
+    if (service) this.limits.addAnswer(server, service, {route, observedMs, openRequests});
   }
 
   /**
@@ -280,6 +287,7 @@
 
   private forget(instanceId: string): void {
     this.servers.delete(instanceId);
+    this.limits.removeServer(instanceId);
     this.silences.addAnswer(instanceId);
     this.prefixes.removeServer(instanceId);
   }
@@ -293,7 +301,6 @@
     if (found) return found;
     const created: TrackedServer = {
       warmth: createWarmth(this.options.getNowMs()),
-      concurrency: undefined,
       openRequests: 0,
       pendingPrefillTokens: 0,
       usedAtMs: undefined,
--- a/src/http/PlainSender.ts
+++ b/src/http/PlainSender.ts
@@ -190,8 +190,7 @@
     const {context} = this;
     const hasFailed = status >= FIRST_SERVER_ERROR;
     if (!hasFailed) {
-      // Without a prediction, an answer counts as one in time.
-      context.tracker.addFirstToken(server, {expectedMs: durationMs, observedMs: durationMs});
+      context.tracker.addAnswer(server, this.getRoute(), durationMs);
     }
     this.addEvidence(server, hasFailed, durationMs, openRequests);
   }
@@ -203,13 +202,13 @@
     openRequests: number,
   ): void {
     const {context, call} = this;
-    const {service, route, method} = call;
+    const {service} = call;
     const isWarm = context.tracker.getWarmth(server.instanceId) === 'warm';
     context.evidence.addTry(
       {
         service: service.name,
         version: server.version,
-        route: `${method} ${route}`,
+        route: this.getRoute(),
         requestClass: PLAIN_CLASS,
         loadBand: getLoadBand(
           Math.max(openRequests, server.load?.runningRequests ?? 0),
@@ -223,6 +222,10 @@
     );
   }
 
+  private getRoute(): string {
+    return `${this.call.method} ${this.call.route}`;
+  }
+
   private getTags() {
     const {caller, service} = this.call;
     return {workspace: caller.workspace.name, class: PLAIN_CLASS, service: service.name};
