--- a/src/http/CompletionObserver.ts
+++ b/src/http/CompletionObserver.ts
@@ -4,7 +4,7 @@
 import {getCompletionPath, type AttemptError, type EngineUsage} from '../engine/index.js';
 import type {MetricTags} from '../metrics/index.js';
 import type {CompletionAttempt} from './CompletionAttempt.js';
-import type {AcceptedCompletion} from './CompletionRun.js';
+import type {AcceptedCompletion} from './CompletionTypes.js';
 import {noteServerFailure} from './serverFailures.js';
 import type {HandlerContext} from './RequestContext.js';
 
--- a/src/http/CompletionRun.ts
+++ b/src/http/CompletionRun.ts
@@ -1,59 +1,23 @@
 /** Runs one completion to its end, over as many backend servers as it takes. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendServer} from '../blackboard/index.js';
-import type {RequestClass, Service} from '../configuration/index.js';
-import {decideDrain} from '../controllers/drain/index.js';
 import {AnswerAssembly, decideRetry, getSilenceTimeouts} from '../controllers/retry/index.js';
 import {
   AttemptError,
   createEngineBody,
   getMaxTokens,
   toAttemptError,
-  type CompletionBody,
   type EngineEvent,
   type EngineUsage,
 } from '../engine/index.js';
 import {ServingError} from '../errors/index.js';
 import {CompletionAttempt} from './CompletionAttempt.js';
+import {CompletionDrain, type RunningAttempt} from './CompletionDrain.js';
 import {CompletionObserver} from './CompletionObserver.js';
+import type {AcceptedCompletion, CompletionEnd, CompletionResult} from './CompletionTypes.js';
 import type {HandlerContext} from './RequestContext.js';
 import {ServerChooser, type ChosenServer} from './ServerChooser.js';
 
-/** A completion that was accepted, from a caller or from another entry. */
-export interface AcceptedCompletion {
-  readonly requestId: string;
-  readonly workspace: string;
-  readonly service: Service;
-  readonly requestClass: RequestClass;
-  readonly completion: CompletionBody;
-  readonly path: string;
-  /** Body as the caller sent it. */
-  readonly body: Buffer;
-  readonly fingerprint: string;
-  readonly promptTokens: number;
-  readonly blockHashes: readonly string[];
-  readonly deadlineAtMs: number;
-  /** Tokens that another entry has already passed on. */
-  readonly passedTokens: readonly string[];
-  /** Aborted when the caller has gone, or the request was handed over. */
-  readonly signal: AbortSignal;
-}
-
-/** How a completion ended. */
-export interface CompletionResult {
-  readonly finishReason: string;
-  readonly usage: EngineUsage;
-  readonly tokens: readonly string[];
-}
-
-/** How a run ended: here with an answer, or at another entry, where the caller goes on. */
-export type CompletionEnd =
-  | {readonly kind: 'answered'; readonly result: CompletionResult}
-  | {readonly kind: 'moved'; readonly location: string};
-
-/** Rate of prefill that a move of KV cache is weighed against where none was reported. */
-const DEFAULT_PREFILL_TOKENS_PER_SECOND = 4_000;
-
 /** Passes on each token once and in order; a broken try is resumed elsewhere from the passed tokens. */
 export class CompletionRun {
   /** The request. */
@@ -63,10 +27,8 @@
   private readonly chooser: ServerChooser;
   private readonly observer: CompletionObserver;
   private usage: EngineUsage = {promptTokens: 0, cachedTokens: 0};
-  private current:
-    {readonly attempt: CompletionAttempt; readonly server: BackendServer} | undefined;
-  private isMoving = false;
-  private preferred: BackendServer | undefined;
+  private readonly drain: CompletionDrain;
+  private current: RunningAttempt | undefined;
   private handing: Promise<string | undefined> | undefined;
   private failures = 0;
   private silences = 0;
@@ -81,6 +43,7 @@
     this.assembly = new AnswerAssembly(accepted.requestId, accepted.passedTokens);
     this.chooser = new ServerChooser(context, accepted);
     this.observer = new CompletionObserver(context, accepted);
+    this.drain = new CompletionDrain(context, accepted, this.chooser);
   }
 
   /**
@@ -135,32 +98,11 @@
 
   /** Moves the running try away where its backend server leaves. */
   checkDrain(): void {
-    const {current, context, accepted} = this;
-    if (!current || this.isMoving) return;
-    const {backendServers, failureDomains} = context.blackboard.getSections();
-    const {instanceId} = current.server;
-    const server = backendServers.servers.find(known => known.instanceId === instanceId);
-    if (!server) return;
-    const decision = decideDrain(
-      {
-        server,
-        failureDomains: failureDomains.domains,
-        promptTokens: accepted.promptTokens,
-        passedTokens: this.getPassedTokens().length,
-        remainingTokens: this.getRemainingTokens(),
-        interTokenMs: current.attempt.getInterTokenMs() ?? accepted.requestClass.interTokenTargetMs,
-        prefillTokensPerSecond:
-          server.load?.prefillTokensPerSecond || DEFAULT_PREFILL_TOKENS_PER_SECOND,
-        cacheTokensPerSecond:
-          current.attempt.getFirstTokenMs() === undefined
-            ? 0
-            : context.tracker.getCacheTokensPerSecond(),
-      },
-      context.getNowMs(),
-    );
-    if (decision.kind === 'stay') return;
-    this.isMoving = true;
-    void this.move(current, server, decision.kind === 'move-cache');
+    if (!this.current) return;
+    this.drain.check(this.current, {
+      passedTokens: this.getPassedTokens().length,
+      remainingTokens: this.getRemainingTokens(),
+    });
   }
 
   private isFinished(): boolean {
@@ -175,8 +117,9 @@
   }
 
   private async runNext(onToken: (token: string) => void): Promise<void> {
-    const chosen = await this.chooser.choose(this.preferred, this.assembly.getAttempts() > 0);
-    this.preferred = undefined;
+    const wasSent = this.assembly.getAttempts() > 0;
+    const chosen = await this.chooser.choose(this.drain.getPreferred(), wasSent);
+    this.drain.removePreferred();
     const error = await this.runAttempt(chosen, onToken);
     if (!error || this.isFinished()) return;
     if (this.accepted.signal.aborted) throw error;
@@ -225,7 +168,7 @@
       assembly.abandon(attemptId);
       context.tries.removeTry(attemptId);
       this.current = undefined;
-      this.isMoving = false;
+      this.drain.noteEnd();
     }
   }
 
@@ -271,39 +214,6 @@
     this.chooser.noteFailure(server, error.failure);
     if (decision.delayMs > 0) await sleep(decision.delayMs);
   }
-
-  private async move(
-    current: {readonly attempt: CompletionAttempt; readonly server: BackendServer},
-    server: BackendServer,
-    movesCache: boolean,
-  ): Promise<void> {
-    const hasMoved = movesCache && (await this.moveCache(server));
-    this.context.metrics.addCount('request.moves', {way: hasMoved ? 'cache' : 'replay'});
-    current.attempt.cancel(
-      new AttemptError(`backend server ${server.instanceId} is leaving`, {
-        kind: 'backend-failed',
-        failure: 'moved',
-      }),
-    );
-  }
-
-  private async moveCache(from: BackendServer): Promise<boolean> {
-    const {context, accepted} = this;
-    const to = this.chooser.getFreeServer(from.instanceId);
-    if (!to) return false;
-    const startedAtMs = context.getNowMs();
-    const timeoutMs = Math.max(1, (from.leavingAtMs ?? accepted.deadlineAtMs) - startedAtMs);
-    const signal = AbortSignal.timeout(timeoutMs);
-    try {
-      const {requestId} = accepted;
-      const tokens = await context.engine.moveCache({requestId, from, to, signal});
-      context.tracker.addCacheMove(tokens, context.getNowMs() - startedAtMs);
-      this.preferred = to;
-      return true;
-    } catch {
-      return false;
-    }
-  }
 }
 
 function createLateError(): AttemptError {
--- a/src/http/HandedRuns.ts
+++ b/src/http/HandedRuns.ts
@@ -3,7 +3,8 @@
 import {readCompletionBody} from '../engine/index.js';
 import {ServingError, toServingError} from '../errors/index.js';
 import {createAccepted} from './acceptCompletion.js';
-import {CompletionRun, type CompletionResult} from './CompletionRun.js';
+import {CompletionRun} from './CompletionRun.js';
+import type {CompletionResult} from './CompletionTypes.js';
 import {parseJsonBody} from './RequestBody.js';
 import type {HandlerContext} from './RequestContext.js';
 
--- a/src/http/StreamWriter.ts
+++ b/src/http/StreamWriter.ts
@@ -1,7 +1,7 @@
 /** Writes an answer as server-sent events in the OpenAI-compatible form. */
 import type {CompletionBody} from '../engine/index.js';
 import {createUsage} from './wholeAnswer.js';
-import type {CompletionResult} from './CompletionRun.js';
+import type {CompletionResult} from './CompletionTypes.js';
 import type {CallerRequest} from './RequestContext.js';
 
 /** Options of a `StreamWriter`. */
--- a/src/http/acceptCompletion.ts
+++ b/src/http/acceptCompletion.ts
@@ -3,7 +3,7 @@
 import {getFingerprint} from '../controllers/quarantine/index.js';
 import {getPromptText, type CompletionBody} from '../engine/index.js';
 import {hashBlocks, splitTokens} from '../utils/index.js';
-import type {AcceptedCompletion} from './CompletionRun.js';
+import type {AcceptedCompletion} from './CompletionTypes.js';
 
 /** What an accepted completion is built from. */
 export interface AcceptedParts {
--- a/src/http/wholeAnswer.ts
+++ b/src/http/wholeAnswer.ts
@@ -1,6 +1,6 @@
 /** Whole answers in the OpenAI-compatible form. */
 import type {CompletionBody} from '../engine/index.js';
-import type {CompletionResult} from './CompletionRun.js';
+import type {CompletionResult} from './CompletionTypes.js';
 import type {CallerRequest} from './RequestContext.js';
 
 /**
