--- a/src/http/PlainHandler.ts
+++ b/src/http/PlainHandler.ts
@@ -11,6 +11,7 @@
 import type {ChosenServer} from './ServerChooser.js';
 import {readBody} from './RequestBody.js';
 import {getServiceOrThrow, type CallerRequest, type HandlerContext} from './RequestContext.js';
+import {getRequestTimeoutMsOrThrow} from './requestTimeout.js';
 
 const IDEMPOTENCY_HEADER = 'idempotency-key';
 const MAX_KEY_LENGTH = 200;
@@ -54,11 +55,21 @@
     const service = getServiceOrThrow(caller, serviceName, 'plain');
     const method = caller.request.method ?? 'GET';
     const route = getRouteOrThrow(service, method, path);
+    const timeoutMs = getRequestTimeoutMsOrThrow(caller.request.headers, service);
     const key = route.isIdempotent ? undefined : getIdempotencyKeyOrThrow(caller.request.headers);
     const body = await readBody(caller.request, context.bodyLimits);
-    const deadlineAtMs = startedAtMs + service.requestTimeoutMs;
-    const {pathPrefix} = route;
-    const call = {caller, service, method, path, route: pathPrefix, body, deadlineAtMs};
+    const deadlineAtMs = startedAtMs + timeoutMs;
+    const {pathPrefix, isIdempotent} = route;
+    const call = {
+      caller,
+      service,
+      method,
+      path,
+      route: pathPrefix,
+      body,
+      isIdempotent,
+      deadlineAtMs,
+    };
     const sender = new PlainSender(context, call);
     const tags = {workspace: caller.workspace.name, class: PLAIN_CLASS};
     const {requestId, workspace, signal} = caller;
@@ -88,7 +99,7 @@
   }
 
   private async claimAndSend(
-    {caller, service}: PlainCall,
+    {caller, deadlineAtMs}: PlainCall,
     sender: PlainSender,
     chosen: ChosenServer,
     key: string,
@@ -99,18 +110,18 @@
       attemptId: `${caller.requestId}.once`,
       fingerprint: sender.getFingerprint(),
     };
-    const {attempt, claimAnswer} = await this.claimOrWait(claim);
+    const {attempt, claimAnswer} = await this.claimOrWait(claim, deadlineAtMs);
     const {verdict, answer, isKnownNotRun} = claimAnswer;
     if (verdict === 'done' && answer) return decodeAnswer(answer);
     if (verdict !== 'granted') throw createClaimRefusal(verdict, isKnownNotRun);
     const granted = {...attempt, grantedAtMs: this.context.getNowMs()};
-    return this.sendClaimed(sender, chosen, granted, service.requestTimeoutMs);
+    return this.sendClaimed(sender, chosen, granted, deadlineAtMs);
   }
 
   /** Claims a key; where another attempt holds it, waits a while for that one's outcome. */
-  private async claimOrWait(claim: ClaimRequest): Promise<ClaimAttempt> {
+  private async claimOrWait(claim: ClaimRequest, deadlineAtMs: number): Promise<ClaimAttempt> {
     const {claims, getNowMs} = this.context;
-    const waitUntilMs = getNowMs() + HELD_WAIT_MS;
+    const waitUntilMs = Math.min(getNowMs() + HELD_WAIT_MS, deadlineAtMs);
     for (let ask = 1; ; ask += 1) {
       const attempt = {...claim, attemptId: `${claim.attemptId}.${ask}`};
       const claimAnswer = await claims.claim(attempt);
@@ -124,17 +135,18 @@
     sender: PlainSender,
     firstChoice: ChosenServer,
     claim: GrantedClaim,
-    timeoutMs: number,
+    deadlineAtMs: number,
   ): Promise<PlainAnswer> {
     const {workspace, key, attemptId, grantedAtMs} = claim;
     let chosen = firstChoice;
     for (;;) {
-      if (!isClaimFresh(grantedAtMs, this.context.getNowMs())) {
+      const nowMs = this.context.getNowMs();
+      if (nowMs >= deadlineAtMs || !isClaimFresh(grantedAtMs, nowMs)) {
         this.record({workspace, key, attemptId, run: 'not-run'});
         throw createStaleClaimError();
       }
       try {
-        const answer = await sender.send(chosen, attemptId, timeoutMs);
+        const answer = await sender.send(chosen, attemptId, deadlineAtMs - nowMs);
         const kept = answer.body.length <= MAX_KEPT_ANSWER_BYTES ? encodeAnswer(answer) : undefined;
         this.record({workspace, key, attemptId, run: 'ran', answer: kept});
         return answer;
@@ -186,9 +198,9 @@
   return new ServingError(message, {kind, retryAfterMs, run: 'not-run', cause});
 }
 
-/** A paused process may find that its caller has long gone elsewhere; nothing was sent, and nobody else gets the key. */
+/** A slow log or a paused process: the caller has gone elsewhere; nothing was sent, and nobody else gets the key. */
 function createStaleClaimError(): ServingError {
-  return new ServingError('the claim was granted too long ago to be used', {
+  return new ServingError('the claim was granted too late or too long ago to be used', {
     kind: 'deadline-unreachable',
     run: 'not-run',
   });
--- a/src/http/PlainSender.ts
+++ b/src/http/PlainSender.ts
@@ -21,6 +21,8 @@
   /** Prefix of the route that the path belongs to. */
   readonly route: string;
   readonly body: Buffer;
+  /** Whether it may be sent again. */
+  readonly isIdempotent: boolean;
   readonly deadlineAtMs: number;
 }
 
@@ -115,6 +117,8 @@
     this.attempts += 1;
     context.quarantine.addAttempt({attemptId, fingerprint, service: service.name, instanceId});
     context.metrics.addCount('request.tries', this.getTags());
+    if (call.isIdempotent) context.tries.addTry(attemptId, reason => timeout.abort(reason));
+    let isAnswered = false;
     try {
       const answer = await context.engine.callPlain(server, {
         method: method as 'GET',
@@ -128,17 +132,20 @@
         },
         signal: timeout.signal,
       });
+      isAnswered = true;
       this.addAnswer(server, answer.status, context.getNowMs() - sentAtMs, openRequests);
       return answer;
     } catch (cause) {
       const failure = getFailure(cause);
-      if (failure !== 'not-connected') this.addEvidence(server, true, undefined, openRequests);
+      const isEvidence = failure !== 'not-connected' && failure !== 'moved';
+      if (isEvidence) this.addEvidence(server, true, undefined, openRequests);
       await noteServerFailure(context, server, failure);
       throw cause;
     } finally {
       clearTimeout(timer);
+      context.tries.removeTry(attemptId);
       release();
-      const cleared = context.quarantine.removeAttempt(attemptId, true, context.getNowMs());
+      const cleared = context.quarantine.removeAttempt(attemptId, isAnswered, context.getNowMs());
       if (cleared.length > 0) void context.reportIncidents(cleared);
     }
   }
@@ -171,7 +178,7 @@
       if (cause === undefined) return false;
       throw createPlainFailure(server, cause, decision.run);
     }
-    context.retryBudget.addRetry(nowMs);
+    if (decision.usesBudget) context.retryBudget.addRetry(nowMs);
     context.metrics.addCount('request.retries', {...this.getTags(), failure});
     this.chooser.noteFailure(server, failure);
     if (decision.delayMs > 0) await sleep(decision.delayMs);
@@ -187,8 +194,7 @@
     const {context} = this;
     const hasFailed = status >= FIRST_SERVER_ERROR;
     if (!hasFailed) {
-      // Without a prediction, an answer counts as one in time.
-      context.tracker.addFirstToken(server, {expectedMs: durationMs, observedMs: durationMs});
+      context.tracker.addAnswer(server, this.getRoute(), durationMs);
     }
     this.addEvidence(server, hasFailed, durationMs, openRequests);
   }
@@ -200,13 +206,13 @@
     openRequests: number,
   ): void {
     const {context, call} = this;
-    const {service, route, method} = call;
+    const {service} = call;
     const isWarm = context.tracker.getWarmth(server.instanceId) === 'warm';
     context.evidence.addTry(
       {
         service: service.name,
         version: server.version,
-        route: `${method} ${route}`,
+        route: this.getRoute(),
         requestClass: PLAIN_CLASS,
         loadBand: getLoadBand(
           Math.max(openRequests, server.load?.runningRequests ?? 0),
@@ -220,6 +226,10 @@
     );
   }
 
+  private getRoute(): string {
+    return `${this.call.method} ${this.call.route}`;
+  }
+
   private getTags() {
     const {caller, service} = this.call;
     return {workspace: caller.workspace.name, class: PLAIN_CLASS, service: service.name};
--- a/src/http/ServerChooser.ts
+++ b/src/http/ServerChooser.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendServer} from '../blackboard/index.js';
 import type {AttemptFailureKind} from '../controllers/retry/index.js';
+import type {QuarantineDecision} from '../controllers/quarantine/index.js';
 import type {RoutingDecision} from '../controllers/routing/index.js';
 import {ServingError} from '../errors/index.js';
 import {getRoutingView, type HandlerContext} from './RequestContext.js';
@@ -26,6 +27,13 @@
   readonly release: () => void;
 }
 
+type Passed = Pick<
+  Extract<QuarantineDecision, {kind: 'run-watched'}>,
+  'busyInstanceIds' | 'avoidedDomains'
+>;
+
+const UNWATCHED: Passed = {busyInstanceIds: new Set(), avoidedDomains: new Set()};
+
 /** Longest wait for a place before the choice is made again. */
 const SLOT_WAIT_MS = 100;
 /** Time for which a request that has been sent before waits for any backend server at all. */
@@ -36,12 +44,14 @@
   private readonly context: HandlerContext;
   private readonly request: RoutedRequest;
   private readonly excluded = new Set<string>();
+  private readonly domainDraw: number;
   private draw: number;
 
   constructor(context: HandlerContext, request: RoutedRequest) {
     this.context = context;
     this.request = request;
     this.draw = context.random();
+    this.domainDraw = context.random();
   }
 
   /**
@@ -53,11 +63,12 @@
   async choose(preferred: ChosenServer | undefined, wasSent: boolean): Promise<ChosenServer> {
     const {request} = this;
     for (;;) {
-      const busyInstanceIds = await this.passQuarantine();
+      const passed = await this.passQuarantine();
+      const {busyInstanceIds} = passed;
       if (request.signal.aborted) throw new ServingError('the caller has gone', {kind: 'internal'});
       if (preferred && !busyInstanceIds.has(preferred.server.instanceId)) return preferred;
       preferred?.release();
-      const decision = this.decide(busyInstanceIds);
+      const decision = this.decide(passed);
       if (decision.kind === 'chosen') return this.holdPlace(decision);
       await this.waitOrThrow(decision, wasSent, busyInstanceIds.size > 0);
     }
@@ -68,7 +79,7 @@
    * @param leavingInstanceId - Backend server that it leaves.
    */
   getFreeServer(leavingInstanceId: string): ChosenServer | undefined {
-    const decision = this.decide(new Set([leavingInstanceId]));
+    const decision = this.decide({...UNWATCHED, busyInstanceIds: new Set([leavingInstanceId])});
     return decision.kind === 'chosen' ? this.holdPlace(decision) : undefined;
   }
 
@@ -98,12 +109,12 @@
     return {server, expectedFirstTokenMs, release};
   }
 
-  private async passQuarantine(): Promise<ReadonlySet<string>> {
+  private async passQuarantine(): Promise<Passed> {
     const {context, request} = this;
     for (;;) {
       const decision = context.quarantine.decide(request.fingerprint, context.getNowMs());
-      if (decision.kind === 'run') return new Set();
-      if (decision.kind === 'run-watched') return decision.busyInstanceIds;
+      if (decision.kind === 'run') return UNWATCHED;
+      if (decision.kind === 'run-watched') return decision;
       if (decision.kind === 'refused') {
         throw new ServingError('the request has crashed backend servers', {
           kind: 'poison-quarantined',
@@ -119,7 +130,7 @@
     }
   }
 
-  private decide(alsoExcluded: ReadonlySet<string>): RoutingDecision {
+  private decide({busyInstanceIds, avoidedDomains}: Passed): RoutingDecision {
     const {context, request, draw} = this;
     const {configuration} = context.blackboard.getSection('configuration');
     if (!configuration) {
@@ -134,8 +145,10 @@
         requestClass: requestClass.name,
         promptTokens,
         blockHashes,
-        excludedInstanceIds: new Set([...this.excluded, ...alsoExcluded]),
+        excludedInstanceIds: new Set([...this.excluded, ...busyInstanceIds]),
         deadlineAtMs,
+        domainDraw: this.domainDraw,
+        avoidedDomains,
       },
       context.getNowMs(),
       () => draw,
