Number of backend servers follows the load between floor and price limit

Cause: targetReplicas was taken as given; the holder's decision didn't follow the load. Change: getReplicaDemand and decideReplicas (pure) turn reports of servers and entries into the number that the spread is made for; ReplicaKeeper and LoadCollector wire them in. Raised within seconds, lowered over ten minutes through drains only. Ruled out: the number as a record of the log (a record a change; a new holder starts from the servers it finds instead); latency alone. Seen failing first: tests/fleet/ReplicaKeeper (4 servers stay 4 under load with the planned number not applied). node scripts/run-tests.mjs fleet/ controllers/capacity controllers/moves: 541 passed, 0 failed (shared machine). Not covered: requests that wait at entries, and the service of a refusal, which entries don't report.

--- a/src/controllers/capacity/index.ts
+++ b/src/controllers/capacity/index.ts
@@ -17,6 +17,24 @@
   type ReclaimHistory,
   type RefusedStart,
 } from './Offers.js';
+export {
+  decideReplicas,
+  LOWER_AFTER_MS,
+  type ReplicaDecision,
+  type ReplicaSample,
+  type ReplicaState,
+  type ReplicaView,
+} from './ReplicaController.js';
+export {
+  getReplicaDemand,
+  LOAD_KEPT_MS,
+  type ReplicaDemand,
+  type ReplicaDemandView,
+  type ReplicaPressure,
+  type ServerLoad,
+} from './ReplicaDemand.js';
+export {getReplicaLimit, type ReplicaLimitView} from './ReplicaLimit.js';
+export {getPresentReplicas, type PresentReplicasView} from './presentReplicas.js';
 export {spreadInstances, type DomainCost, type DomainCount} from './Spread.js';
 export {getRetiredVersions, getVersionNeeds, type VersionNeed} from './VersionNeeds.js';
 export {
--- a/src/fleet/CapacityRunner.ts
+++ b/src/fleet/CapacityRunner.ts
@@ -1,5 +1,5 @@
 /** Runs the decisions about capacity: starts backend servers, and takes those out of use that are too many. */
-import type {Configuration} from '../configuration/index.js';
+import type {Configuration, Service} from '../configuration/index.js';
 import {
   decideCapacity,
   getClientToken,
@@ -8,6 +8,7 @@
   getVersionNeeds,
   type CapacityEffect,
   type CapacityView,
+  type Offer,
   type VersionNeed,
 } from '../controllers/capacity/index.js';
 import {decideFailureDomains} from '../controllers/failureDomains/index.js';
@@ -35,6 +36,14 @@
   readonly configuration: Configuration;
   readonly revision: number;
   readonly getWantedSharePercent: (service: string) => number;
+  /** Returns a service with the number of backend servers that it is to have now. */
+  readonly getPlannedService: (service: Service) => Service;
+}
+
+/** What may be started now, and where. */
+export interface CapacityMarket {
+  readonly offers: readonly Offer[];
+  readonly openDomains: readonly string[];
 }
 
 type StartEffect = Extract<CapacityEffect, {kind: 'start-instance'}>;
@@ -58,13 +67,29 @@
    * Returns what the versions of all services need.
    * @param demand - Configuration and moves.
    */
-  getNeeds({configuration, getWantedSharePercent}: CapacityDemand): readonly VersionNeed[] {
+  getNeeds(demand: CapacityDemand): readonly VersionNeed[] {
+    const {configuration, getWantedSharePercent, getPlannedService} = demand;
     const moves = this.options.stream.getFold().getMoves();
     return configuration.services.flatMap(service =>
-      getVersionNeeds(service, moves, getWantedSharePercent(service.name)),
+      getVersionNeeds(getPlannedService(service), moves, getWantedSharePercent(service.name)),
     );
   }
 
+  /**
+   * Returns the offers within the price limits and the failure domains that may be used.
+   * @param configuration - The configuration in force.
+   * @param nowMs - Present time by the wall clock.
+   */
+  getMarket(configuration: Configuration, nowMs: number): CapacityMarket {
+    const statuses = this.options.stream.getFold().getFailureDomains();
+    const {closedDomains} = decideFailureDomains({statuses}, nowMs).changes;
+    const domains = configuration.failureDomains.map(({name}) => name);
+    return {
+      offers: this.getOffers(configuration, nowMs),
+      openDomains: domains.filter(name => !closedDomains.includes(name)),
+    };
+  }
+
   /**
    * Decides and runs the effects.
    * @param demand - Configuration and moves.
@@ -87,10 +112,8 @@
     if (!instances) return undefined;
     this.starts.update(instances, nowMs);
     const {configuration, revision} = demand;
-    const statuses = stream.getFold().getFailureDomains();
-    const {closedDomains} = decideFailureDomains({statuses}, nowMs).changes;
-    const domains = configuration.failureDomains.map(({name}) => name);
     return {
+      ...this.getMarket(configuration, nowMs),
       needs: this.getNeeds(demand),
       instances,
       pendingInstances: this.starts.getPendingInstances(),
@@ -98,8 +121,6 @@
         .getFold()
         .getDrains()
         .map(({instanceId}) => instanceId),
-      offers: this.getOffers(configuration, nowMs),
-      openDomains: domains.filter(name => !closedDomains.includes(name)),
       revision,
       filledSlots: this.starts.getFilledSlots(),
       generations: this.starts.getGenerations(),
--- a/src/fleet/FleetDaemon.ts
+++ b/src/fleet/FleetDaemon.ts
@@ -7,6 +7,7 @@
   CloudClient,
   EvidenceClient,
   InstanceListClient,
+  RefusalsClient,
   WeightStoreClient,
 } from '../platform/index.js';
 import {CapacityRunner} from './CapacityRunner.js';
@@ -17,9 +18,11 @@
 import {FleetRunner} from './FleetRunner.js';
 import {FleetStream} from './FleetStream.js';
 import {LeaseKeeper} from './LeaseKeeper.js';
+import {LoadCollector} from './LoadCollector.js';
 import {LoadRunner} from './LoadRunner.js';
 import {MoveRunner} from './MoveRunner.js';
 import {PlatformWatch} from './PlatformWatch.js';
+import {ReplicaKeeper} from './ReplicaKeeper.js';
 import {SnapshotRunner} from './SnapshotRunner.js';
 import {StopRunner} from './StopRunner.js';
 
@@ -48,6 +51,8 @@
   private readonly list: InstanceListClient;
   private readonly weights: WeightStoreClient;
   private readonly evidence: EvidenceClient;
+  private readonly refusals: RefusalsClient;
+  private readonly serverLoads: LoadCollector;
   private readonly stops: StopRunner;
   private readonly runner: FleetRunner;
 
@@ -73,11 +78,11 @@
     this.cloud = new CloudClient({url: settings.cloudUrl, timeoutMs});
     this.list = new InstanceListClient({url: settings.listUrl, timeoutMs});
     this.weights = new WeightStoreClient({url: settings.weightsUrl, timeoutMs});
-    this.evidence = new EvidenceClient({
-      deploymentKey: settings.deploymentKey,
-      timeoutMs: EVIDENCE_TIMEOUT_MS,
-    });
-    const {lease, cloud, metrics} = this;
+    const {deploymentKey} = settings;
+    this.evidence = new EvidenceClient({deploymentKey, timeoutMs: EVIDENCE_TIMEOUT_MS});
+    this.refusals = new RefusalsClient({deploymentKey, timeoutMs: EVIDENCE_TIMEOUT_MS});
+    const {lease, cloud, metrics, refusals} = this;
+    this.serverLoads = new LoadCollector({refusals, metrics});
     this.stops = new StopRunner({lease, cloud, logger, metrics});
     this.runner = this.createRunner();
   }
@@ -100,8 +105,9 @@
     await this.runner.stop();
     await this.lease.stop();
     await Promise.all([this.stream.stop(), this.configuration.stop()]);
-    const clients = [this.log, this.cloud, this.list, this.weights, this.evidence, this.stops];
-    await Promise.all(clients.map(client => client.close()));
+    const clients = [this.log, this.cloud, this.list, this.weights, this.evidence];
+    const readers = [this.refusals, this.serverLoads, this.stops];
+    await Promise.all([...clients, ...readers].map(client => client.close()));
     await this.metrics.close();
   }
 
@@ -125,7 +131,7 @@
 
   private createRunner(): FleetRunner {
     const {stream, configuration, lease, clock, cloud, list, weights, stops} = this;
-    const {logger, metrics, incarnation} = this;
+    const {logger, metrics, incarnation, serverLoads} = this;
     const watch = new PlatformWatch({cloud, list, metrics});
     return new FleetRunner({
       stream,
@@ -139,6 +145,8 @@
       evidence: new EvidenceCollector({client: this.evidence, metrics}),
       moves: new MoveRunner({stream, lease, incarnation, logger, metrics}),
       capacity: new CapacityRunner({stream, lease, cloud, watch, logger, metrics}),
+      serverLoads,
+      replicas: new ReplicaKeeper({loads: serverLoads, logger, metrics}),
       loads: new LoadRunner({lease, weights, metrics}),
       snapshots: new SnapshotRunner({stream, lease, metrics}),
     });
--- a/src/fleet/FleetRunner.ts
+++ b/src/fleet/FleetRunner.ts
@@ -5,15 +5,17 @@
 import type {Configuration} from '../configuration/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {CapacityRunner} from './CapacityRunner.js';
+import type {CapacityDemand, CapacityRunner} from './CapacityRunner.js';
 import type {ConfigurationStream} from './ConfigurationStream.js';
 import type {EvidenceCollector} from './EvidenceCollector.js';
 import type {FleetClock} from './FleetClock.js';
 import type {FleetStream} from './FleetStream.js';
 import type {LeaseKeeper} from './LeaseKeeper.js';
+import type {LoadCollector} from './LoadCollector.js';
 import type {LoadRunner} from './LoadRunner.js';
 import type {MoveRunner, ServiceReadiness} from './MoveRunner.js';
 import type {PlatformWatch} from './PlatformWatch.js';
+import type {ReplicaKeeper} from './ReplicaKeeper.js';
 import type {SnapshotRunner} from './SnapshotRunner.js';
 import type {StopRunner} from './StopRunner.js';
 
@@ -28,6 +30,8 @@
   readonly moves: MoveRunner;
   readonly capacity: CapacityRunner;
   readonly loads: LoadRunner;
+  readonly serverLoads: LoadCollector;
+  readonly replicas: ReplicaKeeper;
   readonly stops: StopRunner;
   readonly snapshots: SnapshotRunner;
   readonly logger: Logger;
@@ -35,6 +39,8 @@
 }
 
 const LOOP_MS = 1_000;
+/** Without a move, evidence serves the number of backend servers only and is read less often. */
+const EVIDENCE_EVERY_MS = 5_000;
 const WHOLE_PERCENT = 100;
 
 /** Runs while the daemon lives; it acts only where the daemon is, or was last, the holder. */
@@ -43,6 +49,7 @@
   private readonly stopping = new AbortController();
   private loop: Promise<void> | undefined;
   private wasHolder = false;
+  private evidenceReadAtMs = -Infinity;
   private lastFailure = '';
 
   constructor(parts: FleetRunnerParts) {
@@ -75,7 +82,9 @@
     const current = configuration.getConfiguration();
     if (!isHolder || !current) return;
     await watch.refresh(clock.getWallMs());
+    await this.collectReports();
     if (lease.isHeld()) await this.runMoves();
+    this.updateReplicas(current);
     await this.runCapacity(current);
     if (lease.isHeld()) await this.parts.snapshots.run(clock.getWallMs());
   }
@@ -94,26 +103,65 @@
     this.wasHolder = isHolder;
     this.parts.evidence.clear();
     this.parts.loads.reset();
+    this.parts.serverLoads.clear();
+    this.parts.replicas.reset();
+  }
+
+  private async collectReports(): Promise<void> {
+    const {clock, watch, serverLoads, evidence} = this.parts;
+    const nowMs = clock.getWallMs();
+    const entries = watch.getEntries();
+    const isEvidenceDue =
+      this.getRunningMoves().length > 0 || nowMs >= this.evidenceReadAtMs + EVIDENCE_EVERY_MS;
+    if (isEvidenceDue) this.evidenceReadAtMs = nowMs;
+    await Promise.all([
+      serverLoads.collect(this.getServingInstances(), entries, nowMs),
+      isEvidenceDue && evidence.collect(entries, nowMs),
+    ]);
+  }
+
+  private updateReplicas(configuration: Configuration): void {
+    const {stream, clock, watch, evidence, capacity, replicas} = this.parts;
+    if (!watch.getBackendServers()) return;
+    const nowMs = clock.getWallMs();
+    const servers = this.getServingInstances();
+    const moves = stream.getFold().getMoves();
+    const known = {configuration, servers, moves, evidence: evidence.getEvidence(nowMs)};
+    replicas.update({...known, ...capacity.getMarket(configuration, nowMs)}, nowMs);
+  }
+
+  /** Returns the live backend servers that aren't drained. */
+  private getServingInstances(): readonly Instance[] {
+    const {stream, watch} = this.parts;
+    const drains = new Set(
+      stream
+        .getFold()
+        .getDrains()
+        .map(({instanceId}) => instanceId),
+    );
+    const instances = watch.getBackendServers() ?? [];
+    return instances.filter(one => one.state === 'live' && !drains.has(one.instanceId));
+  }
+
+  private getRunningMoves(): readonly Move[] {
+    const moves = this.parts.stream.getFold().getMoves();
+    return moves.filter(move => !isMoveEnded(move));
   }
 
   private async runMoves(): Promise<void> {
-    const {stream, clock, evidence, moves, watch} = this.parts;
-    const running = stream
-      .getFold()
-      .getMoves()
-      .filter(move => !isMoveEnded(move));
-    if (running.length > 0) await evidence.collect(watch.getEntries(), clock.getWallMs());
+    const {clock, evidence, moves} = this.parts;
     const nowMs = clock.getWallMs();
-    const readiness = running.map(move => this.getReadiness(move));
+    const readiness = this.getRunningMoves().map(move => this.getReadiness(move));
     await moves.run(evidence.getEvidence(nowMs), readiness, nowMs);
   }
 
   private async runCapacity(configuration: Configuration): Promise<void> {
     const {clock, capacity, loads, stops, watch, lease} = this.parts;
-    const demand = {
+    const demand: CapacityDemand = {
       configuration,
       revision: this.parts.configuration.getRevision(),
-      getWantedSharePercent: (service: string) => this.parts.moves.getWantedSharePercent(service),
+      getWantedSharePercent: service => this.parts.moves.getWantedSharePercent(service),
+      getPlannedService: service => this.parts.replicas.getPlannedService(service),
     };
     await capacity.run(demand, clock.getWallMs());
     const instances = watch.getBackendServers();
@@ -125,9 +173,10 @@
 
   /** Returns the part of the service's work that the new version's loaded servers in open failure domains bear. */
   private getReadiness({service, toVersion}: Move): ServiceReadiness {
-    const {watch, loads, configuration} = this.parts;
+    const {watch, loads, configuration, replicas} = this.parts;
     const services = configuration.getConfiguration()?.services ?? [];
-    const target = services.find(({name}) => name === service)?.targetReplicas ?? 0;
+    const configured = services.find(({name}) => name === service);
+    const target = configured ? replicas.getPlannedService(configured).targetReplicas : 0;
     const instances = (watch.getBackendServers() ?? []).filter(one => this.isOpen(one));
     const ready = loads.countReady(instances, service, toVersion);
     if (target === 0) return {service, readyPercent: ready > 0 ? WHOLE_PERCENT : 0};
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -6,6 +6,7 @@
 } from './CloudClient.js';
 export {EvidenceClient, type EvidenceClientOptions} from './EvidenceClient.js';
 export {InstanceListClient, type InstanceListClientOptions} from './InstanceListClient.js';
+export {RefusalsClient, type RefusalCount, type RefusalsClientOptions} from './RefusalsClient.js';
 export {
   WeightStoreClient,
   type WeightLoadOrder,
--- a/tests/support/FleetHarness.ts
+++ b/tests/support/FleetHarness.ts
@@ -5,6 +5,7 @@
 import {request} from 'undici';
 import {createStartBackend} from '../../standins/bin/startedBackends.js';
 import {Platform, type Price} from '../../standins/platform/index.js';
+import type {Instance} from '../../src/blackboard/index.js';
 import type {Configuration} from '../../src/configuration/index.js';
 import {FleetDaemon} from '../../src/fleet/index.js';
 import {FleetFold} from '../../src/folds/index.js';
@@ -148,6 +149,13 @@
     await call('DELETE', `${this.getUrl('cloud')}/v1/instances/${instanceId}`);
   }
 
+  /** Returns the live instances as the cloud lists them. */
+  async getLiveInstances(): Promise<readonly Instance[]> {
+    const answer = await call('GET', `${this.getUrl('cloud')}/v1/instances`);
+    const {instances} = answer as {readonly instances: readonly Instance[]};
+    return instances.filter(({state}) => state === 'live');
+  }
+
   /** Returns what the cloud was asked for. */
   async getCloudLedger(): Promise<CloudLedger> {
     return (await call('GET', `${this.getUrl('cloud')}/standin/ledger`)) as CloudLedger;
