Reclaims are counted from the platform's list, so that a new holder knows them

Cause: each holder counted for itself which instances turned from live to leaving; a new one began with none.

--- a/src/controllers/capacity/index.ts
+++ b/src/controllers/capacity/index.ts
@@ -17,6 +17,7 @@
   type ReclaimHistory,
   type RefusedStart,
 } from './Offers.js';
+export {getReclaimHistory, updateReclaimRecords, type ReclaimRecord} from './ReclaimRecords.js';
 export {
   decideReplicas,
   LOWER_AFTER_MS,
--- a/src/fleet/CapacityRunner.ts
+++ b/src/fleet/CapacityRunner.ts
@@ -131,7 +131,7 @@
   private getOffers({priceLimits}: Configuration, nowMs: number) {
     const {watch} = this.options;
     const prices = watch.getPrices();
-    const reclaims = watch.getReclaims();
+    const reclaims = watch.getReclaims(nowMs);
     const refusedStarts = watch.getRefusedStarts();
     return getOffers({prices, priceLimits, reclaims, refusedStarts}, nowMs);
   }
--- a/src/fleet/FleetRunner.ts
+++ b/src/fleet/FleetRunner.ts
@@ -80,6 +80,7 @@
     const isHolder = lease.isLastHolder();
     if (isHolder !== this.wasHolder) this.noteHolder(isHolder);
     const current = configuration.getConfiguration();
+    if (!isHolder) await watch.refreshAsCandidate(clock.getWallMs());
     if (!isHolder || !current) return;
     await watch.refresh(clock.getWallMs());
     await this.collectReports();
--- a/src/fleet/PlatformWatch.ts
+++ b/src/fleet/PlatformWatch.ts
@@ -1,6 +1,13 @@
 /** Watches the platform: instances, prices, reclaims and refused starts. */
 import type {Instance} from '../blackboard/index.js';
-import type {Price, ReclaimHistory, RefusedStart} from '../controllers/capacity/index.js';
+import {
+  getReclaimHistory,
+  updateReclaimRecords,
+  type Price,
+  type ReclaimHistory,
+  type ReclaimRecord,
+  type RefusedStart,
+} from '../controllers/capacity/index.js';
 import type {Metrics} from '../metrics/index.js';
 import type {CloudClient, InstanceListClient} from '../platform/index.js';
 
@@ -11,23 +18,21 @@
   readonly metrics: Metrics;
 }
 
-interface PoolHistory extends ReclaimHistory {
-  readonly key: string;
-}
-
-const MS_PER_HOUR = 3_600_000;
 const PRICES_KEPT_MS = 30_000;
+/** A candidate looks at the instances this often, so that it knows their reclaims when it becomes the holder. */
+const CANDIDATE_LOOK_EVERY_MS = 10_000;
 
 /** Keeps the last answers of the platform, which may be out for a while. */
 export class PlatformWatch {
   private readonly options: PlatformWatchOptions;
-  private readonly pools = new Map<string, PoolHistory>();
+  private reclaims: readonly ReclaimRecord[] = [];
   private readonly refusedStarts = new Map<string, RefusedStart>();
   private instances: readonly Instance[] = [];
   private entries: readonly Instance[] = [];
   private prices: readonly Price[] = [];
   private pricesReadAtMs = -Infinity;
   private readAtMs: number | undefined;
+  private askedAtMs = -Infinity;
 
   constructor(options: PlatformWatchOptions) {
     this.options = options;
@@ -45,6 +50,15 @@
     ]);
   }
 
+  /**
+   * Reads the instances alone, now and then, as a candidate does that isn't the holder.
+   * @param nowMs - Present time by the wall clock.
+   */
+  async refreshAsCandidate(nowMs: number): Promise<void> {
+    if (nowMs < this.askedAtMs + CANDIDATE_LOOK_EVERY_MS) return;
+    await this.guard('cloud', () => this.readInstances(nowMs));
+  }
+
   /** Returns the backend servers as the cloud knows them, those that are gone included; undefined before the first answer. */
   getBackendServers(): readonly Instance[] | undefined {
     return this.readAtMs === undefined ? undefined : this.instances;
@@ -60,9 +74,12 @@
     return this.prices;
   }
 
-  /** Returns the reclaims seen by failure domain and machine class. */
-  getReclaims(): readonly ReclaimHistory[] {
-    return [...this.pools.values()];
+  /**
+   * Returns the reclaims of the last hours by failure domain and machine class.
+   * @param nowMs - Present time by the wall clock.
+   */
+  getReclaims(nowMs: number): readonly ReclaimHistory[] {
+    return getReclaimHistory(this.reclaims, nowMs);
   }
 
   /** Returns the starts that were refused since one succeeded. */
@@ -94,31 +111,14 @@
   }
 
   private async readInstances(nowMs: number): Promise<void> {
+    this.askedAtMs = nowMs;
     const all = await this.options.cloud.getInstances();
     const instances = all.filter(({role}) => role === 'backend');
-    const sinceMs = nowMs - (this.readAtMs ?? nowMs);
-    for (const instance of instances) this.noteInstance(instance, sinceMs);
+    this.reclaims = updateReclaimRecords(this.reclaims, instances, nowMs);
     this.instances = instances;
     this.readAtMs = nowMs;
   }
 
-  /** A reclaimable instance that turns from live to leaving counts as a reclaim; our own stops don't pass through that state. */
-  private noteInstance(instance: Instance, sinceMs: number): void {
-    if (instance.market !== 'reclaimable' || instance.state === 'gone') return;
-    const {failureDomain, machineClass} = instance;
-    const key = `${failureDomain} ${machineClass}`;
-    const before = this.instances.find(one => one.instanceId === instance.instanceId);
-    const isReclaimed = before?.state === 'live' && instance.state === 'leaving';
-    const known = this.pools.get(key);
-    this.pools.set(key, {
-      key,
-      failureDomain,
-      machineClass,
-      reclaims: (known?.reclaims ?? 0) + (isReclaimed ? 1 : 0),
-      instanceHours: (known?.instanceHours ?? 0) + sinceMs / MS_PER_HOUR,
-    });
-  }
-
   private async readPrices(nowMs: number): Promise<void> {
     if (nowMs < this.pricesReadAtMs + PRICES_KEPT_MS) return;
     this.prices = await this.options.cloud.getPrices();
--- a/tests/support/FleetHarness.ts
+++ b/tests/support/FleetHarness.ts
@@ -149,6 +149,12 @@
     await call('DELETE', `${this.getUrl('cloud')}/v1/instances/${instanceId}`);
   }
 
+  /** Announces that an instance is reclaimed at once. */
+  async reclaimInstance(instanceId: string): Promise<void> {
+    const notice = {instanceIds: [instanceId], graceMs: 0};
+    await call('POST', `${this.getUrl('cloud')}/standin/notices`, notice);
+  }
+
   /** Returns the live instances as the cloud lists them. */
   async getLiveInstances(): Promise<readonly Instance[]> {
     const answer = await call('GET', `${this.getUrl('cloud')}/v1/instances`);
@@ -196,7 +202,7 @@
   return false;
 }
 
-async function call(method: 'GET' | 'PUT' | 'DELETE', url: string, body?: object) {
+async function call(method: 'GET' | 'POST' | 'PUT' | 'DELETE', url: string, body?: object) {
   const response = await request(url, {method, body: body && JSON.stringify(body)});
   if (response.statusCode !== 200) throw new Error(`${method} ${url}: ${response.statusCode}`);
   return response.body.json();
