--- a/src/fleet/FleetDaemon.ts
+++ b/src/fleet/FleetDaemon.ts
@@ -72,7 +72,13 @@
       proposalTimeoutMs: leaseTermMs,
       longPollMs: leaseTermMs,
     });
-    this.configuration = new ConfigurationStream({log, logger, getNowMs: () => clock.getWallMs()});
+    this.configuration = new ConfigurationStream({
+      log,
+      logger,
+      incarnation,
+      getNowMs: () => clock.getWallMs(),
+      snapshotIntervalMs: settings.snapshotIntervalMs,
+    });
     this.lease = this.createLeaseKeeper();
     const timeoutMs = PLATFORM_TIMEOUT_MS;
     this.cloud = new CloudClient({url: settings.cloudUrl, timeoutMs});
@@ -132,6 +138,7 @@
   private createRunner(): FleetRunner {
     const {stream, configuration, lease, clock, cloud, list, weights, stops} = this;
     const {logger, metrics, incarnation, serverLoads} = this;
+    const {snapshotIntervalMs} = this.settings;
     const watch = new PlatformWatch({cloud, list, metrics});
     return new FleetRunner({
       stream,
@@ -148,7 +155,7 @@
       serverLoads,
       replicas: new ReplicaKeeper({loads: serverLoads, logger, metrics}),
       loads: new LoadRunner({lease, weights, metrics}),
-      snapshots: new SnapshotRunner({stream, lease, metrics}),
+      snapshots: new SnapshotRunner({stream, lease, metrics, intervalMs: snapshotIntervalMs}),
     });
   }
 }
--- a/src/fleet/FleetRunner.ts
+++ b/src/fleet/FleetRunner.ts
@@ -81,13 +81,14 @@
     if (isHolder !== this.wasHolder) this.noteHolder(isHolder);
     const current = configuration.getConfiguration();
     if (!isHolder) await watch.refreshAsCandidate(clock.getWallMs());
+    // A round that fails further on, or finds no configuration, must not cost what the stream says.
+    if (lease.isHeld()) await this.parts.snapshots.run(clock.getWallMs());
     if (!isHolder || !current) return;
     await watch.refresh(clock.getWallMs());
     await this.collectReports();
     if (lease.isHeld()) await this.runMoves();
     this.updateReplicas(current);
     await this.runCapacity(current);
-    if (lease.isHeld()) await this.parts.snapshots.run(clock.getWallMs());
   }
 
   /** A failed round is tried again; the line is written for the first of several alike. */
--- a/src/fleet/FleetSettings.ts
+++ b/src/fleet/FleetSettings.ts
@@ -26,11 +26,14 @@
   readonly statsdPort: number;
   readonly logLevel: LogLevel;
   readonly leaseTermMs: number;
+  readonly snapshotIntervalMs: number;
 }
 
 const define = createDefineSetting('BUCKTHORN');
 const MIN_LEASE_TERM_MS = 500;
 const MAX_LEASE_TERM_MS = 120_000;
+const MIN_SNAPSHOT_INTERVAL_MS = 1_000;
+const MAX_SNAPSHOT_INTERVAL_MS = 86_400_000;
 
 /** Definitions of the settings. */
 export const fleetSettings: SettingDefinitions<FleetSettings> = {
@@ -67,4 +70,10 @@
     parseWholeNumber(MIN_LEASE_TERM_MS, MAX_LEASE_TERM_MS),
     '6000',
   ),
+  snapshotIntervalMs: define(
+    'snapshot-interval-ms',
+    "Longest time without a snapshot in a stream; well below the log's retention",
+    parseWholeNumber(MIN_SNAPSHOT_INTERVAL_MS, MAX_SNAPSHOT_INTERVAL_MS),
+    '300000',
+  ),
 };
--- a/tests/fleet/PlatformWatch.test.ts
+++ b/tests/fleet/PlatformWatch.test.ts
@@ -6,6 +6,9 @@
 import {FleetHarness, waitFor} from '../support/FleetHarness.js';
 import {CONFIGURATION} from '../support/deployment.js';
 
+const FILE_TIMEOUT_MS = 120_000;
+t.setTimeout(FILE_TIMEOUT_MS);
+
 const WAIT_MS = 20_000;
 
 t.test(
--- a/tests/fleet/ReplicaKeeper.test.ts
+++ b/tests/fleet/ReplicaKeeper.test.ts
@@ -4,6 +4,9 @@
 import {CONFIGURATION, GUIDANCE} from '../support/deployment.js';
 import {FleetHarness, waitFor} from '../support/FleetHarness.js';
 
+const FILE_TIMEOUT_MS = 120_000;
+t.setTimeout(FILE_TIMEOUT_MS);
+
 const PRICES = ['oslo-a', 'oslo-b'].map(failureDomain => ({
   failureDomain,
   machineClass: 'a100',
@@ -16,7 +19,7 @@
 /** Eight open requests fill three quarters of the places of six servers; as many again are spares. */
 const LOADED_SERVERS = 12;
 
-t.test('ReplicaKeeper', {timeout: 120_000}, async t => {
+t.test('ReplicaKeeper', async t => {
   const harness = new FleetHarness(PRICES);
   const services = [{...GUIDANCE, targetReplicas: 2, maxConcurrentRequests: PLACES}];
   const workspaces = CONFIGURATION.workspaces.map(workspace => ({
--- /dev/null
+++ b/tests/fleet/SnapshotRunner.test.ts
@@ -0,0 +1,64 @@
+/** Tests that the fleet daemons keep what the streams say beyond the log's retention, without any entry. */
+import t from 'tap';
+import {CONFIGURATION, GUIDANCE} from '../support/deployment.js';
+import {FleetHarness, waitFor} from '../support/FleetHarness.js';
+
+const FILE_TIMEOUT_MS = 120_000;
+t.setTimeout(FILE_TIMEOUT_MS);
+
+const PRICES = ['oslo-a', 'oslo-b'].map(failureDomain => ({
+  failureDomain,
+  machineClass: 'a100',
+  market: 'reclaimable' as const,
+  priceUsdPerHour: 1,
+}));
+const OPTIONS = {retentionMs: 6_000, snapshotIntervalMs: 1_500};
+const WAIT_MS = 30_000;
+const SPARED_REPLICAS = 4;
+
+t.test('fleet daemons beyond the retention of the log', async t => {
+  await t.test('a later daemon knows the configuration without any entry', async t => {
+    const harness = new FleetHarness(PRICES, OPTIONS);
+    const workspaces = CONFIGURATION.workspaces.map(workspace => ({
+      ...workspace,
+      keys: [{sha256: '0'.repeat(64)}],
+    }));
+    const services = [{...GUIDANCE, targetReplicas: 2}];
+    await harness.start({...CONFIGURATION, services, workspaces});
+    t.teardown(() => harness.stop());
+    const hasLive = async () => (await harness.getLiveInstances()).length === SPARED_REPLICAS;
+    const first = harness.startDaemon('fleet-1');
+    t.ok(await waitFor(WAIT_MS, hasLive));
+    const isDropped = async () =>
+      (await harness.getEarliestOffset('configuration')) > 0 &&
+      (await harness.getEarliestOffset('fleet')) > 0;
+    t.ok(await waitFor(WAIT_MS, isDropped), 'the first records are dropped');
+    harness.startDaemon('fleet-2');
+    const [lost] = await harness.getLiveInstances();
+    await harness.stopDaemon(first);
+    await harness.loseInstance(lost.instanceId);
+    t.ok(await waitFor(WAIT_MS, hasLive), 'it replaces a lost instance');
+  });
+
+  await t.test('orders stand where no configuration was published yet', async t => {
+    const harness = new FleetHarness(PRICES, OPTIONS);
+    await harness.start();
+    t.teardown(() => harness.stop());
+    await harness.append('fleet', {
+      kind: 'domain-order',
+      failureDomain: 'oslo-b',
+      state: 'out',
+      replacesRevision: 0,
+      requestedBy: 'operator',
+      requestedAtMs: Date.now(),
+    });
+    harness.startDaemon('fleet-1');
+    const isDropped = async () => (await harness.getEarliestOffset('fleet')) > 0;
+    t.ok(await waitFor(WAIT_MS, isDropped), 'the order is dropped');
+    const isKnown = async () => {
+      const fold = await harness.readFleet();
+      return fold.isComplete() && fold.getFailureDomains()[0]?.state === 'out';
+    };
+    t.ok(await waitFor(OPTIONS.retentionMs, isKnown), 'a snapshot tells it');
+  });
+});
--- a/tests/support/FleetHarness.ts
+++ b/tests/support/FleetHarness.ts
@@ -38,14 +38,24 @@
   readonly fencingToken: number;
 }
 
+/** Options of a `FleetHarness`. */
+export interface FleetHarnessOptions {
+  /** Age at which the log drops a record. */
+  readonly retentionMs?: number;
+  /** Longest time without a snapshot in a stream. */
+  readonly snapshotIntervalMs?: number;
+}
+
 /** Runs the platform and the daemons of one test. */
 export class FleetHarness {
+  private readonly options: FleetHarnessOptions;
   private readonly platform: Platform;
   private readonly daemons: FleetDaemon[] = [];
   private log: LogClient | undefined;
   private sequence = 0;
 
-  constructor(prices: readonly Price[]) {
+  constructor(prices: readonly Price[], options: FleetHarnessOptions = {}) {
+    this.options = options;
     const startBackend = createStartBackend({
       address: ADDRESS,
       seed: 1,
@@ -56,7 +66,7 @@
       address: ADDRESS,
       ports: {log: 0, cloud: 0, list: 0, weights: 0},
       maxAppendsPerSecond: 300,
-      retentionMs: 600_000,
+      retentionMs: options.retentionMs ?? 600_000,
       listLagMs: 200,
       startDelayMs: 200,
       weightBytesPerSecond: 10_000,
@@ -67,10 +77,11 @@
     });
   }
 
-  /** Starts the platform and publishes a configuration. */
-  async start(configuration: Configuration): Promise<void> {
+  /** Starts the platform and publishes a configuration where one is given. */
+  async start(configuration?: Configuration): Promise<void> {
     await this.platform.start();
     this.log = new LogClient({url: this.getUrl('log'), timeoutMs: 2_000});
+    if (!configuration) return;
     const body = {replacesRevision: 0, publishedBy: 'test', configuration};
     await this.append('configuration', {kind: 'configuration', ...body});
   }
@@ -97,6 +108,7 @@
       statsdPort: 0,
       logLevel: 'error',
       leaseTermMs: LEASE_TERM_MS,
+      snapshotIntervalMs: this.options.snapshotIntervalMs ?? 300_000,
     });
     this.daemons.push(daemon);
     daemon.start();
@@ -131,14 +143,21 @@
   /** Returns the state of the fleet stream. */
   async readFleet(): Promise<FleetFold> {
     const options = {fromOffset: 0, maxRecords: MAX_RECORDS, waitMs: 0};
-    const {records} = await this.getLog().read('fleet', options);
+    const {records, earliestOffset} = await this.getLog().read('fleet', options);
     const fold = new FleetFold();
+    if (earliestOffset > 0) fold.markIncomplete();
     for (const {offset, payload} of records) {
       fold.applyRecord({offset, record: decodeRecord(payload)});
     }
     return fold;
   }
 
+  /** Returns the offset of the earliest record that the log still has. */
+  async getEarliestOffset(stream: LogStream): Promise<number> {
+    const options = {fromOffset: 0, maxRecords: 1, waitMs: 0};
+    return (await this.getLog().read(stream, options)).earliestOffset;
+  }
+
   /** Switches the log's outage on or off. */
   async setLogOutage(hasOutage: boolean): Promise<void> {
     await call('PUT', `${this.getUrl('log')}/standin/faults`, {hasOutage});
