Refused starts against the cloud's stand-in; refusals of one round back off once

Cause: the starts of a round are sent at once, and each refusal doubled the back-off, so two refusals of one instant gave 30 s for 15 s. Change: refusals at one instant count as one; the cloud's stand-in refuses given offers (fault refuseStarts).

--- a/src/fleet/PlatformWatch.ts
+++ b/src/fleet/PlatformWatch.ts
@@ -88,7 +88,7 @@
   }
 
   /**
-   * Notes how a start ended.
+   * Notes how a start ended. The starts of one round are sent at once, so their refusals count as one.
    * @param offer - Failure domain, machine class and market.
    * @param isRefused - Whether the cloud refused it.
    * @param nowMs - Present time by the wall clock.
@@ -100,7 +100,9 @@
       this.refusedStarts.delete(key);
       return;
     }
-    const refusals = (this.refusedStarts.get(key)?.refusals ?? 0) + 1;
+    const before = this.refusedStarts.get(key);
+    const isSameRound = before?.lastAtMs === nowMs;
+    const refusals = (before?.refusals ?? 0) + (isSameRound ? 0 : 1);
     const refused = {failureDomain, machineClass, market, refusals, lastAtMs: nowMs};
     this.refusedStarts.set(key, refused);
   }
--- a/standins/faults/Faults.ts
+++ b/standins/faults/Faults.ts
@@ -16,6 +16,13 @@
   slowdownFactor: z.number().min(1).default(5),
 });
 
+const refusedOfferSchema = z.strictObject({
+  /** Absent ones stand for all. */
+  failureDomain: z.string().optional(),
+  machineClass: z.string().optional(),
+  market: z.enum(['reclaimable', 'on-demand']).optional(),
+});
+
 /** Schema of the faults; an absent one is off. */
 export const faultsSchema = z.strictObject({
   /** Accepts connections and answers nothing. */
@@ -44,6 +51,8 @@
   badVersion: badVersionSchema.optional(),
   /** Starts of instances that the cloud refuses. */
   refuseStartsPercent: z.number().min(0).max(100).default(0),
+  /** Offers of which the cloud refuses each start. */
+  refuseStarts: z.array(refusedOfferSchema).default([]),
 });
 
 /** Faults of a stand-in. */
--- a/standins/platform/CloudApi.ts
+++ b/standins/platform/CloudApi.ts
@@ -130,7 +130,7 @@
       exchange.sendJson(201, {instanceId: earlier.instanceId});
       return;
     }
-    if (this.server.happens(this.server.getFaults().refuseStartsPercent)) {
+    if (this.isRefused(start)) {
       this.refusedStarts.push(start);
       exchange.sendJson(409, {error: 'no-capacity'});
       return;
@@ -141,6 +141,17 @@
     exchange.sendJson(201, {instanceId});
   }
 
+  private isRefused(start: StartRequest): boolean {
+    const {refuseStartsPercent, refuseStarts} = this.server.getFaults();
+    const hasNoCapacity = refuseStarts.some(
+      ({failureDomain, machineClass, market}) =>
+        (failureDomain ?? start.failureDomain) === start.failureDomain &&
+        (machineClass ?? start.machineClass) === start.machineClass &&
+        (market ?? start.market) === start.market,
+    );
+    return hasNoCapacity || this.server.happens(refuseStartsPercent);
+  }
+
   private async runBackend(instanceId: string, start: StartRequest): Promise<void> {
     this.backends.set(instanceId, await this.options.startBackend(instanceId, start));
   }
--- a/tests/support/FleetHarness.ts
+++ b/tests/support/FleetHarness.ts
@@ -4,6 +4,7 @@
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {createStartBackend} from '../../standins/bin/startedBackends.js';
+import type {FaultsInput} from '../../standins/index.js';
 import {Platform, type Price} from '../../standins/platform/index.js';
 import type {Instance} from '../../src/blackboard/index.js';
 import type {Configuration} from '../../src/configuration/index.js';
@@ -24,11 +25,14 @@
   readonly instanceId: string;
   readonly clientToken: string;
   readonly failureDomain: string;
+  readonly machineClass: string;
+  readonly market: string;
 }
 
 /** What the cloud's ledger shows. */
 export interface CloudLedger {
   readonly starts: readonly LedgerStart[];
+  readonly refusedStarts: ReadonlyArray<Omit<LedgerStart, 'instanceId'>>;
   readonly stops: ReadonlyArray<{readonly instanceId: string}>;
 }
 
@@ -163,6 +167,11 @@
     await call('PUT', `${this.getUrl('log')}/standin/faults`, {hasOutage});
   }
 
+  /** Replaces the faults of the cloud. */
+  async setCloudFaults(faults: FaultsInput): Promise<void> {
+    await call('PUT', `${this.getUrl('cloud')}/standin/faults`, faults);
+  }
+
   /** Takes an instance away as a failure does. */
   async loseInstance(instanceId: string): Promise<void> {
     await call('DELETE', `${this.getUrl('cloud')}/v1/instances/${instanceId}`);
