Backend servers that the platform's stand-in starts can write ledgers

Cause: they run inside its process and kept their runs in memory only, so verdicts of scenarios missed them.

--- a/standins/bin/standinSettings.ts
+++ b/standins/bin/standinSettings.ts
@@ -99,6 +99,13 @@
   machineClasses: text('machine-classes', 'Machine classes with prices', 'standard,large'),
   plainServices: text('plain-services', 'Plain services that it can start', 'booking,field-app'),
   timeScale: number('time-scale', 'How many times faster than real engines run', 1, 1),
+  ledgerFolder: {
+    flag: 'ledger-folder',
+    variable: getVariable('ledger-folder'),
+    description: 'Folder that gets a ledger of each backend server that it starts',
+    parse: parseOptionalText,
+    defaultText: '',
+  } satisfies SettingDefinition<string | undefined>,
 };
 
 const backendSettings = {
--- a/standins/bin/startedBackends.ts
+++ b/standins/bin/startedBackends.ts
@@ -1,4 +1,6 @@
 /** Backend servers that the stand-in of the cloud API starts, and its prices. */
+import {existsSync} from 'node:fs';
+import {join} from 'node:path';
 import {DEFAULT_ENGINE_PROFILE, ModelEngine} from '../engine/index.js';
 import {PlainService} from '../plain/index.js';
 import type {Price, StartedBackend, StartRequest} from '../platform/index.js';
@@ -11,6 +13,8 @@
   readonly timeScale: number;
   /** Services that are plain ones, separated by commas. */
   readonly plainServices: string;
+  /** Folder that gets a ledger of each backend server; absent for none. */
+  readonly ledgerFolder?: string;
 }
 
 const LOAD_LAG_MS = 500;
@@ -23,7 +27,7 @@
 
 /** Returns a function that runs a backend server within this process, cold at its start. */
 export function createStartBackend(options: StartedBackendOptions) {
-  const {address, seed, timeScale, plainServices} = options;
+  const {address, seed, timeScale, plainServices, ledgerFolder} = options;
   return async (
     instanceId: string,
     start: StartRequest,
@@ -35,6 +39,7 @@
       listUrl,
       identity: {...start, instanceId},
       random: createRandom(seed),
+      ledgerPath: ledgerFolder && getFreeLedgerPath(ledgerFolder, instanceId),
       onDown: () => undefined,
     };
     const backend = plainServices.split(',').includes(start.service)
@@ -53,6 +58,14 @@
   };
 }
 
+/** A ledger that another process began under the same name is left as it is, since run numbers start anew. */
+function getFreeLedgerPath(folder: string, instanceId: string): string {
+  let startNumber = 1;
+  const getPath = () => join(folder, `${instanceId}.${startNumber}.ledger`);
+  while (existsSync(getPath())) startNumber += 1;
+  return getPath();
+}
+
 /** Returns a price for each failure domain, machine class and market. */
 export function createPrices(failureDomains: string, machineClasses: string): readonly Price[] {
   return failureDomains.split(',').flatMap((failureDomain, domainIndex) =>
