--- a/standins/bin/buckthorn-standin.ts
+++ b/standins/bin/buckthorn-standin.ts
@@ -7,10 +7,10 @@
   type RunnableCommand,
   type SettingDefinitions,
 } from '../../src/settings/index.js';
+import {createSeededRandom} from '../../src/utils/index.js';
 import {DEFAULT_ENGINE_PROFILE, ModelEngine} from '../engine/index.js';
 import {PlainService} from '../plain/index.js';
 import {Platform} from '../platform/index.js';
-import {createRandom} from '../utils/random.js';
 import {createPrices, createStartBackend} from './startedBackends.js';
 import {engineSettings, plainSettings, platformSettings} from './standinSettings.js';
 
@@ -37,7 +37,7 @@
       },
       prices: createPrices(values.failureDomains, values.machineClasses),
       startBackend: createStartBackend(values),
-      random: createRandom(values.seed),
+      random: createSeededRandom(values.seed),
     });
     await service.start();
     announce({ports: service.getPorts()}, service);
@@ -55,7 +55,7 @@
       profile: {...DEFAULT_ENGINE_PROFILE, ...values},
       isColdAtStart: values.cold,
       honoursFencingTokens: values.honoursFencing,
-      random: createRandom(values.seed),
+      random: createSeededRandom(values.seed),
       onDown: exitDown,
     });
     await service.start();
@@ -71,7 +71,7 @@
     const service = new PlainService({
       ...values,
       identity: values,
-      random: createRandom(values.seed),
+      random: createSeededRandom(values.seed),
       onDown: exitDown,
     });
     await service.start();
--- a/standins/bin/startedBackends.ts
+++ b/standins/bin/startedBackends.ts
@@ -1,8 +1,9 @@
 /** Backend servers that the stand-in of the cloud API starts, and its prices. */
+import {join} from 'node:path';
+import {createSeededRandom} from '../../src/utils/index.js';
 import {DEFAULT_ENGINE_PROFILE, ModelEngine} from '../engine/index.js';
 import {PlainService} from '../plain/index.js';
 import type {Price, StartedBackend, StartRequest} from '../platform/index.js';
-import {createRandom} from '../utils/random.js';
 
 /** Options of the backend servers that the cloud API starts. */
 export interface StartedBackendOptions {
@@ -11,8 +12,11 @@
   readonly timeScale: number;
   /** Services that are plain ones, separated by commas. */
   readonly plainServices: string;
+  /** Folder that takes a file with the ledger of each; absent for none. */
+  readonly ledgerFolder?: string;
 }
 
+const LEDGER_EXTENSION = '.ledger';
 const LOAD_LAG_MS = 500;
 const CACHE_EVENT_DELAY_MS = 500;
 const LOAD_VERSION_MS = 1_000;
@@ -23,7 +27,7 @@
 
 /** Returns a function that runs a backend server within this process, cold at its start. */
 export function createStartBackend(options: StartedBackendOptions) {
-  const {address, seed, timeScale, plainServices} = options;
+  const {address, seed, timeScale, plainServices, ledgerFolder} = options;
   return async (
     instanceId: string,
     start: StartRequest,
@@ -34,8 +38,9 @@
       port: 0,
       listUrl,
       identity: {...start, instanceId},
-      random: createRandom(seed),
+      random: createSeededRandom(seed),
       onDown: () => undefined,
+      ledgerPath: ledgerFolder && join(ledgerFolder, `${instanceId}${LEDGER_EXTENSION}`),
     };
     const backend = plainServices.split(',').includes(start.service)
       ? new PlainService({...common, serviceTimeMs: SERVICE_TIME_MS})
--- a/standins/engine/ModelEngine.ts
+++ b/standins/engine/ModelEngine.ts
@@ -31,6 +31,8 @@
   readonly profile: EngineProfile;
   readonly isColdAtStart: boolean;
   readonly honoursFencingTokens: boolean;
+  /** Whether KV cache can be exported; it can where absent. */
+  readonly exportsKv?: boolean;
   /** Age of a load report. */
   readonly loadLagMs: number;
   /** Age at which a cache event is published. */
@@ -133,7 +135,11 @@
         handler: exchange => exchange.sendJson(200, this.loadReport),
       },
       {method: 'GET', path: /^\/cache\/events$/, handler: exchange => this.sendEvents(exchange)},
-      ...createKvRoutes(this.transfers, requestId => this.runs.getBlocks(requestId)),
+      ...createKvRoutes(
+        this.transfers,
+        requestId => this.runs.getBlocks(requestId),
+        this.options.exportsKv ?? true,
+      ),
       {
         method: 'POST',
         path: /^\/orders$/,
--- a/standins/engine/kvRoutes.ts
+++ b/standins/engine/kvRoutes.ts
@@ -10,13 +10,19 @@
  * Returns the routes.
  * @param transfers - Keeps exports and fetches imports.
  * @param getBlocks - Returns what the cache holds of a running request.
+ * @param canExport - Whether the engine exports at all.
  */
 export function createKvRoutes(
   transfers: KvTransfers,
   getBlocks: (requestId: string) => JobBlocks | undefined,
+  canExport: boolean,
 ): readonly Route[] {
   const exportKv = async (exchange: Exchange) => {
     const {requestId} = exportSchema.parse(await exchange.readJson());
+    if (!canExport) {
+      exchange.sendJson(404, {error: 'KV cache is not exported here'});
+      return;
+    }
     const blocks = getBlocks(requestId);
     if (blocks) exchange.sendJson(200, transfers.addExport(requestId, blocks));
     else exchange.sendJson(404, {error: `request ${requestId} is not running here`});
--- a/standins/platform/WeightStore.ts
+++ b/standins/platform/WeightStore.ts
@@ -18,6 +18,7 @@
   readonly instanceId: string;
   readonly version: string;
   readonly fencingToken: number;
+  readonly askedAtMs: number;
   readonly startsAtMs: number;
   readonly endsAtMs: number;
 }
@@ -82,10 +83,11 @@
   private async startLoad(exchange: Exchange): Promise<void> {
     const asked = loadSchema.parse(await exchange.readJson());
     const {bytesPerSecond, versionBytes} = this.options;
-    const startsAtMs = Math.max(Date.now(), this.loads.at(-1)?.endsAtMs ?? 0);
+    const askedAtMs = Date.now();
+    const startsAtMs = Math.max(askedAtMs, this.loads.at(-1)?.endsAtMs ?? 0);
     const endsAtMs = startsAtMs + (versionBytes / bytesPerSecond) * MS_PER_SECOND;
     const loadId = `load-${this.loads.length + 1}`;
-    this.loads.push({...asked, loadId, startsAtMs, endsAtMs});
+    this.loads.push({...asked, loadId, askedAtMs, startsAtMs, endsAtMs});
     exchange.sendJson(201, {loadId});
   }
 
