Scenarios speak of orders, weight loads, caches, abuse and other workspaces

New steps: abuse (broken HTTP at every entry), spy (another workspace asks for answers). New expectations: ordersAreFenced, loadsAreQueued, cachedPercent, recomputesLess, abuseIsRefused, spiesGetNothing, read from the ledgers of log, cloud, weight store and engines. Repeats may be sent later, and prompts share one of several prefixes.

--- a/scenarios/callers/CallerLoad.ts
+++ b/scenarios/callers/CallerLoad.ts
@@ -68,9 +68,9 @@
   private async runCall(index: number): Promise<void> {
     const {name, isRepeated} = this.options.plan;
     const marker = `${name}-call-${index}.`;
-    const {request, expectedText} = this.createRequest(marker);
+    const {request, expectedText} = this.createRequest(marker, index);
     const attempts = this.tryUntilAnswered(request, 0);
-    const repeats = isRepeated ? this.tryUntilAnswered(request, 1) : Promise.resolve([]);
+    const repeats = isRepeated ? this.repeat(request) : Promise.resolve([]);
     this.records.push({
       load: name,
       marker,
@@ -80,6 +80,11 @@
     });
   }
 
+  private async repeat(request: CallerRequest): Promise<readonly CallAttempt[]> {
+    await sleep(this.options.plan.repeatAfterMs);
+    return this.tryUntilAnswered(request, 1);
+  }
+
   /** A caller tries the next entry when one refuses or breaks off, unless a repeat can't help. */
   private async tryUntilAnswered(
     request: CallerRequest,
@@ -98,7 +103,7 @@
     return attempts;
   }
 
-  private createRequest(marker: string) {
+  private createRequest(marker: string, index: number) {
     const {plan, workspaceKey} = this.options;
     const headers = {
       authorization: `Bearer ${workspaceKey}`,
@@ -111,7 +116,7 @@
       const path = `/v1/services/${plan.service}/bookings`;
       return {request: {...common, path, body, isStreamed: false}, expectedText: undefined};
     }
-    const content = this.createPrompt(marker);
+    const content = this.createPrompt(marker, index);
     const isStreamed = plan.kind === 'stream';
     const body = JSON.stringify({
       model: plan.service,
@@ -124,9 +129,10 @@
     return {request, expectedText};
   }
 
-  private createPrompt(marker: string): string {
-    const {promptWords, sharedPrefixWords, bodyText} = this.options.plan;
-    const shared = Array.from({length: sharedPrefixWords}, (unused, index) => `shared${index}`);
+  private createPrompt(marker: string, index: number): string {
+    const {promptWords, sharedPrefixWords, prefixes, bodyText} = this.options.plan;
+    const prefix = `prefix${index % prefixes}`;
+    const shared = Array.from({length: sharedPrefixWords}, (unused, word) => `${prefix}-${word}`);
     const own = Array.from({length: Math.max(promptWords - sharedPrefixWords, 0)}, () => {
       return `word${Math.floor(this.options.random() * WORDS)}`;
     });
--- a/scenarios/language/index.ts
+++ b/scenarios/language/index.ts
@@ -1,5 +1,6 @@
 export {parseScenario, readScenario, ScenarioError} from './ScenarioParser.js';
 export type {
+  AbusePlan,
   Expectation,
   LoadPlan,
   Scenario,
--- a/scenarios/language/scenarioSchema.ts
+++ b/scenarios/language/scenarioSchema.ts
@@ -1,6 +1,7 @@
 /** The scenario language: what a file under `scenarios/` may say. */
 import {z} from 'zod';
 import {faultsSchema} from '../../standins/index.js';
+import {ABUSE_KINDS} from '../callers/abuseKinds.js';
 
 const durationMs = z.number().int().min(0);
 
@@ -43,10 +44,14 @@
   promptWords: z.number().int().positive().default(30),
   /** Words at the start of each prompt that all calls of the load share. */
   sharedPrefixWords: z.number().int().min(0).default(0),
+  /** Different prefixes that the calls take in turn. */
+  prefixes: z.number().int().positive().default(1),
   /** Text that stands in each body. */
   bodyText: z.string().default(''),
   /** Whether each call is sent a second time, with the same key, at another entry. */
   isRepeated: z.boolean().default(false),
+  /** Time after which the repeat is sent; 0 sends it at once. */
+  repeatAfterMs: durationMs.default(0),
   /** Times that a caller tries again after a refusal or a broken connection. */
   maxRetries: z.number().int().min(0).default(5),
   timeoutMs: z.number().int().positive().default(30_000),
@@ -102,6 +107,16 @@
   domain: z.strictObject({name: z.string(), state: z.enum(['out', 'returning', 'in'])}).optional(),
   /** Publishes a changed configuration; several operators race over the same revision. */
   publish: z.strictObject({operators: z.number().int().min(1).max(5).default(1)}).optional(),
+  /** Callers that do what they must not, at each entry. */
+  abuse: z
+    .strictObject({
+      kinds: z.array(z.enum(ABUSE_KINDS)).min(1),
+      ratePerSecond: z.number().positive(),
+    })
+    .extend({durationMs, service: z.string()})
+    .optional(),
+  /** Another workspace asks for the answers of a load's calls. */
+  spy: z.strictObject({on: z.string()}).optional(),
 });
 
 /** The expectations by name; each is one key of an expectation. */
@@ -115,7 +130,9 @@
   /** What was refused as `not-run` was not run. */
   notRunIsTrue: z.strictObject({load: z.string()}).optional(),
   /** A repeat that was answered got the answer of the first. */
-  repeatsGetSameAnswer: z.strictObject({load: z.string()}).optional(),
+  repeatsGetSameAnswer: z
+    .strictObject({load: z.string(), minAnsweredPercent: z.number().default(0)})
+    .optional(),
   /** At least this part of the calls was answered well. */
   answeredPercent: z.strictObject({load: z.string(), min: z.number()}).optional(),
   /** No run starts at the target later than a bound after a step, until another step. */
@@ -150,6 +167,24 @@
   oneOperatorWins: z.strictObject({}).optional(),
   /** The process ended by itself with exit code 0. */
   exitsGracefully: z.strictObject({instance: z.string()}).optional(),
+  /** The lease changed hands, and no order of an earlier holder took effect after one of a later. */
+  ordersAreFenced: z.strictObject({minHolders: z.number().int().min(2).default(2)}).optional(),
+  /** At least this part of a service's prompt tokens was found in the engines' caches. */
+  cachedPercent: z
+    .strictObject({service: z.string(), after: z.string(), min: z.number()})
+    .optional(),
+  /** Repeated runs of a service computed at most this part of what those of another service did. */
+  recomputesLess: z
+    .strictObject({service: z.string(), than: z.string(), maxPercent: z.number()})
+    .optional(),
+  /** The weight store was asked for few loads at a time, and for the version first that lacked most. */
+  loadsAreQueued: z
+    .strictObject({minLoads: z.number().int(), maxOpenLoads: z.number().int()})
+    .optional(),
+  /** Each abuse was refused as it should be. */
+  abuseIsRefused: z.strictObject({}).optional(),
+  /** Another workspace got nothing, and the owner something at the same place. */
+  spiesGetNothing: z.strictObject({}).optional(),
 });
 
 /** Schema of a scenario file. */
@@ -174,5 +209,7 @@
 export type Target = z.infer<typeof targetSchema>;
 /** A service of the topology. */
 export type ServicePlan = z.infer<typeof serviceSchema>;
+/** Callers that do what they must not. */
+export type AbusePlan = NonNullable<Step['abuse']>;
 /** A process to start in the middle of a scenario. */
 export type StartPlan = z.infer<typeof startSchema>;
--- a/scenarios/runner/CallExpectations.ts
+++ b/scenarios/runner/CallExpectations.ts
@@ -57,14 +57,19 @@
   });
 }
 
-/** Checks that a repeat that was answered got the answer of the first. */
-export function checkRepeats(records: readonly CallRecord[]): Findings {
-  return records.flatMap(({marker, attempts, repeatAttempts}) => {
+/** Checks that a repeat that was answered got the answer of the first, and that enough were answered. */
+export function checkRepeats(records: readonly CallRecord[], minAnsweredPercent: number): Findings {
+  const repeated = records.filter(({repeatAttempts}) => getAnswer(repeatAttempts));
+  const percent = (repeated.length / Math.max(records.length, 1)) * PERCENT;
+  const isEnough = percent >= minAnsweredPercent;
+  const few = isEnough ? [] : [`${repeated.length} of ${records.length} repeats were answered`];
+  const wrong = records.flatMap(({marker, attempts, repeatAttempts}) => {
     const first = getAnswer(attempts);
     const repeat = getAnswer(repeatAttempts);
     if (!first || !repeat || first.text === repeat.text) return [];
     return [`${marker} was answered ${first.text} and then ${repeat.text}`];
   });
+  return [...few, ...wrong];
 }
 
 function shorten(attempt: CallRecord['attempts'][number] | undefined) {
--- a/scenarios/runner/ExpectationChecker.ts
+++ b/scenarios/runner/ExpectationChecker.ts
@@ -2,6 +2,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {RunEntry} from '../../standins/index.js';
 import type {Expectation} from '../language/index.js';
+import {checkAbuse, checkSpies} from './AbuseExpectations.js';
+import {checkCachedPercent, checkRecomputed} from './CacheExpectations.js';
 import {
   checkAnsweredPercent,
   checkAnswers,
@@ -12,7 +14,9 @@
 } from './CallExpectations.js';
 import {checkInForce, checkRace} from './ConfigurationExpectations.js';
 import {selectRuns} from './Evidence.js';
+import {checkFencing, checkLoadQueue} from './FleetExpectations.js';
 import {readLedgers} from './LedgerReader.js';
+import {readPlatformLedgers} from './PlatformLedgers.js';
 import type {ScenarioWorld} from './ScenarioWorld.js';
 
 type ExpectationName = keyof Expectation;
@@ -38,7 +42,8 @@
     answersAreWhole: ({load, mayBeRefused}) => checkAnswers(this.getRecords(load), mayBeRefused),
     runsAtMostOnce: ({load}) => checkRuns(this.getRecords(load), this.runs),
     notRunIsTrue: ({load}) => checkNotRun(this.getRecords(load), this.runs),
-    repeatsGetSameAnswer: ({load}) => checkRepeats(this.getRecords(load)),
+    repeatsGetSameAnswer: ({load, minAnsweredPercent}) =>
+      checkRepeats(this.getRecords(load), minAnsweredPercent),
     answeredPercent: ({load, min}) => checkAnsweredPercent(this.getRecords(load), min),
     noNewWork: fields => this.checkNoNewWork(fields),
     newWork: fields => this.checkNewWork(fields),
@@ -49,6 +54,15 @@
     configurationInForce: ({withinMs}) => checkInForce(this.world, withinMs),
     oneOperatorWins: () => checkRace(this.world.getOperators().getPublications()),
     exitsGracefully: ({instance}) => this.checkExit(instance),
+    ordersAreFenced: async ({minHolders}) =>
+      checkFencing(await readPlatformLedgers(this.world.deployment), minHolders),
+    cachedPercent: ({service, after, min}) =>
+      checkCachedPercent(this.getRunsAfter(service, after), min),
+    recomputesLess: fields => checkRecomputed(this.runs, fields),
+    loadsAreQueued: async fields =>
+      checkLoadQueue(await readPlatformLedgers(this.world.deployment), fields),
+    abuseIsRefused: () => checkAbuse(this.world.getAbuses(), this.runs),
+    spiesGetNothing: () => checkSpies(this.world.getSpyings()),
   };
 
   constructor(world: ScenarioWorld) {
@@ -72,6 +86,11 @@
     return records;
   }
 
+  private getRunsAfter(service: string, after: string): readonly RunEntry[] {
+    const fromMs = this.world.getMarkOrThrow(after);
+    return selectRuns(this.runs, {service}).filter(run => run.startedAtMs > fromMs);
+  }
+
   private checkNoNewWork({after, withinMs, until, ...target}: FieldsOf<'noNewWork'>): Findings {
     const fromMs = this.world.getMarkOrThrow(after) + withinMs;
     const untilMs = until === undefined ? Infinity : this.world.getMarkOrThrow(until);
@@ -105,8 +124,7 @@
 
   private checkVersionShare(fields: FieldsOf<'versionShare'>): Findings {
     const {service, version, maxPercent, after} = fields;
-    const fromMs = this.world.getMarkOrThrow(after);
-    const runs = selectRuns(this.runs, {service}).filter(run => run.startedAtMs > fromMs);
+    const runs = this.getRunsAfter(service, after);
     const got = selectRuns(runs, {version}).length;
     const percent = (got / Math.max(runs.length, 1)) * PERCENT;
     return percent > maxPercent ? [`${version} got ${got} of ${runs.length} runs`] : [];
--- a/scenarios/runner/ScenarioWorld.ts
+++ b/scenarios/runner/ScenarioWorld.ts
@@ -1,9 +1,16 @@
 /** Everything that a running scenario consists of: processes, callers, operators and what was seen. */
 import {request} from 'undici';
-import {createRandom} from '../../standins/utils/random.js';
-import {CallerLoad, type CallRecord} from '../callers/index.js';
+import {createSeededRandom} from '../../src/utils/index.js';
+import {
+  AbusiveCaller,
+  CallerLoad,
+  spyOnCall,
+  type AbuseRecord,
+  type CallRecord,
+  type SpyRecord,
+} from '../callers/index.js';
 import {Deployment, type BackendPlan, type DaemonPlan} from '../deployment/index.js';
-import type {LoadPlan, Scenario, StartPlan, Target} from '../language/index.js';
+import type {AbusePlan, LoadPlan, Scenario, StartPlan, Target} from '../language/index.js';
 import {getLedgerPath} from './LedgerReader.js';
 import {Operators} from './Operators.js';
 import {RevisionWatcher} from './RevisionWatcher.js';
@@ -27,6 +34,8 @@
   private readonly daemons = new Map<string, DaemonPlan>();
   private readonly loads = new Map<string, CallerLoad>();
   private readonly marks: StepMark[] = [];
+  private readonly abuses: AbuseRecord[] = [];
+  private readonly spyings: SpyRecord[] = [];
   private readonly random: () => number;
   private operators: Operators | undefined;
   private watcher: RevisionWatcher | undefined;
@@ -39,14 +48,14 @@
   constructor(scenario: Scenario, folder: string) {
     this.scenario = scenario;
     this.folder = folder;
-    this.random = createRandom(scenario.seed);
+    this.random = createSeededRandom(scenario.seed);
     for (const plan of this.planBackends()) this.backends.set(plan.instanceId, plan);
     for (const plan of this.planDaemons()) this.daemons.set(plan.instanceId, plan);
     this.deployment = new Deployment({
       backends: [...this.backends.values()],
       daemons: [...this.daemons.values()],
       deploymentKey: DEPLOYMENT_KEY,
-      platformFlags: scenario.topology.platformFlags,
+      platformFlags: ['--ledger-folder', folder, ...scenario.topology.platformFlags],
       logFolder: folder,
     });
   }
@@ -107,6 +116,39 @@
     await Promise.all([...this.loads.values()].map(load => load.waitForEnd()));
   }
 
+  /** Runs callers that do what they must not, until their time is over. */
+  async runAbuse(plan: AbusePlan): Promise<void> {
+    const caller = new AbusiveCaller({
+      plan,
+      workspaceKey: WORKSPACE_KEYS.large,
+      getEntryUrls: () => this.getLiveEntries().map(({url}) => url),
+    });
+    this.abuses.push(...(await caller.run()));
+  }
+
+  /** Returns what became of each abuse. */
+  getAbuses(): readonly AbuseRecord[] {
+    return this.abuses;
+  }
+
+  /** Lets another workspace, and then the owner, ask each entry for the answers of a load's calls. */
+  async spyOn(load: string): Promise<void> {
+    const entries = this.getLiveEntries();
+    for (const {attempts} of this.getLoadOrThrow(load).getRecords()) {
+      const requestId = attempts.at(-1)?.requestId;
+      if (!requestId) continue;
+      for (const {url} of entries) {
+        const place = `${url}/v1/requests/${requestId}`;
+        this.spyings.push(await spyOnCall(place, WORKSPACE_KEYS.other, WORKSPACE_KEYS.large));
+      }
+    }
+  }
+
+  /** Returns what other workspaces got. */
+  getSpyings(): readonly SpyRecord[] {
+    return this.spyings;
+  }
+
   /** Starts a new backend server, or a daemon or backend server that ended. */
   async startInstance(plan: StartPlan): Promise<void> {
     const daemon = this.daemons.get(plan.instance);
--- a/scenarios/runner/StepRunner.ts
+++ b/scenarios/runner/StepRunner.ts
@@ -41,6 +41,8 @@
       this.world.getOperators().move(service, this.getVersion(service), to, withinMs),
     domain: async ({name, state}) => this.world.getOperators().orderDomain(name, state),
     publish: async ({operators}) => this.publish(operators),
+    abuse: async plan => this.startAbuse(plan),
+    spy: async ({on}) => this.world.spyOn(on),
   };
 
   constructor(world: ScenarioWorld) {
@@ -115,6 +117,10 @@
     await this.world.getOperators().publish(changed);
   }
 
+  private startAbuse(plan: StepOf<'abuse'>): void {
+    this.pending.push(this.world.runAbuse(plan));
+  }
+
   private async setFaults(urls: readonly string[], faults: object): Promise<void> {
     await Promise.all(
       urls.map(url => this.world.callStandin('PUT', `${url}/standin/faults`, faults)),
--- a/tests/scenarios/CallExpectations.test.ts
+++ b/tests/scenarios/CallExpectations.test.ts
@@ -60,7 +60,7 @@
   doTest('not run', checkNotRun([createRecord([REFUSED])], []), 0);
   doTest('not run, and yet it ran', checkNotRun([createRecord([REFUSED])], [RUN]), 1);
   const other = {...ANSWERED, text: 'second'};
-  doTest('the same answer', checkRepeats([createRecord([ANSWERED], [ANSWERED])]), 0);
-  doTest('another answer', checkRepeats([createRecord([ANSWERED], [other])]), 1);
+  doTest('the same answer', checkRepeats([createRecord([ANSWERED], [ANSWERED])], 0), 0);
+  doTest('another answer', checkRepeats([createRecord([ANSWERED], [other])], 0), 1);
   t.end();
 });
