--- a/src/fleet/FleetSettings.ts
+++ b/src/fleet/FleetSettings.ts
@@ -26,6 +26,7 @@
   readonly statsdPort: number;
   readonly logLevel: LogLevel;
   readonly leaseTermMs: number;
+  /** Time between the holder's snapshots of a stream. */
   readonly snapshotIntervalMs: number;
 }
 
--- a/src/fleet/SnapshotRunner.ts
+++ b/src/fleet/SnapshotRunner.ts
@@ -15,7 +15,7 @@
 /** A snapshot that another record overtook doesn't hold and is tried again after this part of the interval. */
 const RETRY_PART = 1 / 60;
 
-/** Writes a snapshot as the holder, every few minutes. */
+/** Writes a snapshot as the holder, at intervals. */
 export class SnapshotRunner {
   private readonly options: SnapshotRunnerOptions;
   private nextAtMs = 0;
--- a/standins/bin/startedBackends.ts
+++ b/standins/bin/startedBackends.ts
@@ -1,10 +1,10 @@
 /** Backend servers that the stand-in of the cloud API starts, and its prices. */
 import {existsSync} from 'node:fs';
 import {join} from 'node:path';
+import {createSeededRandom} from '../../src/utils/index.js';
 import {DEFAULT_ENGINE_PROFILE, ModelEngine} from '../engine/index.js';
 import {PlainService} from '../plain/index.js';
 import type {Price, StartedBackend, StartRequest} from '../platform/index.js';
-import {createRandom} from '../utils/random.js';
 
 /** Options of the backend servers that the cloud API starts. */
 export interface StartedBackendOptions {
@@ -38,7 +38,7 @@
       port: 0,
       listUrl,
       identity: {...start, instanceId},
-      random: createRandom(seed),
+      random: createSeededRandom(seed),
       ledgerPath: ledgerFolder && getFreeLedgerPath(ledgerFolder, instanceId),
       onDown: () => undefined,
     };
