Moves by evidence are measured against a plain linear ramp

Moves had figures, but no baseline to read them by. The model of a service under a move goes from tests/support to bench/experiments, in three parts (run, traffic, model), and takes a policy: the move controller with the entries' brakes, or a linear ramp with one threshold for errors. A report is tables, notes and SVG plots; loads use the same page.

--- a/bench/bin/run-bench.ts
+++ b/bench/bin/run-bench.ts
@@ -3,9 +3,15 @@
 import {command, flag, number, option, string, subcommands} from 'cmd-ts';
 import {writeFile} from 'node:fs/promises';
 import {runCapacityBench} from '../capacity/index.js';
-import {runLeavingDomain} from '../experiments/index.js';
+import {createMovesReport, runLeavingDomain, runMovesExperiment} from '../experiments/index.js';
 import {measureMissingBackend, measureTableSwap} from '../related/index.js';
-import {createHtmlReport, createMarkdownTable} from '../../src/load/index.js';
+import {
+  createHtmlReport,
+  createMarkdownTable,
+  createReportMarkdown,
+  createReportPage,
+  type ExperimentReport,
+} from '../../src/load/index.js';
 import {runCommandLine, type RunnableCommand} from '../../src/settings/index.js';
 
 const PAGE_PATH = 'docs/CAPACITY.md';
@@ -28,6 +34,19 @@
   process.stdout.write(`${line}\n`);
 }
 
+const seedOption = option({type: number, long: 'seed', defaultValue: () => 1});
+const reportOption = option({
+  type: string,
+  long: 'report',
+  description: 'File for the HTML page',
+  defaultValue: () => '',
+});
+
+async function showReport(report: ExperimentReport, path: string): Promise<void> {
+  writeLine(createReportMarkdown(report));
+  if (path !== '') await writeFile(path, createReportPage(report));
+}
+
 const commands = subcommands({
   name: 'bench',
   description: 'Measurements of this machine; never part of a verdict',
@@ -48,13 +67,29 @@
       args: {},
       handler: runRelated,
     }),
+    moves: command({
+      name: 'moves',
+      description: 'Good and bad versions under moves by evidence and under a linear ramp',
+      args: {
+        seed: seedOption,
+        versions: option({type: number, long: 'versions', defaultValue: () => 2}),
+        maxErrorPercent: option({type: number, long: 'max-error-percent', defaultValue: () => 5}),
+        report: reportOption,
+      },
+      handler: ({seed, versions, maxErrorPercent, report}) => {
+        const records = runMovesExperiment({seed, versionsOfEachKind: versions, maxErrorPercent});
+        const size = `--versions ${versions} --max-error-percent ${maxErrorPercent}`;
+        const bench = `npm run bench -- moves --seed ${seed} ${size}`;
+        return showReport(createMovesReport(records, bench), report);
+      },
+    }),
     'leaving-domain': command({
       name: 'leaving-domain',
       description:
         'What callers get while a failure domain leaves and returns, with and without a spare',
       args: {
-        seed: option({type: number, long: 'seed', defaultValue: () => 1}),
-        report: option({type: string, long: 'report', defaultValue: () => ''}),
+        seed: seedOption,
+        report: reportOption,
       },
       handler: async ({seed, report}) => {
         const options = {
--- /dev/null
+++ b/bench/experiments/moves/MoveModel.ts
@@ -0,0 +1,215 @@
+/** A model of a service under a version move in virtual time: seeded versions, load, entries with brakes, one holder. */
+import type {Move, VersionEvidence} from '../../../src/blackboard/index.js';
+import {
+  EVIDENCE_KEPT_MS,
+  EVIDENCE_WINDOW_MS,
+  EvidenceRecorder,
+  isWindowFinal,
+  mergeEvidence,
+} from '../../../src/controllers/moves/index.js';
+import {FleetFold, isMoveEnded} from '../../../src/folds/index.js';
+import type {LogBody, LogBodyOf} from '../../../src/records/index.js';
+import {EVIDENCE_POLICY, type MovePolicy} from './MovePolicy.js';
+import {getDeadlineAtMs, MOVE_STARTS_AT_MS, type MoveRun, type MoveRunResult} from './MoveRun.js';
+import {DISTURBED_FROM_MS, ENTRIES, ServiceTraffic} from './ServiceTraffic.js';
+
+const TICK_MS = 1_000;
+const DECISION_MS = 2_000;
+const BRAKE_MS = 60_000;
+const FAULT_SHOWS_MS = 10_000;
+const HOLDER_GAP_MS = 8_000;
+const EVIDENCE_LAG_MS = 2_000;
+const LEASE_TERM_MS = 3_000;
+const WHOLE_PERCENT = 100;
+const RECLAIMED_READY_PERCENT = 40;
+
+/** Runs one move to its deadline. */
+export class MoveModel {
+  private readonly run: MoveRun;
+  private readonly policy: MovePolicy;
+  private readonly traffic: ServiceTraffic;
+  private readonly fold = new FleetFold();
+  private readonly entries = Array.from({length: ENTRIES}, () => new EvidenceRecorder());
+  private readonly brakedUntilMs = new Array<number>(ENTRIES).fill(0);
+  private readonly steps: Array<LogBodyOf<'move-step'>> = [];
+  private offset = 0;
+  private holderSinceMs = 0;
+  private finalEvidence: readonly VersionEvidence[] = [];
+  private finalToMs = 0;
+  private allRequests = 0;
+  private requests = 0;
+  private faultyRequests = 0;
+  private requestsAfterFault = 0;
+  private largestSharePercent = 0;
+  private firstFaultAtMs: number | undefined;
+
+  /**
+   * @param run - The run.
+   * @param policy - How steps are decided.
+   */
+  constructor(run: MoveRun, policy: MovePolicy = EVIDENCE_POLICY) {
+    this.run = run;
+    this.policy = policy;
+    this.traffic = new ServiceTraffic(run);
+  }
+
+  /** Returns how the move ended. */
+  getResult(): MoveRunResult {
+    const deadlineAtMs = getDeadlineAtMs(this.run);
+    this.append(createClaim('holder-1', -1));
+    for (let nowMs = 0; nowMs < MOVE_STARTS_AT_MS; nowMs += TICK_MS) this.sendRequests(nowMs);
+    this.append(createRequest(MOVE_STARTS_AT_MS, deadlineAtMs));
+    const endedAtMs = this.runMove();
+    for (let nowMs = endedAtMs; nowMs < deadlineAtMs; nowMs += TICK_MS) this.countRequests(nowMs);
+    return {
+      move: this.getMove(),
+      endedAtMs,
+      allRequests: this.allRequests,
+      requests: this.requests,
+      faultyRequests: this.faultyRequests,
+      firstFaultAtMs: this.firstFaultAtMs,
+      requestsAfterFault: this.requestsAfterFault,
+      largestSharePercent: this.largestSharePercent,
+      steps: this.steps,
+    };
+  }
+
+  private runMove(): number {
+    let nowMs = MOVE_STARTS_AT_MS;
+    while (!isMoveEnded(this.getMove())) {
+      this.sendRequests(nowMs);
+      if (nowMs % DECISION_MS === 0) {
+        this.brakeEntries(nowMs);
+        this.runHolder(nowMs);
+      }
+      nowMs += TICK_MS;
+    }
+    return nowMs;
+  }
+
+  private runHolder(nowMs: number): void {
+    if (this.run.disturbance === 'holder-killed' && nowMs === DISTURBED_FROM_MS) {
+      this.holderSinceMs = nowMs + HOLDER_GAP_MS;
+      this.finalEvidence = [];
+      this.finalToMs = 0;
+      this.append(createClaim('holder-2', this.fold.getLease().newestOffset));
+    }
+    if (nowMs < this.holderSinceMs) return;
+    const evidence = this.collectEvidence(nowMs);
+    const view = {move: this.getMove(), evidence, readyPercent: this.getReadyPercent(nowMs)};
+    for (const effect of this.policy.decideSteps(view, nowMs)) {
+      const {moveId, phase, sharePercent, reason} = effect;
+      const fencingToken = this.fold.getLease().fencingToken;
+      this.largestSharePercent = Math.max(this.largestSharePercent, sharePercent);
+      const decidedAtMs = nowMs;
+      const body = {moveId, fencingToken, phase, sharePercent, decidedAtMs, reason};
+      this.steps.push({kind: 'move-step', ...body});
+      this.append({kind: 'move-step', ...body});
+    }
+  }
+
+  /** A new holder has only what the entries still keep. */
+  private collectEvidence(nowMs: number): readonly VersionEvidence[] {
+    const fresh = this.entries
+      .flatMap(entry => entry.getEvidence(nowMs - EVIDENCE_KEPT_MS + EVIDENCE_WINDOW_MS))
+      .filter(window => window.windowStartMs <= nowMs - EVIDENCE_LAG_MS);
+    const isFinal = (window: VersionEvidence) => isWindowFinal(window, nowMs);
+    const newlyFinal = fresh.filter(
+      window => isFinal(window) && window.windowStartMs >= this.finalToMs,
+    );
+    this.finalToMs = Math.max(this.finalToMs, ...newlyFinal.map(one => one.windowStartMs + 1));
+    this.finalEvidence = mergeEvidence([...this.finalEvidence, ...newlyFinal], nowMs);
+    return [
+      ...this.finalEvidence,
+      ...mergeEvidence(
+        fresh.filter(one => !isFinal(one)),
+        nowMs,
+      ),
+    ];
+  }
+
+  private brakeEntries(nowMs: number): void {
+    this.entries.forEach((entry, index) => {
+      if (!this.policy.isBraked(entry.getEvidence(nowMs - BRAKE_MS), this.getMove(), nowMs)) return;
+      this.brakedUntilMs[index] = nowMs + BRAKE_MS;
+    });
+  }
+
+  private sendRequests(nowMs: number): void {
+    const count = this.traffic.drawCount(nowMs);
+    if (nowMs >= MOVE_STARTS_AT_MS) this.allRequests += count;
+    for (let request = 0; request < count; request++) this.sendRequest(nowMs);
+  }
+
+  private sendRequest(nowMs: number): void {
+    const request = this.traffic.drawRequest();
+    const isNew = this.isSentToNew(request.entryIndex, nowMs);
+    const openRequests = this.traffic.drawOpenRequests(isNew, nowMs);
+    const isFaulty = isNew && this.traffic.meetsFault(request.route, openRequests, nowMs);
+    if (isNew) this.noteNewRequest(isFaulty, nowMs);
+    const sample = this.traffic.drawSample(request, {isNew, isFaulty, openRequests}, nowMs);
+    this.entries[request.entryIndex].addTry(sample, nowMs);
+  }
+
+  /** After the end of a move nothing is decided any more, but a version that was not found out goes on. */
+  private countRequests(nowMs: number): void {
+    const count = this.traffic.drawCount(nowMs);
+    this.allRequests += count;
+    if (this.getMove().phase !== 'done') return;
+    for (let index = 0; index < count; index++) {
+      const {route} = this.traffic.drawRequest();
+      const openRequests = this.traffic.drawOpenRequests(true, nowMs);
+      this.noteNewRequest(this.traffic.meetsFault(route, openRequests, nowMs), nowMs);
+    }
+  }
+
+  private isSentToNew(entryIndex: number, nowMs: number): boolean {
+    const move = this.fold.getMoves()[0];
+    if (!move || isMoveEnded(move) || nowMs < this.brakedUntilMs[entryIndex]) return false;
+    return this.traffic.drawIsNew(move.sharePercent);
+  }
+
+  private noteNewRequest(isFaulty: boolean, nowMs: number): void {
+    this.requests += 1;
+    if (isFaulty) {
+      this.faultyRequests += 1;
+      this.firstFaultAtMs ??= nowMs;
+    }
+    if (this.firstFaultAtMs === undefined) return;
+    if (nowMs > this.firstFaultAtMs + FAULT_SHOWS_MS) this.requestsAfterFault += 1;
+  }
+
+  private getReadyPercent(nowMs: number): number {
+    return this.traffic.isDisturbed('reclaim-wave', nowMs)
+      ? RECLAIMED_READY_PERCENT
+      : WHOLE_PERCENT;
+  }
+
+  private getMove(): Move {
+    const [move] = this.fold.getMoves();
+    if (!move) throw new Error('no move was requested');
+    return move;
+  }
+
+  private append(body: LogBody): void {
+    const offset = this.offset++;
+    this.fold.applyRecord({offset, record: {writer: 'w', sequence: offset + 1, body}});
+  }
+}
+
+function createClaim(holder: string, followsOffset: number): LogBody {
+  return {kind: 'lease-claim', holder, followsOffset, termMs: LEASE_TERM_MS};
+}
+
+function createRequest(requestedAtMs: number, deadlineAtMs: number): LogBody {
+  return {
+    kind: 'move-request',
+    moveId: 'm1',
+    service: 'guidance',
+    fromVersion: 'v1',
+    toVersion: 'v2',
+    requestedAtMs,
+    deadlineAtMs,
+    requestedBy: 'operator',
+  };
+}
--- a/src/load/LoadReport.ts
+++ b/src/load/LoadReport.ts
@@ -1,5 +1,12 @@
 /** Shows loads side by side: a Markdown table, and an HTML page with plots. */
 import type {LoadSecond, LoadSummary} from './LoadResult.js';
+import {
+  createReportMarkdown,
+  createReportPage,
+  type ExperimentReport,
+  type ReportTable,
+} from './ReportPage.js';
+import {createLinePlot, type PlotMark} from './SvgPlot.js';
 
 /** A load as a report shows it. */
 export interface ReportedLoad {
@@ -17,11 +24,16 @@
   /** Command that gives the figures. */
   readonly command: string;
   readonly loads: readonly ReportedLoad[];
+  /** How to read the figures. */
+  readonly notes?: readonly string[];
+  /** Tables after that of the loads. */
+  readonly tables?: readonly ReportTable[];
+  /** Seconds at which something was done to the system. */
+  readonly marks?: readonly PlotMark[];
 }
 
-const PLOT_WIDTH_PX = 640;
-const PLOT_HEIGHT_PX = 140;
 const TOKENS_PER_MILLION = 1_000_000;
+const REQUESTS_PER_THOUSAND = 1_000;
 const COLUMNS = [
   'load',
   'workspace',
@@ -35,6 +47,7 @@
   'answer tokens',
   'recomputed tokens',
   'USD per million answer tokens',
+  'USD per thousand requests',
 ] as const;
 
 const SERIES = [
@@ -44,48 +57,36 @@
   {name: 'failed', color: '#c0392b', getCount: (second: LoadSecond) => second.failed},
 ] as const;
 
-/** Returns the rows of a report as a Markdown table. */
-export function createMarkdownTable({loads}: ReportOptions): string {
-  const header = `| ${COLUMNS.join(' | ')} |`;
-  const rule = `|${COLUMNS.map(() => '---').join('|')}|`;
-  const rows = createRows(loads).map(row => `| ${row.join(' | ')} |`);
-  return [header, rule, ...rows].join('\n');
+/** Returns the rows of a report as Markdown tables. */
+export function createMarkdownTable(options: ReportOptions): string {
+  return createReportMarkdown(createReport(options));
 }
 
 /** Returns a report as an HTML page that needs no other file. */
 export function createHtmlReport(options: ReportOptions): string {
-  const {title, command, loads} = options;
-  const head = COLUMNS.map(column => `<th>${escapeHtml(column)}</th>`).join('');
-  const rows = createRows(loads)
-    .map(row => `<tr>${row.map(cell => `<td>${escapeHtml(cell)}</td>`).join('')}</tr>`)
-    .join('\n');
-  const legend = SERIES.map(({name, color}) => `<span style="color:${color}">■ ${name}</span>`);
-  const plots = loads.map(load => `<h3>${escapeHtml(load.name)}</h3>\n${createPlot(load.seconds)}`);
-  return `<!doctype html>
-<html lang="en"><head><meta charset="utf-8"><title>${escapeHtml(title)}</title>
-<style>body{font:14px sans-serif;margin:2em}td,th{padding:2px 8px;text-align:right;border-bottom:1px solid #ddd}
-td:nth-child(-n+3),th:nth-child(-n+3){text-align:left}</style></head><body>
-<h1>${escapeHtml(title)}</h1><p><code>${escapeHtml(command)}</code></p>
-<table><tr>${head}</tr>
-${rows}
-</table>
-<h2>Requests second by second</h2><p>${legend.join(' ')}</p>
-${plots.join('\n')}
-</body></html>
-`;
+  return createReportPage(createReport(options));
 }
 
-function createRows(loads: readonly ReportedLoad[]): ReadonlyArray<readonly string[]> {
-  return loads.flatMap(load => load.summaries.map(summary => createRow(load, summary)));
+function createReport(options: ReportOptions): ExperimentReport {
+  const {title, command, loads, notes = [], tables = [], marks = []} = options;
+  const rows = loads.flatMap(load => load.summaries.map(summary => createRow(load, summary)));
+  return {
+    title,
+    command,
+    notes,
+    tables: [{caption: 'Loads', columns: COLUMNS, rows}, ...tables],
+    plots: loads.map(({name, seconds}) => {
+      const caption = `Requests second by second: ${name}`;
+      return {caption, svg: createSecondsPlot(seconds, marks)};
+    }),
+  };
 }
 
 function createRow({name, costUsd}: ReportedLoad, summary: LoadSummary): readonly string[] {
-  const {firstToken, interToken, answerTokens} = summary;
+  const {firstToken, interToken, answerTokens, answered} = summary;
   const isAll = summary.workspace === 'all';
-  const cost =
-    isAll && costUsd !== undefined && answerTokens > 0
-      ? ((costUsd / answerTokens) * TOKENS_PER_MILLION).toFixed(2)
-      : '';
+  const getCost = (count: number, unit: number) =>
+    isAll && costUsd !== undefined && count > 0 ? ((costUsd / count) * unit).toFixed(2) : '';
   return [
     name,
     summary.workspace,
@@ -98,28 +99,16 @@
     [interToken.p50Ms, interToken.p95Ms].map(ms => ms.toFixed(1)).join('/'),
     String(answerTokens),
     String(summary.recomputedTokens),
-    cost,
+    getCost(answerTokens, TOKENS_PER_MILLION),
+    getCost(answered, REQUESTS_PER_THOUSAND),
   ];
 }
 
-function createPlot(seconds: readonly LoadSecond[]): string {
-  const highest = Math.max(1, ...seconds.flatMap(second => SERIES.map(s => s.getCount(second))));
-  const stepPx = PLOT_WIDTH_PX / Math.max(1, seconds.length - 1);
-  const getY = (count: number) => PLOT_HEIGHT_PX - (count / highest) * PLOT_HEIGHT_PX;
-  const lines = SERIES.map(({color, getCount}) => {
-    const points = seconds.map(
-      (second, i) => `${(i * stepPx).toFixed(1)},${getY(getCount(second)).toFixed(1)}`,
-    );
-    return `<polyline fill="none" stroke="${color}" stroke-width="1.5" points="${points.join(' ')}"/>`;
-  });
-  return `<svg width="${PLOT_WIDTH_PX + 60}" height="${PLOT_HEIGHT_PX + 24}" role="img" aria-label="requests a second">
-<g transform="translate(40,4)"><rect width="${PLOT_WIDTH_PX}" height="${PLOT_HEIGHT_PX}" fill="none" stroke="#ccc"/>
-${lines.join('\n')}
-<text x="-6" y="10" text-anchor="end" font-size="11">${highest}</text>
-<text x="-6" y="${PLOT_HEIGHT_PX}" text-anchor="end" font-size="11">0</text>
-<text x="${PLOT_WIDTH_PX}" y="${PLOT_HEIGHT_PX + 16}" text-anchor="end" font-size="11">${seconds.length} s</text></g></svg>`;
-}
-
-function escapeHtml(text: string): string {
-  return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;');
+function createSecondsPlot(seconds: readonly LoadSecond[], marks: readonly PlotMark[]): string {
+  const series = SERIES.map(({name, color, getCount}) => ({
+    name,
+    color,
+    points: seconds.map(second => ({x: second.second, y: getCount(second)})),
+  }));
+  return createLinePlot({series, marks, xLabel: 's', yLabel: '/s'});
 }
--- /dev/null
+++ b/src/load/SvgPlot.ts
@@ -0,0 +1,153 @@
+/** Draws small plots as SVG. */
+
+/** A point of a line. */
+export interface PlotPoint {
+  readonly x: number;
+  readonly y: number;
+}
+
+/** A line of a plot. */
+export interface PlotSeries {
+  readonly name: string;
+  readonly color: string;
+  readonly points: readonly PlotPoint[];
+}
+
+/** An instant or value that a plot marks on its horizontal axis. */
+export interface PlotMark {
+  readonly x: number;
+  readonly label: string;
+}
+
+/** A plot of lines. */
+export interface LinePlotOptions {
+  readonly series: readonly PlotSeries[];
+  readonly xLabel: string;
+  readonly yLabel: string;
+  readonly marks?: readonly PlotMark[];
+}
+
+/** Bars of one colour, one for each category. */
+export interface BarSeries {
+  readonly name: string;
+  readonly color: string;
+  readonly values: readonly number[];
+}
+
+/** A plot of horizontal bars. */
+export interface BarPlotOptions {
+  readonly categories: readonly string[];
+  readonly series: readonly BarSeries[];
+}
+
+/** Colours of series that are told apart by their order only. */
+export const SERIES_COLORS: readonly string[] = [
+  '#2b7a3d',
+  '#c0392b',
+  '#6b6bd6',
+  '#d49b00',
+  '#555555',
+];
+
+const WIDTH_PX = 640;
+const HEIGHT_PX = 140;
+const LEFT_PX = 56;
+const RIGHT_PX = 24;
+const TOP_PX = 22;
+const BOTTOM_PX = 22;
+const BAR_PX = 10;
+const BAR_GAP_PX = 8;
+const BAR_LABEL_PX = 260;
+const BAR_VALUE_PX = 70;
+const DIGITS = 3;
+
+/**
+ * Returns a plot of lines that starts at 0 on the vertical axis.
+ * @param options - Lines, labels and marks.
+ */
+export function createLinePlot({series, xLabel, yLabel, marks = []}: LinePlotOptions): string {
+  const points = series.flatMap(one => one.points);
+  const lowestX = points.reduce((least, {x}) => Math.min(least, x), points[0]?.x ?? 0);
+  const highestX = points.reduce((most, {x}) => Math.max(most, x), lowestX);
+  const highestY = points.reduce((most, {y}) => Math.max(most, y), 0) || 1;
+  const getX = (x: number) => ((x - lowestX) / (highestX - lowestX || 1)) * WIDTH_PX;
+  const getY = (y: number) => HEIGHT_PX - (y / highestY) * HEIGHT_PX;
+  const lines = series.map(({color, points: own}) => {
+    const path = own.map(({x, y}) => `${getX(x).toFixed(1)},${getY(y).toFixed(1)}`).join(' ');
+    return `<polyline fill="none" stroke="${color}" stroke-width="1.5" points="${path}"/>`;
+  });
+  const body = [
+    `<rect width="${WIDTH_PX}" height="${HEIGHT_PX}" fill="none" stroke="#ccc"/>`,
+    ...marks.map(({x, label}) => createMark(getX(x), label)),
+    ...lines,
+    createText(-6, 10, 'end', `${formatNumber(highestY)} ${yLabel}`),
+    createText(-6, HEIGHT_PX, 'end', '0'),
+    createText(0, HEIGHT_PX + 16, 'start', formatNumber(lowestX)),
+    createText(WIDTH_PX, HEIGHT_PX + 16, 'end', `${formatNumber(highestX)} ${xLabel}`),
+  ];
+  return createSvg(HEIGHT_PX, series, body);
+}
+
+/**
+ * Returns a plot of horizontal bars in groups, each bar with its value.
+ * @param options - Categories and bars.
+ */
+export function createBarPlot({categories, series}: BarPlotOptions): string {
+  const highest = Math.max(0, ...series.flatMap(({values}) => values)) || 1;
+  const groupPx = series.length * BAR_PX + BAR_GAP_PX;
+  const lengthPx = WIDTH_PX - BAR_LABEL_PX - BAR_VALUE_PX;
+  const body = categories.flatMap((category, group) => {
+    const top = group * groupPx;
+    const bars = series.flatMap(({color, values}, index) => {
+      const y = top + index * BAR_PX;
+      const width = ((values[group] ?? 0) / highest) * lengthPx;
+      return [
+        `<rect x="${BAR_LABEL_PX}" y="${y}" width="${width.toFixed(1)}" height="${BAR_PX - 1}" fill="${color}"/>`,
+        createText(BAR_LABEL_PX + width + 4, y + 8, 'start', formatNumber(values[group] ?? 0)),
+      ];
+    });
+    return [createText(BAR_LABEL_PX - 6, top + groupPx / 2, 'end', category), ...bars];
+  });
+  return createSvg(categories.length * groupPx, series, body);
+}
+
+/**
+ * Returns text in which no character means anything to HTML or SVG.
+ * @param text - The text.
+ */
+export function escapeHtml(text: string): string {
+  return text
+    .replaceAll('&', '&amp;')
+    .replaceAll('<', '&lt;')
+    .replaceAll('>', '&gt;')
+    .replaceAll('"', '&quot;');
+}
+
+function createSvg(
+  heightPx: number,
+  series: ReadonlyArray<{readonly name: string; readonly color: string}>,
+  body: readonly string[],
+): string {
+  const legend = series.map(
+    ({name, color}) => `<tspan fill="${color}">■ ${escapeHtml(name)} </tspan>`,
+  );
+  const width = LEFT_PX + WIDTH_PX + RIGHT_PX;
+  return `<svg xmlns="http://www.w3.org/2000/svg" width="${width}" height="${TOP_PX + heightPx + BOTTOM_PX}" font-family="sans-serif" font-size="11" role="img">
+<text x="${LEFT_PX}" y="12">${legend.join('')}</text>
+<g transform="translate(${LEFT_PX},${TOP_PX})">
+${body.join('\n')}
+</g></svg>`;
+}
+
+function createMark(x: number, label: string): string {
+  const at = x.toFixed(1);
+  return `<line x1="${at}" x2="${at}" y1="0" y2="${HEIGHT_PX}" stroke="#888" stroke-dasharray="3 3"/>${createText(x + 3, 10, 'start', label)}`;
+}
+
+function createText(x: number, y: number, anchor: 'start' | 'end', text: string): string {
+  return `<text x="${x.toFixed(1)}" y="${y}" text-anchor="${anchor}">${escapeHtml(text)}</text>`;
+}
+
+function formatNumber(value: number): string {
+  return Number.isInteger(value) ? String(value) : String(Number(value.toPrecision(DIGITS)));
+}
--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -19,5 +19,24 @@
   type LoadSummary,
   type RequestOutcome,
 } from './LoadResult.js';
+export {
+  createReportMarkdown,
+  createReportPage,
+  type ExperimentReport,
+  type ReportPlot,
+  type ReportTable,
+} from './ReportPage.js';
+export {
+  createBarPlot,
+  createLinePlot,
+  escapeHtml,
+  SERIES_COLORS,
+  type BarPlotOptions,
+  type BarSeries,
+  type LinePlotOptions,
+  type PlotMark,
+  type PlotPoint,
+  type PlotSeries,
+} from './SvgPlot.js';
 export {LoadRunner, type LoadRunnerOptions} from './LoadRunner.js';
 export {LOAD_SETTINGS, type LoadSettings} from './LoadSettings.js';
--- a/tests/controllers/moves/MoveController.test.ts
+++ b/tests/controllers/moves/MoveController.test.ts
@@ -3,7 +3,7 @@
 import type {Move, VersionEvidence} from '../../../src/blackboard/index.js';
 import {decideMove, EvidenceRecorder} from '../../../src/controllers/moves/index.js';
 import {createMove} from '../../support/fleetFixtures.js';
-import {MoveModel, type MoveRun} from '../../support/MoveModel.js';
+import {MoveModel, type MoveRun} from '../../../bench/experiments/moves/index.js';
 
 const FILE_TIMEOUT_MS = 220_000;
 t.setTimeout(FILE_TIMEOUT_MS);
