--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -12,6 +12,7 @@
   type WarmthState,
 } from '../controllers/warmth/index.js';
 import {ConcurrencyLimits} from './ConcurrencyLimits.js';
+import {SlotWaiters} from './SlotWaiters.js';
 
 /** Options of a `ServerTracker`. */
 export interface ServerTrackerOptions {
@@ -50,7 +51,7 @@
   private readonly servers = new Map<string, TrackedServer>();
   private readonly silences = new SilenceCounter();
   private readonly limits = new ConcurrencyLimits();
-  private readonly slotWaiters = new Set<() => void>();
+  private readonly slotWaiters = new SlotWaiters();
   private cacheTokensPerSecond = INITIAL_CACHE_TOKENS_PER_SECOND;
 
   constructor(options: ServerTrackerOptions) {
@@ -67,7 +68,7 @@
       if (!known.has(instanceId)) this.forget(instanceId);
     }
     for (const server of servers) this.observeReport(server);
-    this.wakeSlotWaiters();
+    this.slotWaiters.wake();
   }
 
   /**
@@ -136,7 +137,7 @@
       tracked.openRequests = Math.max(0, tracked.openRequests - 1);
       tracked.usedAtMs = this.options.getNowMs();
     }
-    this.wakeSlotWaiters();
+    this.slotWaiters.wake();
   }
 
   /**
@@ -162,15 +163,7 @@
    * @param maxWaitMs - Longest wait.
    */
   waitForSlot(maxWaitMs: number): Promise<void> {
-    return new Promise(resolve => {
-      const wake = () => {
-        clearTimeout(timer);
-        this.slotWaiters.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, maxWaitMs);
-      this.slotWaiters.add(wake);
-    });
+    return this.slotWaiters.wait(maxWaitMs);
   }
 
   /**
@@ -292,10 +285,6 @@
     this.prefixes.removeServer(instanceId);
   }
 
-  private wakeSlotWaiters(): void {
-    for (const wake of [...this.slotWaiters]) wake();
-  }
-
   private getServer(instanceId: string): TrackedServer {
     const found = this.servers.get(instanceId);
     if (found) return found;
