Entries take a suspect over where the one that watches it doesn't try

The entry that saw a crash tries the suspect again, and all others wait for its verdict. Where its caller had gone it never tried, and copies at other entries waited until their deadlines, for as long as the suspicion stood (10 minutes); stopping running copies made that reach accepted requests. After a second the others now take over in the order of their rendezvous ranks, 300 ms apart, so that the report of a crash stops the next one before it crashes too. Ruled out: clearing the suspicion (all copies would run at once), a hash of the own id as the order (collisions).

Failed first: tests/controllers/quarantine/copies, 'leaves no copy waiting'.

--- a/src/controllers/quarantine/QuarantineLedger.ts
+++ b/src/controllers/quarantine/QuarantineLedger.ts
@@ -13,12 +13,19 @@
   readonly settleMs: number;
   /** Longest wait of a suspect for the end of a wave. */
   readonly maxWaveWaitMs: number;
+  /** Time for which a suspect is left to the entry that watches it; after it the others try in the order of their ranks. */
+  readonly takeOverMs: number;
+  /** Returns this entry's rank for a request among the entries that live, from 0; absent for 0. */
+  readonly getRank?: (fingerprint: string) => number;
   /** Returns whether another entry lives, so that its suspects are not left untried. */
   readonly isAlive?: (entryInstanceId: string) => boolean;
 }
 
 /** Defaults of the ledger. */
-export const DEFAULT_QUARANTINE: Omit<QuarantineLedgerOptions, 'ownInstanceId' | 'isAlive'> = {
+export const DEFAULT_QUARANTINE: Omit<
+  QuarantineLedgerOptions,
+  'ownInstanceId' | 'isAlive' | 'getRank'
+> = {
   suspicionMs: 600_000,
   quarantineMs: 3_600_000,
   settleMs: 300,
@@ -26,6 +33,7 @@
   waveQuietMs: 1_000,
   maxWaveWaitMs: 5_000,
   avoidedDomainMs: 10_000,
+  takeOverMs: 1_000,
 };
 
 /** A try of a request, as the ledger sees it. */
@@ -83,7 +91,7 @@
     if (!suspicion || suspicion.expiresAtMs <= nowMs) return {kind: 'run'};
     const settledAtMs = this.getSettledAtMs(fingerprint, suspicion, nowMs);
     if (settledAtMs > nowMs) return {kind: 'wait', delayMs: settledAtMs - nowMs};
-    if (!this.isWatcher(suspicion) || this.isRunning(fingerprint)) {
+    if (!this.hasTurn(fingerprint, suspicion, nowMs) || this.isRunning(fingerprint)) {
       return {kind: 'wait', delayMs: WATCH_POLL_MS};
     }
     return {
@@ -213,7 +221,18 @@
     if (!isLater) this.suspicions.delete(fingerprint);
   }
 
-  /** The entry that saw the first crash tries again while it lives; the others wait for its verdict. */
+  /**
+   * The entry that saw the first crash tries again while it lives; the others wait for its verdict. Its caller may have gone, so
+   * they take over one after the other, far enough apart for the report of a crash to stop the next one.
+   */
+  private hasTurn(fingerprint: string, suspicion: Suspicion, nowMs: number): boolean {
+    const {settleMs, takeOverMs, getRank} = this.options;
+    const settledAtMs = this.getSettledAtMs(fingerprint, suspicion, nowMs);
+    if (this.isWatcher(suspicion)) return settledAtMs <= nowMs;
+    const rank = getRank?.(fingerprint) ?? 0;
+    return settledAtMs + takeOverMs + rank * settleMs <= nowMs;
+  }
+
   private isWatcher({crashes}: Suspicion): boolean {
     const {ownInstanceId, isAlive} = this.options;
     const reporters = [...crashes]
@@ -227,7 +246,7 @@
     if ((this.quarantinedUntilMs.get(fingerprint) ?? 0) > nowMs) return true;
     const suspicion = this.suspicions.get(fingerprint);
     if (!suspicion || suspicion.expiresAtMs <= nowMs) return false;
-    return this.getSettledAtMs(fingerprint, suspicion, nowMs) > nowMs || !this.isWatcher(suspicion);
+    return !this.hasTurn(fingerprint, suspicion, nowMs);
   }
 
   private isRunning(fingerprint: string): boolean {
--- a/src/http/ServingParts.ts
+++ b/src/http/ServingParts.ts
@@ -6,6 +6,7 @@
 import {RetryBudget} from '../controllers/retry/index.js';
 import {ServerTracker} from '../engine/index.js';
 import type {Metrics} from '../metrics/index.js';
+import {rankByRendezvous} from '../utils/index.js';
 import {AdmissionGates} from './AdmissionGates.js';
 import {IncidentBoard} from './IncidentBoard.js';
 import {RunRegistry} from './RunRegistry.js';
@@ -53,6 +54,7 @@
       ...DEFAULT_QUARANTINE,
       ownInstanceId,
       isAlive: entry => this.isAlive(entry),
+      getRank: fingerprint => this.getOwnRank(fingerprint),
     });
     const {quarantine} = this;
     this.tries = new RunningTries({quarantine, metrics: options.metrics, getNowMs});
@@ -127,6 +129,16 @@
     return configuration?.services.find(service => service.name === name);
   }
 
+  private getOwnRank(fingerprint: string): number {
+    const {blackboard, ownInstanceId} = this.options;
+    const {members} = blackboard.getSection('peers');
+    const others = members
+      .map(({instanceId}) => instanceId)
+      .filter(instanceId => instanceId !== ownInstanceId && this.isAlive(instanceId));
+    const ranked = rankByRendezvous(fingerprint, [...others, ownInstanceId], id => id);
+    return ranked.indexOf(ownInstanceId);
+  }
+
   private isAlive(entryInstanceId: string): boolean {
     const {members} = this.options.blackboard.getSection('peers');
     const member = members.find(({instanceId}) => instanceId === entryInstanceId);
--- a/tests/controllers/quarantine/copies.test.ts
+++ b/tests/controllers/quarantine/copies.test.ts
@@ -48,6 +48,42 @@
     );
     t.end();
   });
+  t.test('leaves no copy waiting where the caller of the entry that watches goes away', t => {
+    fc.assert(
+      fc.property(sentAtMs, reportMs, fc.nat(1_500), (sent, report, deathAtMs) => {
+        const world = new CopiesWorld({
+          sentAtMs: sent,
+          reportMs: report,
+          durationMs: 2_000,
+          deathAtMs,
+          firstCallerLeaves: true,
+        });
+        world.run();
+        return world.getEnds().every(end => end === 'answered' || end === 'left');
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.end();
+  });
+  t.test('lets none crash a third server where that caller goes away', t => {
+    fc.assert(
+      fc.property(sentAtMs, reportMs, fc.integer({min: 5, max: 2_000}), (sent, report, after) => {
+        const world = new CopiesWorld({
+          sentAtMs: sent,
+          reportMs: report,
+          durationMs: 5_000,
+          crashAfterMs: after,
+          firstCallerLeaves: true,
+        });
+        world.run();
+        const heardAtMs = Math.min(...world.getCrashes()) + report + 2 * STEP_MS;
+        const early = sent.filter(atMs => atMs + after <= heardAtMs).length;
+        return world.getCrashes().length <= Math.max(2, early);
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.end();
+  });
   t.test('stops what is suspect, quarantined or in a wave, and nothing else', t => {
     const ledger = new QuarantineLedger({...DEFAULT_QUARANTINE, ownInstanceId: 'entry-1'});
     const add = (fingerprint: string, instanceId: string) =>
--- a/tests/support/CopiesWorld.ts
+++ b/tests/support/CopiesWorld.ts
@@ -14,13 +14,15 @@
   readonly crashAfterMs?: number;
   /** Instant at which the first copy's server dies by itself; absent for never. */
   readonly deathAtMs?: number;
+  /** Whether a caller goes away where the first server dies under its copy. */
+  readonly firstCallerLeaves?: boolean;
 }
 
 interface Copy {
   readonly entry: number;
   readonly sentAtMs: number;
   running?: {readonly instanceId: string; readonly startedAtMs: number};
-  end?: 'answered' | 'refused';
+  end?: 'answered' | 'refused' | 'left';
 }
 
 interface Report {
@@ -42,12 +44,17 @@
   private servers = 0;
   private crashes: readonly number[] = [];
   private hasDied = false;
+  private hasLeft = false;
 
   constructor(options: CopiesWorldOptions) {
     this.options = options;
     this.ledgers = options.sentAtMs.map(
       (unused, entry) =>
-        new QuarantineLedger({...DEFAULT_QUARANTINE, ownInstanceId: `entry-${entry}`}),
+        new QuarantineLedger({
+          ...DEFAULT_QUARANTINE,
+          ownInstanceId: `entry-${entry}`,
+          getRank: () => entry,
+        }),
     );
     this.copies = options.sentAtMs.map((sentAtMs, entry) => ({entry, sentAtMs}));
   }
@@ -111,6 +118,9 @@
   private kill(copy: Copy, instanceId: string, atMs: number): void {
     copy.running = undefined;
     const crash = {instanceId, failureDomain: instanceId, atMs};
+    const hasLeft = this.options.firstCallerLeaves === true && !this.hasLeft;
+    if (hasLeft) copy.end = 'left';
+    this.hasLeft = true;
     this.report(copy.entry, this.ledgers[copy.entry].addCrash(crash), atMs);
   }
 
