A stopped try of a plain call doesn't count against its six tries

decideRetry counts tries without moves; PlainSender passed all of them, so that a copy stopped six times failed at the next broken connection. Failed first: tests/http/PlainSender, 'does not count stopped tries'. After: tests/http/PlainSender, all passed.

--- a/src/http/PlainSender.ts
+++ b/src/http/PlainSender.ts
@@ -42,6 +42,7 @@
   private readonly chooser: ServerChooser;
   private readonly fingerprint: string;
   private attempts = 0;
+  private moves = 0;
 
   constructor(context: HandlerContext, call: PlainCall) {
     this.context = context;
@@ -159,11 +160,12 @@
   ): Promise<boolean> {
     const {context, call} = this;
     const nowMs = context.getNowMs();
+    if (failure === 'moved') this.moves += 1;
     const decision = decideRetry(
       {
         failure,
         isIdempotent: true,
-        attempts: this.attempts,
+        attempts: this.attempts - this.moves,
         deadlineAtMs: call.deadlineAtMs,
         hasBudget: context.retryBudget.hasRetry(nowMs),
       },
--- a/tests/http/PlainSender.test.ts
+++ b/tests/http/PlainSender.test.ts
@@ -4,7 +4,7 @@
 import type {Incident} from '../../src/blackboard/index.js';
 import {Blackboard} from '../../src/blackboard/index.js';
 import {chooseBackendServer} from '../../src/controllers/routing/index.js';
-import type {PlainAnswer} from '../../src/engine/index.js';
+import {AttemptError, type PlainAnswer} from '../../src/engine/index.js';
 import {ServingParts, type HandlerContext} from '../../src/http/index.js';
 import {PlainSender, type PlainCall} from '../../src/http/PlainSender.js';
 import {Metrics} from '../../src/metrics/index.js';
@@ -21,6 +21,9 @@
 const answer: Respond = () => Promise.resolve(ANSWER);
 const breakDown: Respond = () => Promise.reject(new Error('socket closed'));
 const failToConnect: Respond = () => Promise.reject(CONNECT_ERROR);
+const stopAtOnce: Respond = () =>
+  Promise.reject(new AttemptError('stopped', {kind: 'backend-failed', failure: 'moved'}));
+
 /** A try that waits until it is let go or stopped. */
 class HeldTry {
   readonly sent: Promise<void>;
@@ -123,6 +126,11 @@
     await t.rejects(world.createSender().sendIdempotent(), /has crashed backend servers/);
     t.equal(world.reported.at(-1)?.kind, 'poison-quarantined');
   });
+  t.test('does not count stopped tries against the call', async t => {
+    const stopped = Array.from({length: 6}, () => stopAtOnce);
+    const world = new World([...stopped, breakDown]);
+    t.equal((await world.createSender().sendIdempotent()).status, 200);
+  });
   t.test('stops a copy that runs elsewhere and sends it again after the verdict', async t => {
     const held = new HeldTry();
     const world = new World([held.respond, breakDown]);
