Cost at the latency target and recomputed tokens are measured in virtual time

Cost had no figure at all, and recomputed tokens one without reclaims.

Seen on the way: surplus is drained once replacements are listed, while they still load.

--- a/bench/bin/run-bench.ts
+++ b/bench/bin/run-bench.ts
@@ -3,7 +3,13 @@
 import {command, flag, number, option, string, subcommands} from 'cmd-ts';
 import {writeFile} from 'node:fs/promises';
 import {runCapacityBench} from '../capacity/index.js';
-import {createMovesReport, runLeavingDomain, runMovesExperiment} from '../experiments/index.js';
+import {
+  createCostReport,
+  createMovesReport,
+  runCostExperiment,
+  runLeavingDomain,
+  runMovesExperiment,
+} from '../experiments/index.js';
 import {measureMissingBackend, measureTableSwap} from '../related/index.js';
 import {
   createHtmlReport,
@@ -83,6 +89,15 @@
         return showReport(createMovesReport(records, bench), report);
       },
     }),
+    cost: command({
+      name: 'cost',
+      description: 'Cost of fleets at the latency target, and tokens that routing recomputes',
+      args: {seed: seedOption, report: reportOption},
+      handler: ({seed, report}) => {
+        const bench = `npm run bench -- cost --seed ${seed}`;
+        return showReport(createCostReport(runCostExperiment(seed), bench), report);
+      },
+    }),
     'leaving-domain': command({
       name: 'leaving-domain',
       description:
@@ -95,10 +110,7 @@
         const options = {
           title: 'A failure domain leaves and returns',
           command: `npm run bench -- leaving-domain --seed ${seed}`,
-          loads: await runLeavingDomain({
-            seed,
-            writeLine,
-          }),
+          loads: await runLeavingDomain({seed, writeLine}),
         };
         process.stdout.write(`${createMarkdownTable(options)}\n`);
         if (report !== '') await writeFile(report, createHtmlReport(options));
--- a/bench/experiments/index.ts
+++ b/bench/experiments/index.ts
@@ -1,2 +1,3 @@
+export {createCostReport, runCostExperiment} from './cost/index.js';
 export {runLeavingDomain, type LeavingDomainOptions} from './LeavingDomain.js';
 export {createMovesReport, runMovesExperiment} from './moves/index.js';
--- /dev/null
+++ b/bench/experiments/serving/VirtualEngine.ts
@@ -0,0 +1,177 @@
+/** The stand-in engine's batching in virtual time: same steps, prefix cache and warmth, without answer texts. */
+import type {LoadReport} from '../../../src/blackboard/index.js';
+import type {CacheEvent} from '../../../src/controllers/routing/index.js';
+import {hashBlocks} from '../../../src/utils/index.js';
+import type {EngineProfile} from '../../../standins/engine/EngineProfile.js';
+import {EngineWarmth} from '../../../standins/engine/EngineWarmth.js';
+import {PrefixCache} from '../../../standins/engine/PrefixCache.js';
+import type {EventQueue} from './EventQueue.js';
+
+/** A request in a virtual engine. */
+export interface VirtualJob {
+  readonly promptTokens: readonly string[];
+  readonly promptHashes: readonly string[];
+  readonly answerTokens: number;
+  /** Lower goes first. */
+  readonly priority: number;
+  readonly onAdmitted: (cachedTokens: number) => void;
+  /** Returns the text of the next token. */
+  readonly onToken: () => string;
+  readonly onEnd: () => void;
+  /** Called where the engine stops before the job's end. */
+  readonly onLost: () => void;
+}
+
+/** Options of a virtual engine. */
+export interface VirtualEngineOptions {
+  readonly queue: EventQueue;
+  readonly profile: EngineProfile;
+  readonly isColdAtStart: boolean;
+}
+
+interface RunningJob {
+  readonly job: VirtualJob;
+  readonly arrival: number;
+  readonly answer: string[];
+  prefillTokensLeft: number;
+  isPrefilled: boolean;
+  /** The stand-in engine's first decode step after the prefill yields no token. */
+  isFirstDecodeOver: boolean;
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** Runs jobs in steps of virtual time. */
+export class VirtualEngine {
+  private readonly queue: EventQueue;
+  private readonly profile: EngineProfile;
+  private readonly cache: PrefixCache;
+  private readonly warmth: EngineWarmth;
+  private readonly waiting: RunningJob[] = [];
+  private running: RunningJob[] = [];
+  private cacheEvents: CacheEvent[] = [];
+  private nextSequence = 0;
+  private arrivals = 0;
+  private isStepping = false;
+  private isStopped = false;
+
+  constructor({queue, profile, isColdAtStart}: VirtualEngineOptions) {
+    this.queue = queue;
+    this.profile = profile;
+    this.warmth = new EngineWarmth(profile, isColdAtStart);
+    this.cache = new PrefixCache(profile.cacheTokens, (kind, blockHash) =>
+      this.cacheEvents.push({sequence: this.nextSequence++, kind, blockHash}),
+    );
+  }
+
+  /** Queues a job. */
+  addJob(job: VirtualJob): void {
+    const prefillTokensLeft = job.promptTokens.length;
+    const arrival = this.arrivals++;
+    const progress = {prefillTokensLeft, isPrefilled: false, isFirstDecodeOver: false};
+    this.waiting.push({job, arrival, answer: [], ...progress});
+    this.waiting.sort((a, b) => a.job.priority - b.job.priority || a.arrival - b.arrival);
+    if (!this.isStepping) this.startStep();
+  }
+
+  /** Stops; jobs that haven't ended are lost. */
+  stop(): void {
+    this.isStopped = true;
+    for (const {job} of [...this.running, ...this.waiting]) job.onLost();
+  }
+
+  /** Returns whether it is cold. */
+  isCold(): boolean {
+    return this.warmth.isCold();
+  }
+
+  /** Returns the cache events since they were last taken. */
+  takeCacheEvents(): readonly CacheEvent[] {
+    const events = this.cacheEvents;
+    this.cacheEvents = [];
+    return events;
+  }
+
+  /** Returns what it reports of its load. */
+  getLoad(): LoadReport {
+    const all = [...this.running, ...this.waiting];
+    return {
+      runningRequests: this.running.length,
+      queuedRequests: this.waiting.length,
+      queuedPrefillTokens: all.reduce((sum, entry) => sum + entry.prefillTokensLeft, 0),
+      prefillTokensPerSecond: this.profile.prefillTokensPerSecond,
+      decodeTokensPerSecond: MS_PER_SECOND / this.profile.decodeStepMs,
+      cachedTokens: this.cache.getTokens(),
+      reportedAtMs: this.queue.getNowMs(),
+    };
+  }
+
+  private startStep(): void {
+    this.admit();
+    this.isStepping = this.running.length > 0;
+    if (!this.isStepping) return;
+    const durationMs = this.getStepDurationMs(this.prefill());
+    this.queue.addEvent(durationMs, () => this.endStep());
+  }
+
+  private endStep(): void {
+    if (this.isStopped) return;
+    for (const entry of [...this.running]) {
+      if (entry.isPrefilled) this.decode(entry);
+      else if (entry.prefillTokensLeft === 0) this.finishPrefill(entry);
+    }
+    this.startStep();
+  }
+
+  private admit(): void {
+    while (this.running.length < this.profile.maxBatchRequests) {
+      const entry = this.waiting.shift();
+      if (!entry) return;
+      const {promptTokens, promptHashes, onAdmitted} = entry.job;
+      const cachedTokens = this.cache.usePrefix(promptHashes);
+      entry.prefillTokensLeft = Math.max(promptTokens.length - cachedTokens, 1);
+      this.running.push(entry);
+      onAdmitted(cachedTokens);
+    }
+  }
+
+  private prefill(): number {
+    let budgetTokens = this.profile.prefillChunkTokens;
+    for (const entry of this.running) {
+      const tokens = Math.min(entry.prefillTokensLeft, budgetTokens);
+      entry.prefillTokensLeft -= tokens;
+      budgetTokens -= tokens;
+      if (budgetTokens === 0) break;
+    }
+    return this.profile.prefillChunkTokens - budgetTokens;
+  }
+
+  private getStepDurationMs(prefillTokens: number): number {
+    const {prefillTokensPerSecond, decodeStepMs, decodeStepPerRequestMs, timeScale} = this.profile;
+    const decoding = this.running.filter(({isPrefilled}) => isPrefilled).length;
+    const prefillMs = (prefillTokens / prefillTokensPerSecond) * MS_PER_SECOND;
+    const decodeMs = decoding > 0 ? decodeStepMs + decodeStepPerRequestMs * (decoding - 1) : 0;
+    return ((prefillMs + decodeMs) * this.warmth.getSlowdownFactor()) / timeScale;
+  }
+
+  private finishPrefill(entry: RunningJob): void {
+    entry.isPrefilled = true;
+    this.cache.storePrefix(entry.job.promptHashes);
+    this.emitToken(entry);
+  }
+
+  private decode(entry: RunningJob): void {
+    if (entry.isFirstDecodeOver) this.emitToken(entry);
+    entry.isFirstDecodeOver = true;
+  }
+
+  private emitToken(entry: RunningJob): void {
+    const {job, answer} = entry;
+    answer.push(job.onToken());
+    if (answer.length < job.answerTokens) return;
+    this.cache.storePrefix(hashBlocks([...job.promptTokens, ...answer]));
+    this.running = this.running.filter(other => other !== entry);
+    this.warmth.countFinished();
+    job.onEnd();
+  }
+}
--- a/src/load/LoadPlan.ts
+++ b/src/load/LoadPlan.ts
@@ -33,6 +33,8 @@
   readonly workspaces: readonly LoadWorkspace[];
   /** Conversations that go on at a time in each workspace and class. */
   readonly conversations: number;
+  /** Requests after which a conversation ends and a new one takes its place; absent for conversations without an end. */
+  readonly maxTurns?: number;
 }
 
 /** One request of a load. */
@@ -63,9 +65,12 @@
     const workspace = drawWeighted(options.workspaces, random);
     const kind = drawWeighted(options.kinds, random);
     const conversation = Math.floor(random() * options.conversations);
-    const name = `${workspace.name}.${kind.requestClass}.${conversation}`;
-    const turn = turns.get(name) ?? 0;
-    turns.set(name, turn + 1);
+    const place = `${workspace.name}.${kind.requestClass}.${conversation}`;
+    const count = turns.get(place) ?? 0;
+    turns.set(place, count + 1);
+    const turn = count % (options.maxTurns ?? Infinity);
+    const generation = options.maxTurns ? `.${Math.floor(count / options.maxTurns)}` : '';
+    const name = `${place}${generation}`;
     planned.push({atMs, workspace, kind, ...createPrompt(name, kind, turn)});
   }
 }
--- a/tests/load/LoadPlan.test.ts
+++ b/tests/load/LoadPlan.test.ts
@@ -42,5 +42,13 @@
     }
     t.end();
   });
+  t.test('ends a conversation after its turns and starts another', t => {
+    const short = planLoad({...OPTIONS, maxTurns: 3});
+    const prompts = new Set(short.map(({promptTokens}) => promptTokens));
+    t.same(new Set([...prompts].sort((a, b) => a - b)), new Set([100, 120, 140, 900, 950, 1_000]));
+    const first = short.filter(({repeatedTokens}) => repeatedTokens === 0);
+    t.equal(new Set(first.map(({content}) => content)).size, first.length, 'all new');
+    t.end();
+  });
   t.end();
 });
