--- /dev/null
+++ b/bench/experiments/LeavingDomainReport.ts
@@ -0,0 +1,81 @@
+/** Shows what callers got while a failure domain left and returned. */
+import type {LoadSecond, ReportedLoad, ReportOptions, ReportTable} from '../../src/load/index.js';
+
+/** Instants of the experiment, from the start of the load. */
+export interface LeavingDomainTimes {
+  readonly leavesAtMs: number;
+  readonly noticeMs: number;
+  readonly returnsAtMs: number;
+}
+
+const COLUMNS = [
+  'load',
+  'seconds',
+  'sent',
+  'late',
+  'refused',
+  'failed',
+  'most late / refused / failed in a second',
+] as const;
+const NOTES = [
+  'Real processes over 127.0.0.1, wall clock: another load of the machine shows in the figures. The platform announces the reclaim of a failure domain’s two engines; later two cold ones take their place.',
+  'A request counts in the second in which it was sent. Late: answered whole, with the first token after more than 1.3 s. Refused: an answer in due form that sent nothing. Failed: everything else.',
+];
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Returns what a report says: the loads, their phases, and marks for what happened.
+ * @param loads - Loads with and without a spare.
+ * @param times - Instants of what happened.
+ * @param command - Command that gives the figures.
+ */
+export function createLeavingDomainReport(
+  loads: readonly ReportedLoad[],
+  times: LeavingDomainTimes,
+  command: string,
+): ReportOptions {
+  const leaves = times.leavesAtMs / MS_PER_SECOND;
+  const returns = times.returnsAtMs / MS_PER_SECOND;
+  return {
+    title: 'A failure domain leaves and returns',
+    command,
+    loads,
+    notes: NOTES,
+    tables: [createPhaseTable(loads, times)],
+    marks: [
+      {x: leaves, label: 'notice'},
+      {x: returns, label: 'cold servers come'},
+    ],
+  };
+}
+
+function createPhaseTable(
+  loads: readonly ReportedLoad[],
+  {leavesAtMs, noticeMs, returnsAtMs}: LeavingDomainTimes,
+): ReportTable {
+  const starts = [0, leavesAtMs, leavesAtMs + noticeMs, returnsAtMs].map(ms => ms / MS_PER_SECOND);
+  const names = ['before', 'notice', 'away', 'cold servers'];
+  const rows = loads.flatMap(({name, seconds}) =>
+    names.map((phase, index) => {
+      const [from, to] = [starts[index], starts[index + 1] ?? Infinity];
+      const own = seconds.filter(({second}) => second >= from && second < to);
+      return createRow(name, `${phase}, from ${from}`, own);
+    }),
+  );
+  return {caption: 'Late, refused and failed by phase', columns: COLUMNS, rows};
+}
+
+function createRow(name: string, phase: string, seconds: readonly LoadSecond[]): readonly string[] {
+  const sum = (getCount: (second: LoadSecond) => number) =>
+    String(seconds.reduce((total, second) => total + getCount(second), 0));
+  const most = (getCount: (second: LoadSecond) => number) => Math.max(0, ...seconds.map(getCount));
+  return [
+    name,
+    phase,
+    sum(({answered, refused, failed}) => answered + refused + failed),
+    sum(({late}) => late),
+    sum(({refused}) => refused),
+    sum(({failed}) => failed),
+    `${most(({late}) => late)} / ${most(({refused}) => refused)} / ${most(({failed}) => failed)}`,
+  ];
+}
--- a/src/load/LoadResult.ts
+++ b/src/load/LoadResult.ts
@@ -26,6 +26,12 @@
   readonly maxMs: number;
 }
 
+/** How often a kind of refusal or failure came. */
+export interface ErrorKindCount {
+  readonly kind: string;
+  readonly count: number;
+}
+
 /** Results of one workspace and class, or of all. */
 export interface LoadSummary {
   readonly workspace: string;
@@ -34,6 +40,8 @@
   readonly answered: number;
   readonly refused: number;
   readonly failed: number;
+  /** Refusals and failures by their kinds, the most frequent first. */
+  readonly errorKinds: readonly ErrorKindCount[];
   readonly firstToken: DurationSummary;
   readonly interToken: DurationSummary;
   readonly answerTokens: number;
@@ -140,6 +148,7 @@
     answered: answered.length,
     refused,
     failed: outcomes.length - answered.length - refused,
+    errorKinds: countErrorKinds(outcomes),
     firstToken: summarizeDurations(answered.flatMap(({firstTokenMs}) => firstTokenMs ?? [])),
     interToken: summarizeDurations(answered.flatMap(({interTokenMs}) => interTokenMs)),
     answerTokens: answered.reduce((sum, {answerTokens}) => sum + answerTokens, 0),
@@ -147,6 +156,18 @@
   };
 }
 
+function countErrorKinds(outcomes: readonly RequestOutcome[]): readonly ErrorKindCount[] {
+  const counts = new Map<string, number>();
+  for (const outcome of outcomes) {
+    if (isAnswered(outcome)) continue;
+    const kind = outcome.errorKind ?? `status ${outcome.status}`;
+    counts.set(kind, (counts.get(kind) ?? 0) + 1);
+  }
+  return [...counts]
+    .map(([kind, count]) => ({kind, count}))
+    .sort((one, other) => other.count - one.count);
+}
+
 function countRecomputed({planned, promptTokens, cachedTokens}: RequestOutcome): number {
   const computedTokens = promptTokens - cachedTokens;
   const newTokens = promptTokens - Math.min(promptTokens, planned.repeatedTokens);
--- a/src/load/SvgPlot.ts
+++ b/src/load/SvgPlot.ts
@@ -47,13 +47,16 @@
   '#6b6bd6',
   '#d49b00',
   '#555555',
+  '#1f9ec4',
 ];
 
 const WIDTH_PX = 640;
 const HEIGHT_PX = 140;
 const LEFT_PX = 56;
 const RIGHT_PX = 24;
-const TOP_PX = 22;
+const LEGEND_ROW_PX = 16;
+const LEGEND_NAMES_IN_ROW = 3;
+const LEGEND_GAP_PX = 6;
 const BOTTOM_PX = 22;
 const BAR_PX = 10;
 const BAR_GAP_PX = 8;
@@ -128,13 +131,19 @@
   series: ReadonlyArray<{readonly name: string; readonly color: string}>,
   body: readonly string[],
 ): string {
-  const legend = series.map(
-    ({name, color}) => `<tspan fill="${color}">■ ${escapeHtml(name)} </tspan>`,
-  );
+  const rows = Math.ceil(series.length / LEGEND_NAMES_IN_ROW);
+  const legend = Array.from({length: rows}, (unused, row) => {
+    const own = series.slice(row * LEGEND_NAMES_IN_ROW, (row + 1) * LEGEND_NAMES_IN_ROW);
+    const names = own.map(
+      ({name, color}) => `<tspan fill="${color}">■ ${escapeHtml(name)} </tspan>`,
+    );
+    return `<text x="${LEFT_PX}" y="${row * LEGEND_ROW_PX + 12}">${names.join('')}</text>`;
+  });
+  const topPx = rows * LEGEND_ROW_PX + LEGEND_GAP_PX;
   const width = LEFT_PX + WIDTH_PX + RIGHT_PX;
-  return `<svg xmlns="http://www.w3.org/2000/svg" width="${width}" height="${TOP_PX + heightPx + BOTTOM_PX}" font-family="sans-serif" font-size="11" role="img">
-<text x="${LEFT_PX}" y="12">${legend.join('')}</text>
-<g transform="translate(${LEFT_PX},${TOP_PX})">
+  return `<svg xmlns="http://www.w3.org/2000/svg" width="${width}" height="${topPx + heightPx + BOTTOM_PX}" font-family="sans-serif" font-size="11" role="img">
+${legend.join('\n')}
+<g transform="translate(${LEFT_PX},${topPx})">
 ${body.join('\n')}
 </g></svg>`;
 }
--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -15,6 +15,7 @@
 export {
   LoadResult,
   type DurationSummary,
+  type ErrorKindCount,
   type LoadSecond,
   type LoadSummary,
   type RequestOutcome,
