Requests that wait for a place take it one after another

Cause: waiters for a place at a backend server were woken in one loop, so that all of them saw the same free place before the first had taken it.

--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -284,8 +284,9 @@
     this.prefixes.removeServer(instanceId);
   }
 
+  /** Wakes one after another, so that each has taken its place before the next one looks. */
   private wakeSlotWaiters(): void {
-    for (const wake of [...this.slotWaiters]) wake();
+    for (const wake of [...this.slotWaiters]) setImmediate(wake);
   }
 
   private getServer(instanceId: string): TrackedServer {
--- /dev/null
+++ b/tests/http/places.test.ts
@@ -0,0 +1,44 @@
+/** Tests that requests which wait for a place at a backend server take it one by one. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import t from 'tap';
+import {chooseBackendServer, type ChooseServer} from '../../src/controllers/routing/index.js';
+import {ServingHarness} from '../support/ServingHarness.js';
+
+const CALLERS = 8;
+const POLL_MS = 10;
+
+t.test('requests that were admitted and wait for the one place that is left', async t => {
+  const waiting = new Set<number>();
+  const chooseServer: ChooseServer = (view, request, ...rest) => {
+    waiting.add(request.promptTokens);
+    const isFull = waiting.size < CALLERS || view.getOpenRequests('a') > 0;
+    if (isFull) return {kind: 'refused', errorKind: 'overloaded', reason: 'no place'};
+    return chooseBackendServer(view, request, ...rest);
+  };
+  const harness = new ServingHarness({
+    engines: [{instanceId: 'a'}],
+    service: {maxConcurrentRequests: 4 * CALLERS, coldConcurrentRequests: 4 * CALLERS},
+    chooseServer,
+  });
+  await harness.start();
+  t.teardown(() => harness.stop());
+  const callers = Array.from({length: CALLERS}, (unused, index) =>
+    harness.chat('hello '.repeat(index + 1), 2),
+  );
+  while (waiting.size < CALLERS) await sleep(POLL_MS);
+  const answers = await Promise.all(callers);
+  t.same(
+    answers.map(({status}) => status),
+    answers.map(() => 200),
+  );
+  const openRequests = harness
+    .getEngine('a')
+    .getLedger()
+    .getEntries()
+    .map(entry => entry.openRequests);
+  t.same(
+    openRequests,
+    answers.map(() => 1),
+    'one open at a time',
+  );
+});
