--- a/scenarios/runner/PlatformLedgers.ts
+++ b/scenarios/runner/PlatformLedgers.ts
@@ -20,7 +20,13 @@
 });
 const recordSchema = z.object({offset: z.number(), atMs: z.number(), payload: z.string()});
 
-const cloudSchema = z.object({starts: z.array(startSchema), stops: z.array(stopSchema)});
+const noticeSchema = z.object({instanceId: z.string(), leavingAtMs: z.number()});
+
+const cloudSchema = z.object({
+  starts: z.array(startSchema),
+  stops: z.array(stopSchema),
+  notices: z.array(noticeSchema),
+});
 const weightsSchema = z.object({loads: z.array(loadSchema)});
 const logSchema = z.object({
   streams: z.array(z.object({name: z.string(), records: z.array(recordSchema)})),
@@ -30,6 +36,8 @@
 export type LedgerStart = Readonly<z.infer<typeof startSchema>>;
 /** A stop that the cloud was asked for. */
 export type LedgerStop = Readonly<z.infer<typeof stopSchema>>;
+/** A reclaim that the cloud announced. */
+export type LedgerNotice = Readonly<z.infer<typeof noticeSchema>>;
 /** A load that the weight store was asked for. */
 export type LedgerLoad = Readonly<z.infer<typeof loadSchema>>;
 /** A record as the log keeps it. */
@@ -39,6 +47,7 @@
 export interface PlatformLedgers {
   readonly starts: readonly LedgerStart[];
   readonly stops: readonly LedgerStop[];
+  readonly notices: readonly LedgerNotice[];
   readonly loads: readonly LedgerLoad[];
   readonly fleetRecords: readonly LedgerRecord[];
 }
@@ -46,11 +55,11 @@
 /** Asks the platform's stand-ins for their ledgers. */
 export async function readPlatformLedgers(deployment: Deployment): Promise<PlatformLedgers> {
   const {cloud, weights, log} = deployment.getPlatformUrlsOrThrow();
-  const {starts, stops} = cloudSchema.parse(await getLedger(cloud));
+  const {starts, stops, notices} = cloudSchema.parse(await getLedger(cloud));
   const {loads} = weightsSchema.parse(await getLedger(weights));
   const {streams} = logSchema.parse(await getLedger(log));
   const fleetRecords = streams.find(({name}) => name === 'fleet')?.records ?? [];
-  return {starts, stops, loads, fleetRecords};
+  return {starts, stops, notices, loads, fleetRecords};
 }
 
 async function getLedger(url: string): Promise<unknown> {
