--- a/src/fleet/FleetSettings.ts
+++ b/src/fleet/FleetSettings.ts
@@ -26,7 +26,7 @@
   readonly statsdPort: number;
   readonly logLevel: LogLevel;
   readonly leaseTermMs: number;
-  /** Time between the holder's snapshots of the fleet stream. */
+  /** Time between the holder's snapshots of a stream. */
   readonly snapshotIntervalMs: number;
 }
 
@@ -73,7 +73,7 @@
   ),
   snapshotIntervalMs: define(
     'snapshot-interval-ms',
-    "Time between snapshots of the fleet stream; well below the log's retention",
+    "Longest time without a snapshot in a stream; well below the log's retention",
     parseWholeNumber(MIN_SNAPSHOT_INTERVAL_MS, MAX_SNAPSHOT_INTERVAL_MS),
     '300000',
   ),
--- a/src/fleet/SnapshotRunner.ts
+++ b/src/fleet/SnapshotRunner.ts
@@ -8,12 +8,12 @@
   readonly stream: FleetStream;
   readonly lease: LeaseKeeper;
   readonly metrics: Metrics;
-  /** Time between two snapshots. */
+  /** Time between two snapshots; well below the log's retention. */
   readonly intervalMs: number;
 }
 
-/** A snapshot that another record overtook doesn't hold and is tried again after this. */
-const MAX_RETRY_AFTER_MS = 5_000;
+/** A snapshot that another record overtook doesn't hold and is tried again after this part of the interval. */
+const RETRY_PART = 1 / 60;
 
 /** Writes a snapshot as the holder, at intervals. */
 export class SnapshotRunner {
@@ -31,7 +31,7 @@
   async run(nowMs: number): Promise<void> {
     const {stream, lease, metrics, intervalMs} = this.options;
     if (nowMs < this.nextAtMs || lease.getOrderPermission(true) !== 'allowed') return;
-    this.nextAtMs = nowMs + Math.min(MAX_RETRY_AFTER_MS, intervalMs);
+    this.nextAtMs = nowMs + intervalMs * RETRY_PART;
     const coversOffset = stream.getNextOffset() - 1;
     const state = stream.getFold().getSnapshotState();
     try {
--- a/src/http/PlainSender.ts
+++ b/src/http/PlainSender.ts
@@ -21,6 +21,8 @@
   /** Prefix of the route that the path belongs to. */
   readonly route: string;
   readonly body: Buffer;
+  /** Whether it may be sent again. */
+  readonly isIdempotent: boolean;
   readonly deadlineAtMs: number;
 }
 
@@ -77,11 +79,12 @@
     const {context, call} = this;
     context.retryBudget.addFirstTry(context.getNowMs());
     for (;;) {
-      const {server} = await this.chooseServer();
+      const chosen = await this.chooseServer();
+      const {server} = chosen;
       const attemptId = `${call.caller.requestId}.${this.attempts + 1}`;
       const silenceMs = call.service.requestTimeoutMs / SILENCE_DIVISOR;
       try {
-        const answer = await this.send(server, attemptId, silenceMs);
+        const answer = await this.send(chosen, attemptId, silenceMs);
         if (!RETRIED_STATUSES.has(answer.status)) return answer;
         if (!(await this.prepareRetry(server, 'refused', undefined))) return answer;
       } catch (cause) {
@@ -92,25 +95,30 @@
   }
 
   /**
-   * Sends the call once.
-   * @param server - Backend server.
+   * Sends the call once, and gives the place back.
+   * @param chosen - Backend server.
    * @param attemptId - Id of the try.
    * @param timeoutMs - Longest wait for the answer; the request's deadline holds beside it.
    * @throws Error as undici gives it, where no answer came.
    */
-  async send(server: BackendServer, attemptId: string, timeoutMs: number): Promise<PlainAnswer> {
+  async send(
+    {server, release}: ChosenServer,
+    attemptId: string,
+    timeoutMs: number,
+  ): Promise<PlainAnswer> {
     const {context, call, fingerprint} = this;
     const {caller, method, path, body, deadlineAtMs, service} = call;
     const {instanceId} = server;
     const sentAtMs = context.getNowMs();
     const waitMs = Math.max(1, Math.min(timeoutMs, deadlineAtMs - sentAtMs));
-    const openRequests = context.tracker.getOpenRequests(instanceId);
+    const openRequests = context.tracker.getOpenRequests(instanceId) - 1;
     const timeout = new AbortController();
     const timer = setTimeout(() => timeout.abort(createTimeout(server, waitMs)), waitMs);
     this.attempts += 1;
-    context.tracker.addRequest(instanceId);
     context.quarantine.addAttempt({attemptId, fingerprint, service: service.name, instanceId});
     context.metrics.addCount('request.tries', this.getTags());
+    if (call.isIdempotent) context.tries.addTry(attemptId, reason => timeout.abort(reason));
+    let isAnswered = false;
     try {
       const answer = await context.engine.callPlain(server, {
         method: method as 'GET',
@@ -124,17 +132,20 @@
         },
         signal: timeout.signal,
       });
+      isAnswered = true;
       this.addAnswer(server, answer.status, context.getNowMs() - sentAtMs, openRequests);
       return answer;
     } catch (cause) {
       const failure = getFailure(cause);
-      if (failure !== 'not-connected') this.addEvidence(server, true, undefined, openRequests);
+      const isEvidence = failure !== 'not-connected' && failure !== 'moved';
+      if (isEvidence) this.addEvidence(server, true, undefined, openRequests);
       await noteServerFailure(context, server, failure);
       throw cause;
     } finally {
       clearTimeout(timer);
-      context.tracker.removeRequest(instanceId);
-      const cleared = context.quarantine.removeAttempt(attemptId, true, context.getNowMs());
+      context.tries.removeTry(attemptId);
+      release();
+      const cleared = context.quarantine.removeAttempt(attemptId, isAnswered, context.getNowMs());
       if (cleared.length > 0) void context.reportIncidents(cleared);
     }
   }
@@ -167,7 +178,7 @@
       if (cause === undefined) return false;
       throw createPlainFailure(server, cause, decision.run);
     }
-    context.retryBudget.addRetry(nowMs);
+    if (decision.usesBudget) context.retryBudget.addRetry(nowMs);
     context.metrics.addCount('request.retries', {...this.getTags(), failure});
     this.chooser.noteFailure(server, failure);
     if (decision.delayMs > 0) await sleep(decision.delayMs);
@@ -183,8 +194,7 @@
     const {context} = this;
     const hasFailed = status >= FIRST_SERVER_ERROR;
     if (!hasFailed) {
-      // Without a prediction, an answer counts as one in time.
-      context.tracker.addFirstToken(server, {expectedMs: durationMs, observedMs: durationMs});
+      context.tracker.addAnswer(server, this.getRoute(), durationMs);
     }
     this.addEvidence(server, hasFailed, durationMs, openRequests);
   }
@@ -196,13 +206,13 @@
     openRequests: number,
   ): void {
     const {context, call} = this;
-    const {service, route, method} = call;
+    const {service} = call;
     const isWarm = context.tracker.getWarmth(server.instanceId) === 'warm';
     context.evidence.addTry(
       {
         service: service.name,
         version: server.version,
-        route: `${method} ${route}`,
+        route: this.getRoute(),
         requestClass: PLAIN_CLASS,
         loadBand: getLoadBand(
           Math.max(openRequests, server.load?.runningRequests ?? 0),
@@ -216,6 +226,10 @@
     );
   }
 
+  private getRoute(): string {
+    return `${this.call.method} ${this.call.route}`;
+  }
+
   private getTags() {
     const {caller, service} = this.call;
     return {workspace: caller.workspace.name, class: PLAIN_CLASS, service: service.name};
--- a/src/http/ServerChooser.ts
+++ b/src/http/ServerChooser.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {BackendServer} from '../blackboard/index.js';
 import type {AttemptFailureKind} from '../controllers/retry/index.js';
+import type {QuarantineDecision} from '../controllers/quarantine/index.js';
 import type {RoutingDecision} from '../controllers/routing/index.js';
 import {ServingError} from '../errors/index.js';
 import {getRoutingView, type HandlerContext} from './RequestContext.js';
@@ -18,12 +19,21 @@
   readonly signal: AbortSignal;
 }
 
-/** A chosen backend server. */
+/** A chosen backend server, with a place there that is held until it is given back. */
 export interface ChosenServer {
   readonly server: BackendServer;
   readonly expectedFirstTokenMs: number;
+  /** Gives the place back; later calls do nothing. */
+  readonly release: () => void;
 }
 
+type Passed = Pick<
+  Extract<QuarantineDecision, {kind: 'run-watched'}>,
+  'busyInstanceIds' | 'avoidedDomains'
+>;
+
+const UNWATCHED: Passed = {busyInstanceIds: new Set(), avoidedDomains: new Set()};
+
 /** Longest wait for a place before the choice is made again. */
 const SLOT_WAIT_MS = 100;
 /** Time for which a request that has been sent before waits for any backend server at all. */
@@ -34,40 +44,43 @@
   private readonly context: HandlerContext;
   private readonly request: RoutedRequest;
   private readonly excluded = new Set<string>();
+  private readonly domainDraw: number;
   private draw: number;
 
   constructor(context: HandlerContext, request: RoutedRequest) {
     this.context = context;
     this.request = request;
     this.draw = context.random();
+    this.domainDraw = context.random();
   }
 
   /**
    * Returns the backend server of the next try, as soon as one has a place.
-   * @param preferred - Backend server that holds the request's KV cache, if any.
+   * @param preferred - Place at the backend server that holds the request's KV cache, if any.
    * @param wasSent - Whether the request was sent before, so that it waits instead of being refused.
    * @throws ServingError where there is none before the deadline.
    */
-  async choose(preferred: BackendServer | undefined, wasSent: boolean): Promise<ChosenServer> {
+  async choose(preferred: ChosenServer | undefined, wasSent: boolean): Promise<ChosenServer> {
     const {request} = this;
     for (;;) {
-      const busyInstanceIds = await this.passQuarantine();
+      const passed = await this.passQuarantine();
+      const {busyInstanceIds} = passed;
       if (request.signal.aborted) throw new ServingError('the caller has gone', {kind: 'internal'});
-      const isBusy = preferred !== undefined && busyInstanceIds.has(preferred.instanceId);
-      if (preferred && !isBusy) return {server: preferred, expectedFirstTokenMs: 0};
-      const decision = this.decide(busyInstanceIds);
-      if (decision.kind === 'chosen') return decision;
+      if (preferred && !busyInstanceIds.has(preferred.server.instanceId)) return preferred;
+      preferred?.release();
+      const decision = this.decide(passed);
+      if (decision.kind === 'chosen') return this.holdPlace(decision);
       await this.waitOrThrow(decision, wasSent, busyInstanceIds.size > 0);
     }
   }
 
   /**
-   * Returns a free backend server for the request's KV cache.
+   * Returns a place at a free backend server for the request's KV cache.
    * @param leavingInstanceId - Backend server that it leaves.
    */
-  getFreeServer(leavingInstanceId: string): BackendServer | undefined {
-    const decision = this.decide(new Set([leavingInstanceId]));
-    return decision.kind === 'chosen' ? decision.server : undefined;
+  getFreeServer(leavingInstanceId: string): ChosenServer | undefined {
+    const decision = this.decide({...UNWATCHED, busyInstanceIds: new Set([leavingInstanceId])});
+    return decision.kind === 'chosen' ? this.holdPlace(decision) : undefined;
   }
 
   /**
@@ -81,12 +94,27 @@
     if (failure === 'failed') this.draw = this.context.random();
   }
 
-  private async passQuarantine(): Promise<ReadonlySet<string>> {
+  /** The place is taken at once, so that requests which choose at the same moment don't all get the last one. */
+  private holdPlace({
+    server,
+    expectedFirstTokenMs,
+  }: Extract<RoutingDecision, {kind: 'chosen'}>): ChosenServer {
+    const {tracker} = this.context;
+    let isHeld = true;
+    tracker.addRequest(server.instanceId);
+    const release = () => {
+      if (isHeld) tracker.removeRequest(server.instanceId);
+      isHeld = false;
+    };
+    return {server, expectedFirstTokenMs, release};
+  }
+
+  private async passQuarantine(): Promise<Passed> {
     const {context, request} = this;
     for (;;) {
       const decision = context.quarantine.decide(request.fingerprint, context.getNowMs());
-      if (decision.kind === 'run') return new Set();
-      if (decision.kind === 'run-watched') return decision.busyInstanceIds;
+      if (decision.kind === 'run') return UNWATCHED;
+      if (decision.kind === 'run-watched') return decision;
       if (decision.kind === 'refused') {
         throw new ServingError('the request has crashed backend servers', {
           kind: 'poison-quarantined',
@@ -102,7 +130,7 @@
     }
   }
 
-  private decide(alsoExcluded: ReadonlySet<string>): RoutingDecision {
+  private decide({busyInstanceIds, avoidedDomains}: Passed): RoutingDecision {
     const {context, request, draw} = this;
     const {configuration} = context.blackboard.getSection('configuration');
     if (!configuration) {
@@ -117,8 +145,10 @@
         requestClass: requestClass.name,
         promptTokens,
         blockHashes,
-        excludedInstanceIds: new Set([...this.excluded, ...alsoExcluded]),
+        excludedInstanceIds: new Set([...this.excluded, ...busyInstanceIds]),
         deadlineAtMs,
+        domainDraw: this.domainDraw,
+        avoidedDomains,
       },
       context.getNowMs(),
       () => draw,
--- a/src/http/serverFailures.ts
+++ b/src/http/serverFailures.ts
@@ -25,12 +25,12 @@
   }
   if (failure === 'not-connected') tracker.markDown(server.instanceId);
   if (failure !== 'broken') return;
-  if (await engine.isAnswering(server)) return;
+  if (await engine.isAlive(server)) return;
   await noteCrash(context, server);
 }
 
 async function noteCrash(context: HandlerContext, server: BackendServer): Promise<void> {
-  const {tracker, metrics, quarantine, blackboard, getNowMs, reportIncidents} = context;
+  const {tracker, metrics, quarantine, tries, blackboard, getNowMs, reportIncidents} = context;
   const {instanceId, failureDomain} = server;
   tracker.markDown(instanceId);
   metrics.addCount('server.crashes', {service: server.service});
@@ -38,6 +38,7 @@
   const known = servers.find(candidate => candidate.instanceId === instanceId);
   if (known?.state !== 'live' || known.leavingAtMs !== undefined) return;
   const incidents = quarantine.addCrash({instanceId, failureDomain, atMs: getNowMs()});
+  tries.stopSuspects();
   if (incidents.length > 0) await reportIncidents(incidents);
 }
 
--- a/standins/bin/startedBackends.ts
+++ b/standins/bin/startedBackends.ts
@@ -1,4 +1,5 @@
 /** Backend servers that the stand-in of the cloud API starts, and its prices. */
+import {existsSync} from 'node:fs';
 import {join} from 'node:path';
 import {createSeededRandom} from '../../src/utils/index.js';
 import {DEFAULT_ENGINE_PROFILE, ModelEngine} from '../engine/index.js';
@@ -12,11 +13,10 @@
   readonly timeScale: number;
   /** Services that are plain ones, separated by commas. */
   readonly plainServices: string;
-  /** Folder that takes a file with the ledger of each; absent for none. */
+  /** Folder that gets a ledger of each backend server; absent for none. */
   readonly ledgerFolder?: string;
 }
 
-const LEDGER_EXTENSION = '.ledger';
 const LOAD_LAG_MS = 500;
 const CACHE_EVENT_DELAY_MS = 500;
 const LOAD_VERSION_MS = 1_000;
@@ -39,8 +39,8 @@
       listUrl,
       identity: {...start, instanceId},
       random: createSeededRandom(seed),
+      ledgerPath: ledgerFolder && getFreeLedgerPath(ledgerFolder, instanceId),
       onDown: () => undefined,
-      ledgerPath: ledgerFolder && join(ledgerFolder, `${instanceId}${LEDGER_EXTENSION}`),
     };
     const backend = plainServices.split(',').includes(start.service)
       ? new PlainService({...common, serviceTimeMs: SERVICE_TIME_MS})
@@ -58,6 +58,14 @@
   };
 }
 
+/** A ledger that another process began under the same name is left as it is, since run numbers start anew. */
+function getFreeLedgerPath(folder: string, instanceId: string): string {
+  let startNumber = 1;
+  const getPath = () => join(folder, `${instanceId}.${startNumber}.ledger`);
+  while (existsSync(getPath())) startNumber += 1;
+  return getPath();
+}
+
 /** Returns a price for each failure domain, machine class and market. */
 export function createPrices(failureDomains: string, machineClasses: string): readonly Price[] {
   return failureDomains.split(',').flatMap((failureDomain, domainIndex) =>
--- a/tests/support/FleetHarness.ts
+++ b/tests/support/FleetHarness.ts
@@ -4,7 +4,9 @@
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {createStartBackend} from '../../standins/bin/startedBackends.js';
+import type {FaultsInput} from '../../standins/index.js';
 import {Platform, type Price} from '../../standins/platform/index.js';
+import type {Instance} from '../../src/blackboard/index.js';
 import type {Configuration} from '../../src/configuration/index.js';
 import {FleetDaemon} from '../../src/fleet/index.js';
 import {FleetFold} from '../../src/folds/index.js';
@@ -24,11 +26,14 @@
   readonly instanceId: string;
   readonly clientToken: string;
   readonly failureDomain: string;
+  readonly machineClass: string;
+  readonly market: string;
 }
 
 /** What the cloud's ledger shows. */
 export interface CloudLedger {
   readonly starts: readonly LedgerStart[];
+  readonly refusedStarts: ReadonlyArray<Omit<LedgerStart, 'instanceId'>>;
   readonly stops: ReadonlyArray<{readonly instanceId: string}>;
 }
 
@@ -38,14 +43,24 @@
   readonly fencingToken: number;
 }
 
+/** Options of a `FleetHarness`. */
+export interface FleetHarnessOptions {
+  /** Age at which the log drops a record. */
+  readonly retentionMs?: number;
+  /** Longest time without a snapshot in a stream. */
+  readonly snapshotIntervalMs?: number;
+}
+
 /** Runs the platform and the daemons of one test. */
 export class FleetHarness {
+  private readonly options: FleetHarnessOptions;
   private readonly platform: Platform;
   private readonly daemons: FleetDaemon[] = [];
   private log: LogClient | undefined;
   private sequence = 0;
 
-  constructor(prices: readonly Price[]) {
+  constructor(prices: readonly Price[], options: FleetHarnessOptions = {}) {
+    this.options = options;
     const startBackend = createStartBackend({
       address: ADDRESS,
       seed: 1,
@@ -56,7 +71,7 @@
       address: ADDRESS,
       ports: {log: 0, cloud: 0, list: 0, weights: 0},
       maxAppendsPerSecond: 300,
-      retentionMs: 600_000,
+      retentionMs: options.retentionMs ?? 600_000,
       listLagMs: 200,
       startDelayMs: 200,
       weightBytesPerSecond: 10_000,
@@ -67,10 +82,11 @@
     });
   }
 
-  /** Starts the platform and publishes a configuration. */
-  async start(configuration: Configuration): Promise<void> {
+  /** Starts the platform and publishes a configuration where one is given. */
+  async start(configuration?: Configuration): Promise<void> {
     await this.platform.start();
     this.log = new LogClient({url: this.getUrl('log'), timeoutMs: 2_000});
+    if (!configuration) return;
     const body = {replacesRevision: 0, publishedBy: 'test', configuration};
     await this.append('configuration', {kind: 'configuration', ...body});
   }
@@ -97,7 +113,7 @@
       statsdPort: 0,
       logLevel: 'error',
       leaseTermMs: LEASE_TERM_MS,
-      snapshotIntervalMs: SNAPSHOT_INTERVAL_MS,
+      snapshotIntervalMs: this.options.snapshotIntervalMs ?? SNAPSHOT_INTERVAL_MS,
     });
     this.daemons.push(daemon);
     daemon.start();
@@ -132,24 +148,49 @@
   /** Returns the state of the fleet stream. */
   async readFleet(): Promise<FleetFold> {
     const options = {fromOffset: 0, maxRecords: MAX_RECORDS, waitMs: 0};
-    const {records} = await this.getLog().read('fleet', options);
+    const {records, earliestOffset} = await this.getLog().read('fleet', options);
     const fold = new FleetFold();
+    if (earliestOffset > 0) fold.markIncomplete();
     for (const {offset, payload} of records) {
       fold.applyRecord({offset, record: decodeRecord(payload)});
     }
     return fold;
   }
 
+  /** Returns the offset of the earliest record that the log still has. */
+  async getEarliestOffset(stream: LogStream): Promise<number> {
+    const options = {fromOffset: 0, maxRecords: 1, waitMs: 0};
+    return (await this.getLog().read(stream, options)).earliestOffset;
+  }
+
   /** Switches the log's outage on or off. */
   async setLogOutage(hasOutage: boolean): Promise<void> {
     await call('PUT', `${this.getUrl('log')}/standin/faults`, {hasOutage});
   }
 
+  /** Replaces the faults of the cloud. */
+  async setCloudFaults(faults: FaultsInput): Promise<void> {
+    await call('PUT', `${this.getUrl('cloud')}/standin/faults`, faults);
+  }
+
   /** Takes an instance away as a failure does. */
   async loseInstance(instanceId: string): Promise<void> {
     await call('DELETE', `${this.getUrl('cloud')}/v1/instances/${instanceId}`);
   }
 
+  /** Announces that an instance is reclaimed at once. */
+  async reclaimInstance(instanceId: string): Promise<void> {
+    const notice = {instanceIds: [instanceId], graceMs: 0};
+    await call('POST', `${this.getUrl('cloud')}/standin/notices`, notice);
+  }
+
+  /** Returns the live instances as the cloud lists them. */
+  async getLiveInstances(): Promise<readonly Instance[]> {
+    const answer = await call('GET', `${this.getUrl('cloud')}/v1/instances`);
+    const {instances} = answer as {readonly instances: readonly Instance[]};
+    return instances.filter(({state}) => state === 'live');
+  }
+
   /** Returns what the cloud was asked for. */
   async getCloudLedger(): Promise<CloudLedger> {
     return (await call('GET', `${this.getUrl('cloud')}/standin/ledger`)) as CloudLedger;
@@ -190,7 +231,7 @@
   return false;
 }
 
-async function call(method: 'GET' | 'PUT' | 'DELETE', url: string, body?: object) {
+async function call(method: 'GET' | 'POST' | 'PUT' | 'DELETE', url: string, body?: object) {
   const response = await request(url, {method, body: body && JSON.stringify(body)});
   if (response.statusCode !== 200) throw new Error(`${method} ${url}: ${response.statusCode}`);
   return response.body.json();
--- a/tests/support/ServingHarness.ts
+++ b/tests/support/ServingHarness.ts
@@ -17,6 +17,7 @@
 /** An engine to start. */
 export interface EnginePlan {
   readonly instanceId: string;
+  readonly service?: string;
   readonly version?: string;
   readonly failureDomain?: string;
   readonly isColdAtStart?: boolean;
@@ -27,8 +28,12 @@
 export interface ServingHarnessOptions {
   readonly engines: readonly EnginePlan[];
   readonly service?: Partial<Service>;
+  /** Services beside `guidance`. */
+  readonly otherServices?: readonly Service[];
   /** Routing policy; the system's own where absent. */
   readonly chooseServer?: ChooseServer;
+  /** Claims of idempotency keys; without them each is refused. */
+  readonly claims?: HandlerContext['claims'];
 }
 
 /** What a caller got. */
@@ -85,7 +90,7 @@
       listIntervalMs: 50,
       reportIntervalMs: 50,
     });
-    const {tracker, retryBudget, quarantine, evidence, runs, admission} = this.serving;
+    const {tracker, retryBudget, quarantine, evidence, runs, tries, admission} = this.serving;
     this.context = {
       blackboard,
       engine,
@@ -96,9 +101,10 @@
       quarantine,
       evidence,
       runs,
+      tries,
       admission,
       reportIncidents: this.serving.getReporter(),
-      claims: {
+      claims: options.claims ?? {
         claim: () => Promise.reject(new Error('no claims here')),
         recordOutcome: () => Promise.reject(new Error('no claims here')),
       },
@@ -170,6 +176,16 @@
     handover.handOver(Date.now());
   }
 
+  /** Lets the entry take an engine for warm. */
+  warmUp(instanceId: string): void {
+    const {servers} = this.blackboard.getSection('backendServers');
+    const server = servers.find(known => known.instanceId === instanceId);
+    if (!server) throw new Error(`no backend server ${instanceId}`);
+    while (this.serving.tracker.getWarmth(instanceId) !== 'warm') {
+      this.serving.tracker.addFirstToken(server, {expectedMs: 1, observedMs: 1});
+    }
+  }
+
   /** Changes what the platform lists of an instance. */
   changeInstance(instanceId: string, changes: Partial<Instance>): void {
     const known = this.instances.get(instanceId);
@@ -215,11 +231,13 @@
     return {status: answer.statusCode, location: String(location), body: await answer.body.text()};
   }
 
-  private async startEngine(plan: EnginePlan): Promise<void> {
-    const {instanceId, version = 'v1', failureDomain = 'oslo-a', isColdAtStart = false} = plan;
+  /** Starts an engine; the list shows it from then on. */
+  async startEngine(plan: EnginePlan): Promise<void> {
+    const {instanceId, service = 'guidance', version = 'v1'} = plan;
+    const {failureDomain = 'oslo-a', isColdAtStart = false} = plan;
     const identity = {
       instanceId,
-      service: 'guidance',
+      service,
       version,
       failureDomain,
       machineClass: 'small',
@@ -254,7 +272,7 @@
         ...workspace,
         keys: workspace.name === 'small' ? [{sha256}] : [],
       })),
-      services: [service],
+      services: [service, ...(this.options.otherServices ?? [])],
     };
   }
 }
