--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -292,9 +292,8 @@
     this.prefixes.removeServer(instanceId);
   }
 
-  /** Wakes one after another, so that each has taken its place before the next one looks. */
   private wakeSlotWaiters(): void {
-    for (const wake of [...this.slotWaiters]) setImmediate(wake);
+    for (const wake of [...this.slotWaiters]) wake();
   }
 
   private getServer(instanceId: string): TrackedServer {
--- a/src/http/AdmissionGate.ts
+++ b/src/http/AdmissionGate.ts
@@ -69,9 +69,8 @@
     });
   }
 
-  /** Admits one after another, so that each has taken its place at a backend server before the next one looks. */
   private admit(requestIds: readonly string[]): void {
-    for (const requestId of requestIds) setImmediate(() => this.waiters.get(requestId)?.());
+    for (const requestId of requestIds) this.waiters.get(requestId)?.();
   }
 }
 
