A surplus server is kept while its replacement loads weights

Ruled out: the drain of retired versions, which waits for the end of a move, and that moves only when servers are ready.

--- a/bench/experiments/cost/FleetModel.ts
+++ b/bench/experiments/cost/FleetModel.ts
@@ -121,6 +121,9 @@
           }),
         ),
         drainingIds: this.getDrainingIds(),
+        unreadyIds: this.servers
+          .filter(({readyAtMs}) => readyAtMs > nowMs)
+          .map(({instance}) => instance.instanceId),
         market: {
           prices: this.market.getPrices(nowMs),
           priceLimits: [],
--- a/bench/experiments/cost/FleetPolicy.ts
+++ b/bench/experiments/cost/FleetPolicy.ts
@@ -17,6 +17,8 @@
   /** Servers that were started and aren't listed yet. */
   readonly pendingInstances: readonly PendingInstance[];
   readonly drainingIds: readonly string[];
+  /** Servers that are listed and load their weights. */
+  readonly unreadyIds: readonly string[];
   readonly market: OffersView;
   /** Servers that carry the load. */
   readonly targetReplicas: number;
@@ -52,7 +54,10 @@
   return {
     name,
     followsLoad,
-    decide: ({instances, pendingInstances, drainingIds, market, targetReplicas}, nowMs) => {
+    decide: (
+      {instances, pendingInstances, drainingIds, unreadyIds, market, targetReplicas},
+      nowMs,
+    ) => {
       const prices = market.prices.filter(price => markets.includes(price.market));
       const need = {service: 'guidance', version: 'v1', replicas: targetReplicas, isSpared: true};
       const {effects} = decideCapacity({
@@ -60,6 +65,7 @@
         instances,
         pendingInstances,
         drainingIds,
+        unreadyIds,
         offers: getOffers({...market, prices}, nowMs),
         openDomains: MARKET_DOMAINS,
         revision: 1,
--- a/src/controllers/capacity/CapacityController.ts
+++ b/src/controllers/capacity/CapacityController.ts
@@ -30,6 +30,8 @@
   readonly pendingInstances: readonly PendingInstance[];
   /** Instances that are being drained. */
   readonly drainingIds: readonly string[];
+  /** Instances that are listed and can't serve yet, since their weights are being loaded. */
+  readonly unreadyIds: readonly string[];
   /** Offers, cheapest first. */
   readonly offers: readonly Offer[];
   readonly openDomains: readonly string[];
@@ -205,7 +207,8 @@
   });
   // Where no offer is known, nothing is wanted anywhere; that is no reason to stop what serves.
   const keptCount = Math.max(need.replicas, countInstances(wanted));
-  return drain(view, surplus.slice(0, Math.max(serving.length - keptCount, 0)));
+  const ready = serving.filter(({instanceId}) => !view.unreadyIds.includes(instanceId));
+  return drain(view, surplus.slice(0, Math.max(ready.length - keptCount, 0)));
 }
 
 /** Servers of other versions that nobody asked for are left alone; operators may try them out. */
--- a/src/fleet/CapacityRunner.ts
+++ b/src/fleet/CapacityRunner.ts
@@ -38,6 +38,8 @@
   readonly getWantedSharePercent: (service: string) => number;
   /** Returns a service with the number of backend servers that it is to have now. */
   readonly getPlannedService: (service: Service) => Service;
+  /** Returns whether a listed backend server has loaded its weights. */
+  readonly isReady: (instanceId: string) => boolean;
 }
 
 /** What may be started now, and where. */
@@ -121,6 +123,7 @@
         .getFold()
         .getDrains()
         .map(({instanceId}) => instanceId),
+      unreadyIds: instances.map(({instanceId}) => instanceId).filter(id => !demand.isReady(id)),
       revision,
       filledSlots: this.starts.getFilledSlots(),
       generations: this.starts.getGenerations(),
--- a/src/fleet/FleetRunner.ts
+++ b/src/fleet/FleetRunner.ts
@@ -164,6 +164,7 @@
       revision: this.parts.configuration.getRevision(),
       getWantedSharePercent: service => this.parts.moves.getWantedSharePercent(service),
       getPlannedService: service => this.parts.replicas.getPlannedService(service),
+      isReady: instanceId => loads.isLoaded(instanceId),
     };
     await capacity.run(demand, clock.getWallMs());
     const instances = watch.getBackendServers();
--- a/src/fleet/LoadRunner.ts
+++ b/src/fleet/LoadRunner.ts
@@ -42,10 +42,18 @@
         one.state === 'live' &&
         one.service === service &&
         one.version === version &&
-        this.loaded.has(one.instanceId),
+        this.isLoaded(one.instanceId),
     ).length;
   }
 
+  /**
+   * Returns whether a backend server's weights are loaded.
+   * @param instanceId - The backend server.
+   */
+  isLoaded(instanceId: string): boolean {
+    return this.loaded.has(instanceId);
+  }
+
   /**
    * Asks for the next loads and notes those that are done.
    * @param instances - Instances as the cloud lists them.
--- a/tests/controllers/capacity/CapacityController.test.ts
+++ b/tests/controllers/capacity/CapacityController.test.ts
@@ -143,6 +143,7 @@
     instances: [],
     pendingInstances: [],
     drainingIds: [],
+    unreadyIds: [],
     offers: DOMAINS.slice(0, 3).map(failureDomain => ({
       failureDomain,
       machineClass: 'a100',
@@ -207,6 +208,19 @@
     },
     ['drain i-2'],
   );
+  doTest(
+    'keeps a surplus server while its replacement loads weights',
+    {
+      instances: [
+        ...whole,
+        createInstance('i-3', 'accra', 'live'),
+        createInstance('i-4', 'kasoa', 'live'),
+      ],
+      unreadyIds: ['i-4'],
+      openDomains: ['accra', 'kasoa'],
+    },
+    [],
+  );
   doTest(
     'drains the servers of a version that a move left without work',
     {
--- a/tests/fleet/CapacityRunner.test.ts
+++ b/tests/fleet/CapacityRunner.test.ts
@@ -30,6 +30,7 @@
   revision: 1,
   getWantedSharePercent: () => 0,
   getPlannedService: (service: typeof GUIDANCE) => service,
+  isReady: () => true,
 };
 
 async function startWorld(t: Test) {
--- a/tests/support/DomainsModel.ts
+++ b/tests/support/DomainsModel.ts
@@ -121,6 +121,7 @@
       revision: 1,
       getWantedSharePercent: () => 0,
       getPlannedService: (service: typeof GUIDANCE) => service,
+      isReady: () => true,
     };
     await holder.run(demand, this.nowMs);
   }
