Claims and outcomes go to a gatherer in shared calls

On a busy machine calls passed their 500 ms, entries fell back with a gatherer's share of the appends each (up to 252 appends a second), every entry had to read those, and all got slower. Ruled out: connections (kept and used again) and the log stand-in (about 23% of a core).

Now an entry has one gatherer and sends it all that came since the last call: at once where it is idle, every 25 ms at most, four open calls at most. An outcome is only taken over by the call; its entry reads in the log that it stands and records it itself otherwise. An entry that falls back takes an equal share of the appends, not a gatherer's. An entry that stops appends the outcomes that its gatherer holds; before they were lost (the key then read 'unknown').

Seen to fail with a call for each item (80 calls for 40 bookings) and without the wait for open outcomes at the stop. The bench prints processor time and has rows for 400 and 800 bookings a second at 12 entries.

--- a/bench/claims/measureClaims.ts
+++ b/bench/claims/measureClaims.ts
@@ -26,6 +26,10 @@
   readonly claimP99Ms: number;
   /** Appends that the log took in a second. */
   readonly appendsPerSecond: number;
+  /** Processor time of the entry that used most, in percent of a core. */
+  readonly maxProcessorPercent: number;
+  /** Processor time of an entry on average, in percent of a core. */
+  readonly meanProcessorPercent: number;
 }
 
 const TICK_MS = 5;
@@ -78,10 +82,23 @@
   );
   const appends = (await countAppends(logUrl)) - appendsBefore;
   processes.forEach(child => child.disconnect());
-  return summarize(results, (appends * MS_PER_SECOND) / durationMs);
+  return {
+    ...summarize(results),
+    appendsPerSecond: Math.round((appends * MS_PER_SECOND) / durationMs),
+    ...summarizeProcessorTime(results, durationMs),
+  };
+}
+
+function summarizeProcessorTime(results: readonly EntryResult[], durationMs: number) {
+  const percents = results.map(({processorMs}) => (processorMs * 100) / durationMs);
+  const sum = percents.reduce((total, percent) => total + percent, 0);
+  return {
+    maxProcessorPercent: Math.round(Math.max(...percents)),
+    meanProcessorPercent: Math.round(sum / percents.length),
+  };
 }
 
-function summarize(results: readonly EntryResult[], appendsPerSecond: number): ClaimMeasurement {
+function summarize(results: readonly EntryResult[]) {
   const histogram = build();
   const timesMs = results.flatMap(({claimTimesMs}) => claimTimesMs);
   timesMs.forEach(timeMs => histogram.recordValue(Math.round(timeMs * UNITS_PER_MS)));
@@ -93,7 +110,6 @@
     claimP50Ms: getMs(50),
     claimP95Ms: getMs(95),
     claimP99Ms: getMs(99),
-    appendsPerSecond: Math.round(appendsPerSecond),
   };
 }
 
--- a/bench/claims/run-claim-entry.ts
+++ b/bench/claims/run-claim-entry.ts
@@ -15,11 +15,14 @@
   readonly granted: number;
   readonly recorded: number;
   readonly claimTimesMs: readonly number[];
+  /** Processor time of the entry while it claimed. */
+  readonly processorMs: number;
 }
 
 const TICK_MS = 5;
 const JOIN_MS = 1_500;
 const SERVICE_TIME_MS = 5;
+const MICROS_PER_MS = 1_000;
 const ANSWER = {status: 201, contentType: 'application/json', bodyBase64: 'e30='};
 
 async function runLoad(entry: BenchEntry, load: EntryLoad): Promise<EntryResult> {
@@ -42,6 +45,7 @@
     if (await entry.claims.recordOutcome({...key, run: 'ran', answer: ANSWER})) recorded += 1;
   };
   const open: Promise<void>[] = [];
+  const usageAtStart = process.cpuUsage();
   const startedAtMs = performance.now();
   while (performance.now() - startedAtMs < durationMs) {
     const due = ((performance.now() - startedAtMs) * bookingsPerSecond) / 1_000;
@@ -49,7 +53,8 @@
     await wait(TICK_MS);
   }
   await Promise.all(open);
-  return {granted, recorded, claimTimesMs};
+  const {user, system} = process.cpuUsage(usageAtStart);
+  return {granted, recorded, claimTimesMs, processorMs: (user + system) / MICROS_PER_MS};
 }
 
 const [instanceId, logUrl] = process.argv.slice(2);
--- a/bench/claims/run-claims.ts
+++ b/bench/claims/run-claims.ts
@@ -12,6 +12,8 @@
   {entryCount: 9, bookingsPerSecond: 400},
   {entryCount: 12, bookingsPerSecond: 50},
   {entryCount: 12, bookingsPerSecond: 200},
+  {entryCount: 12, bookingsPerSecond: 400},
+  {entryCount: 12, bookingsPerSecond: 800},
 ];
 const ROUND_TRIP_SAMPLES = 200;
 const DETECTION_RUNS = 8;
--- a/src/claims/ClaimService.ts
+++ b/src/claims/ClaimService.ts
@@ -12,22 +12,9 @@
 import type {ClaimProposal, OutcomeProposal, PlacedRecord} from '../records/index.js';
 import {BoundedSet} from './BoundedSet.js';
 import {ClaimBatcher} from './ClaimBatcher.js';
+import {GathererCalls, type ClaimGathering} from './GathererCalls.js';
 import {KeyWaiters} from './KeyWaiters.js';
 
-/** Entries at which claims and outcomes are gathered; calls reject where the entry doesn't answer. */
-export interface ClaimGathering {
-  /** Returns the entry that gathers for a key; undefined where this one does. */
-  readonly getGatherer: (workspace: string, key: string) => ClaimGatherer | undefined;
-  /** Returns the number of entries that append claims. */
-  readonly getAppenderCount: () => number;
-}
-
-/** Another entry that claims for this one. */
-export interface ClaimGatherer {
-  claim(proposal: ClaimProposal, timeoutMs: number): Promise<ClaimAnswer>;
-  recordOutcome(outcome: OutcomeProposal, timeoutMs: number): Promise<boolean>;
-}
-
 /** Options of a `ClaimService`. */
 export interface ClaimServiceOptions {
   readonly log: LogAccess;
@@ -46,6 +33,8 @@
   readonly gathering?: ClaimGathering;
   /** Time after which this entry claims for itself, where another one gathers. */
   readonly gathererTimeoutMs?: number;
+  /** Shortest time between the starts of two calls to a gatherer. */
+  readonly gathererCallGapMs?: number;
   /** Time for which claims are kept; the same at every entry. */
   readonly keepMs?: number;
   /** Longest time without a snapshot of the claims; well below the log's retention. */
@@ -63,6 +52,7 @@
 const DEFAULT_CLAIM_TIMEOUT_MS = 3_000;
 const DEFAULT_SNAPSHOT_INTERVAL_MS = 900_000;
 const DEFAULT_GATHERER_TIMEOUT_MS = 500;
+const DEFAULT_GATHERER_CALL_GAP_MS = 25;
 
 /** Age up to which a read of the log's end counts as standing at its end. */
 const LOG_READ_WINDOW_MS = 4_000;
@@ -78,12 +68,15 @@
 export class ClaimService {
   private readonly options: ClaimServiceOptions;
   private readonly claimTimeoutMs: number;
+  private readonly gathererTimeoutMs: number;
   private readonly fold: ClaimsFold;
   private readonly writer: LogWriter;
   private readonly follower: StreamFollower;
   private readonly batcher: ClaimBatcher;
   private readonly publisher: SnapshotPublisher;
   private readonly waiters: KeyWaiters;
+  private readonly gathererCalls: GathererCalls;
+  private readonly openRecords = new Set<Promise<boolean>>();
   private readonly usedAttempts = new BoundedSet(MAX_USED_ATTEMPTS);
   private readonly abandonedAttempts = new BoundedSet(MAX_ABANDONED_ATTEMPTS);
   private isStopped = false;
@@ -93,7 +86,14 @@
     this.claimTimeoutMs = options.claimTimeoutMs ?? DEFAULT_CLAIM_TIMEOUT_MS;
     this.fold = new ClaimsFold(options.keepMs === undefined ? undefined : {keepMs: options.keepMs});
     const {log, claimant, getNowMs, sleep = systemSleep} = options;
+    this.gathererTimeoutMs = options.gathererTimeoutMs ?? DEFAULT_GATHERER_TIMEOUT_MS;
     this.waiters = new KeyWaiters(sleep);
+    this.gathererCalls = new GathererCalls({
+      getNowMs,
+      sleep,
+      timeoutMs: this.gathererTimeoutMs,
+      callGapMs: options.gathererCallGapMs ?? DEFAULT_GATHERER_CALL_GAP_MS,
+    });
     this.writer = new LogWriter({
       stream: 'claims',
       log,
@@ -140,6 +140,8 @@
   async stop(): Promise<void> {
     this.isStopped = true;
     this.waiters.wakeAll();
+    this.gathererCalls.stop();
+    await Promise.allSettled(this.openRecords);
     await Promise.all([this.batcher.stop(), this.publisher.stop()]);
     await this.follower.stop();
   }
@@ -177,18 +179,28 @@
    */
   async recordOutcome(outcome: OutcomeProposal): Promise<boolean> {
     if (this.isStopped) return false;
-    if (await this.recordAtGatherer(outcome)) return true;
-    return this.recordOutcomeHere(outcome);
+    const record = this.recordOpenOutcome(outcome);
+    this.openRecords.add(record);
+    return record.finally(() => this.openRecords.delete(record));
   }
 
   /**
-   * Records an outcome without asking another entry to.
-   * @param outcome - The outcome, of this entry's attempt or another's.
+   * Takes over an outcome of another entry, which sees in the log whether it stands.
+   * @param outcome - The outcome.
    */
-  async recordOutcomeHere(outcome: OutcomeProposal): Promise<boolean> {
-    const {workspace, key} = outcome;
+  addOutcomeFor(outcome: OutcomeProposal): void {
+    if (!this.isStopped) this.batcher.addOutcome(outcome);
+  }
+
+  private async recordOpenOutcome(outcome: OutcomeProposal): Promise<boolean> {
+    if (await this.recordAtGatherer(outcome)) return true;
     this.batcher.addOutcome(outcome);
-    const giveUpAtMs = this.options.getNowMs() + this.claimTimeoutMs;
+    return this.waitForOutcome(outcome, this.claimTimeoutMs);
+  }
+
+  private async waitForOutcome(outcome: OutcomeProposal, timeoutMs: number): Promise<boolean> {
+    const {workspace, key} = outcome;
+    const giveUpAtMs = this.options.getNowMs() + timeoutMs;
     while (!this.isOutcomeKept(outcome) && !this.isStopped) {
       const restMs = giveUpAtMs - this.options.getNowMs();
       if (restMs <= 0) break;
@@ -198,12 +210,10 @@
   }
 
   private async claimAtGatherer(proposal: ClaimProposal): Promise<ClaimAnswer | undefined> {
-    const {workspace, key} = proposal;
-    const gatherer = this.options.gathering?.getGatherer(workspace, key);
+    const gatherer = this.options.gathering?.getGatherer();
     if (!gatherer) return undefined;
-    const {gathererTimeoutMs = DEFAULT_GATHERER_TIMEOUT_MS} = this.options;
     try {
-      const answer = await gatherer.claim(proposal, gathererTimeoutMs);
+      const answer = await this.gathererCalls.claim(gatherer, proposal);
       return answer.verdict === 'unavailable' ? undefined : answer;
     } catch {
       return undefined;
@@ -211,10 +221,14 @@
   }
 
   private async recordAtGatherer(outcome: OutcomeProposal): Promise<boolean> {
-    const gatherer = this.options.gathering?.getGatherer(outcome.workspace, outcome.key);
+    const gatherer = this.options.gathering?.getGatherer();
     if (!gatherer) return false;
-    const {gathererTimeoutMs = DEFAULT_GATHERER_TIMEOUT_MS} = this.options;
-    return gatherer.recordOutcome(outcome, gathererTimeoutMs).catch(() => false);
+    try {
+      await this.gathererCalls.addOutcome(gatherer, outcome);
+    } catch {
+      return false;
+    }
+    return this.waitForOutcome(outcome, this.gathererTimeoutMs);
   }
 
   private async claimHere(proposal: ClaimProposal): Promise<ClaimAnswer | undefined> {
--- a/src/claims/index.ts
+++ b/src/claims/index.ts
@@ -5,9 +5,5 @@
   type ClaimRequest,
   type ClaimVerdict,
 } from '../controllers/claims/index.js';
-export {
-  ClaimService,
-  type ClaimGatherer,
-  type ClaimGathering,
-  type ClaimServiceOptions,
-} from './ClaimService.js';
+export type {ClaimGatherer, ClaimGathering, GatheredBatch} from './GathererCalls.js';
+export {ClaimService, type ClaimServiceOptions} from './ClaimService.js';
--- a/src/controllers/claims/chooseClaimGatherer.ts
+++ b/src/controllers/claims/chooseClaimGatherer.ts
@@ -1,4 +1,4 @@
-/** Chooses the entry at which claims of a key are gathered into batches. */
+/** Chooses the entry at which claims of another are gathered into batches. */
 import type {Member} from '../../blackboard/index.js';
 import {rankByRendezvous} from '../../utils/index.js';
 
@@ -14,31 +14,35 @@
 const GATHERER_SEED = 'claim-gatherers';
 
 /**
- * Returns the number of entries that append claims.
+ * Returns the number of entries among which this one shares the log's appends. One that doesn't gather appends only where its
+ * gatherer fails it, then like all the others.
+ * @param selfId - This entry's instance.
  * @param members - Entries, this one included.
  */
-export function countClaimAppenders(members: readonly Member[]): number {
-  const aliveCount = members.filter(isAlive).length;
-  return aliveCount > MAX_SELF_CLAIMING_ENTRIES ? CLAIM_GATHERER_COUNT : aliveCount;
+export function countClaimAppenders(selfId: string, members: readonly Member[]): number {
+  const alive = members.filter(isAlive);
+  const isGathering =
+    alive.length > MAX_SELF_CLAIMING_ENTRIES && chooseClaimGatherer(selfId, members) === undefined;
+  return isGathering ? CLAIM_GATHERER_COUNT : alive.length;
 }
 
 /**
- * Returns the entry that gathers the claims of a key; undefined where each entry claims for itself. Views of membership may differ:
- * the log decides, so two gatherers for a key cost an append and nothing else.
- * @param workspace - Workspace of the key.
- * @param key - The key.
+ * Returns the entry that gathers claims for this one; undefined where this one claims for itself. All claims of an entry go to one
+ * gatherer, so that they share calls. Views of membership may differ: the log decides, so two gatherers for a key cost an
+ * append and nothing else.
+ * @param selfId - This entry's instance.
  * @param members - Entries, this one included.
  */
 export function chooseClaimGatherer(
-  workspace: string,
-  key: string,
+  selfId: string,
   members: readonly Member[],
 ): Member | undefined {
   const alive = members.filter(isAlive);
   if (alive.length <= MAX_SELF_CLAIMING_ENTRIES) return undefined;
-  const getId = ({instanceId}: Member) => instanceId;
-  const gatherers = rankByRendezvous(GATHERER_SEED, alive, getId).slice(0, CLAIM_GATHERER_COUNT);
-  return rankByRendezvous(`${workspace}\n${key}`, gatherers, getId)[0];
+  const ranked = rankByRendezvous(GATHERER_SEED, alive, ({instanceId}) => instanceId);
+  const ownRank = ranked.findIndex(({instanceId}) => instanceId === selfId);
+  if (ownRank >= 0 && ownRank < CLAIM_GATHERER_COUNT) return undefined;
+  return ranked[Math.max(ownRank, 0) % CLAIM_GATHERER_COUNT];
 }
 
 function isAlive({state}: Member): boolean {
--- a/src/peer/ClaimCalls.ts
+++ b/src/peer/ClaimCalls.ts
@@ -5,13 +5,16 @@
   type ClaimGathering,
   type ClaimService,
   type ClaimVerdict as ClaimVerdictName,
+  type GatheredBatch,
 } from '../claims/index.js';
-import type {Blackboard} from '../blackboard/index.js';
+import type {Blackboard, Member} from '../blackboard/index.js';
 import {chooseClaimGatherer, countClaimAppenders} from '../controllers/claims/index.js';
 import type {OutcomeProposal, StoredAnswer} from '../records/index.js';
 import {
   ClaimVerdict,
   RunState,
+  type ClaimAnswer as WireClaimAnswer,
+  type Outcome as WireOutcome,
   type RecordedAnswer,
 } from './generated/buckthorn/peer/v1/peer_pb.js';
 import type {PeerCalls, PeerClient} from './PeerClient.js';
@@ -52,14 +55,19 @@
   client: PeerClient,
   selfId: string,
 ): ClaimGathering {
+  let knownMembers: readonly Member[] | undefined;
+  let gatherer: ClaimGatherer | undefined;
+  const getMembers = () => blackboard.getSection('peers').members;
   return {
-    getGatherer: (workspace, key) => {
-      const {members} = blackboard.getSection('peers');
-      const member = chooseClaimGatherer(workspace, key, members);
-      if (!member || member.instanceId === selfId) return undefined;
-      return new RemoteGatherer(client.getCalls(member));
+    getGatherer: () => {
+      const members = getMembers();
+      if (members === knownMembers) return gatherer;
+      knownMembers = members;
+      const member = chooseClaimGatherer(selfId, members);
+      gatherer = member && new RemoteGatherer(member.instanceId, client.getCalls(member));
+      return gatherer;
     },
-    getAppenderCount: () => countClaimAppenders(blackboard.getSection('peers').members),
+    getAppenderCount: () => countClaimAppenders(selfId, getMembers()),
   };
 }
 
@@ -69,55 +77,62 @@
  */
 export function createClaimHandlers(service: ClaimService): PeerHandlers {
   return {
-    claim: async request => {
-      const {workspace, key, claimant, attemptId, fingerprint} = request;
-      const proposal = {workspace, key, claimant, attemptId, fingerprint};
-      const {verdict, answer, isKnownNotRun} = await service.claimFor(proposal);
-      return {
-        verdict: VERDICTS_TO_WIRE[verdict],
-        answer: answer && toWireAnswer(answer),
-        knownNotRun: isKnownNotRun,
-      };
-    },
-    recordOutcome: async ({workspace, key, attemptId, answer, run: wireRun}) => {
-      const run = RUNS_FROM_WIRE.get(wireRun);
-      if (!run) return {recorded: false};
-      const outcome = {workspace, key, attemptId, run, answer: answer && fromWireAnswer(answer)};
-      return {recorded: await service.recordOutcomeHere(outcome)};
+    gatherClaims: async ({claims, outcomes}) => {
+      for (const outcome of outcomes.flatMap(fromWireOutcome)) service.addOutcomeFor(outcome);
+      const answers = await Promise.all(
+        claims.map(({workspace, key, claimant, attemptId, fingerprint}) =>
+          service.claimFor({workspace, key, claimant, attemptId, fingerprint}),
+        ),
+      );
+      return {answers: answers.map(toWireClaimAnswer)};
     },
   };
 }
 
 /** Another entry that gathers claims. */
 class RemoteGatherer implements ClaimGatherer {
+  readonly instanceId: string;
   private readonly calls: PeerCalls;
 
-  constructor(calls: PeerCalls) {
+  constructor(instanceId: string, calls: PeerCalls) {
+    this.instanceId = instanceId;
     this.calls = calls;
   }
 
-  async claim(
-    proposal: Parameters<ClaimGatherer['claim']>[0],
+  async gather(
+    {claims, outcomes}: GatheredBatch,
     timeoutMs: number,
-  ): Promise<ClaimAnswer> {
-    const {verdict, answer, knownNotRun} = await this.calls.claim(proposal, {timeoutMs});
-    return {
-      verdict: VERDICTS_FROM_WIRE.get(verdict) ?? 'unavailable',
-      answer: answer && fromWireAnswer(answer),
-      isKnownNotRun: knownNotRun,
-    };
+  ): Promise<readonly ClaimAnswer[]> {
+    const request = {claims: [...claims], outcomes: outcomes.map(toWireOutcome)};
+    const {answers} = await this.calls.gatherClaims(request, {timeoutMs});
+    return answers.map(fromWireClaimAnswer);
   }
+}
 
-  async recordOutcome(outcome: OutcomeProposal, timeoutMs: number): Promise<boolean> {
-    const {workspace, key, attemptId, run, answer} = outcome;
-    const request = {workspace, key, attemptId, run: RUNS_TO_WIRE[run]};
-    const wireAnswer = answer && toWireAnswer(answer);
-    const {recorded} = await this.calls.recordOutcome(
-      {...request, answer: wireAnswer},
-      {timeoutMs},
-    );
-    return recorded;
-  }
+function toWireClaimAnswer({verdict, answer, isKnownNotRun}: ClaimAnswer) {
+  const wireAnswer = answer && toWireAnswer(answer);
+  return {verdict: VERDICTS_TO_WIRE[verdict], answer: wireAnswer, knownNotRun: isKnownNotRun};
+}
+
+function fromWireClaimAnswer({verdict, answer, knownNotRun}: WireClaimAnswer): ClaimAnswer {
+  return {
+    verdict: VERDICTS_FROM_WIRE.get(verdict) ?? 'unavailable',
+    answer: answer && fromWireAnswer(answer),
+    isKnownNotRun: knownNotRun,
+  };
+}
+
+function toWireOutcome({workspace, key, attemptId, run, answer}: OutcomeProposal) {
+  const wireAnswer = answer && toWireAnswer(answer);
+  return {workspace, key, attemptId, run: RUNS_TO_WIRE[run], answer: wireAnswer};
+}
+
+/** Returns the outcome; none where this daemon doesn't know how the request is said to have ended. */
+function fromWireOutcome(outcome: WireOutcome): readonly OutcomeProposal[] {
+  const {workspace, key, attemptId, answer} = outcome;
+  const run = RUNS_FROM_WIRE.get(outcome.run);
+  if (!run) return [];
+  return [{workspace, key, attemptId, run, answer: answer && fromWireAnswer(answer)}];
 }
 
 function toWireAnswer({status, contentType, bodyBase64}: StoredAnswer) {
--- a/src/peer/PeerClient.ts
+++ b/src/peer/PeerClient.ts
@@ -22,7 +22,7 @@
 
 const MAX_KEPT_CLIENTS = 256;
 const IDLE_CONNECTION_MS = 30_000;
-const MAX_IDLE_CONNECTIONS = 2;
+const MAX_IDLE_CONNECTIONS = 4;
 
 /**
  * Keeps connections to peers. A call that times out closes its connection, so one that has gone silent is used for one
--- a/tests/claims/ClaimService.test.ts
+++ b/tests/claims/ClaimService.test.ts
@@ -1,6 +1,6 @@
 /** Tests of the claim service over a log in memory, in virtual time. */
 import t from 'tap';
-import {ClaimService, type ClaimRequest} from '../../src/claims/index.js';
+import {ClaimService, type ClaimGathering, type ClaimRequest} from '../../src/claims/index.js';
 import {FakeLog, type AppendFate} from '../support/FakeLog.js';
 import {VirtualTime} from '../support/VirtualTime.js';
 
@@ -15,9 +15,10 @@
   const time = new VirtualTime();
   const log = new FakeLog({getNowMs: time.getNowMs, sleep: time.sleep, chooseFate});
   const live = new Set<string>();
-  const createService = (claimant: string) => {
+  const createService = (claimant: string, gathering?: ClaimGathering) => {
     live.add(claimant);
     const service = new ClaimService({
+      gathering,
       log,
       claimant,
       getNowMs: time.getNowMs,
@@ -122,6 +123,32 @@
     t.equal((await settle(two.claim(createRequest('a2')))).verdict, 'done');
   });
 
+  t.test('stop appends an outcome that a silent gatherer holds', async t => {
+    const {createService, settle, time} = createWorld();
+    const silent = {instanceId: 'e3', gather: () => new Promise<never>(() => undefined)};
+    let isGathered = false;
+    const one = createService('e1', {
+      getGatherer: () => (isGathered ? silent : undefined),
+      getAppenderCount: () => 2,
+    });
+    const two = createService('e2');
+    await settle(one.claim(createRequest('a1')));
+    isGathered = true;
+    void one.recordOutcome({workspace: 'w', key: 'k', attemptId: 'a1', run: 'ran', answer: ANSWER});
+    await time.advance(1);
+    await settle(one.stop());
+    t.equal((await settle(two.claim(createRequest('a2')))).verdict, 'done');
+  });
+
+  t.test('recordOutcome appends an outcome that its gatherer took over and lost', async t => {
+    const {createService, settle} = createWorld();
+    const forgetful = {instanceId: 'e3', gather: () => Promise.resolve([])};
+    const one = createService('e1', {getGatherer: () => forgetful, getAppenderCount: () => 2});
+    t.equal((await settle(one.claim(createRequest('a1')))).verdict, 'granted');
+    const outcome = {workspace: 'w', key: 'k', attemptId: 'a1', run: 'ran' as const};
+    t.equal(await settle(one.recordOutcome({...outcome, answer: ANSWER})), true);
+  });
+
   t.test('recordOutcome keeps trying through an outage', async t => {
     const {createService, settle, log} = createWorld();
     const [one, two] = [createService('e1'), createService('e2')];
--- a/tests/peer/ClaimCalls.test.ts
+++ b/tests/peer/ClaimCalls.test.ts
@@ -14,6 +14,7 @@
 
 const ADDRESS = '127.0.0.1';
 const KEYS = new PeerKeys(['secret']);
+const BOOKING_COUNT = 40;
 const ANSWER = {status: 201, contentType: 'text/plain', bodyBase64: 'b2s='};
 
 async function createPair() {
@@ -24,7 +25,14 @@
   const options = {log, getNowMs, isClaimantLive: () => true};
   const gatherer = new ClaimService({...options, claimant: 'e1'});
   const server = new PeerServer({address: ADDRESS, port: 0, keys: KEYS});
-  server.addHandlers(createClaimHandlers(gatherer));
+  const handlers = createClaimHandlers(gatherer);
+  let callCount = 0;
+  server.addHandlers({
+    gatherClaims: (batch, context) => {
+      callCount += 1;
+      return handlers.gatherClaims?.(batch, context) ?? {};
+    },
+  });
   const peerPort = await server.start();
   const gathering = createClaimGathering(blackboard, client, 'e2');
   const service = new ClaimService({...options, claimant: 'e2', gathering});
@@ -46,7 +54,7 @@
     await Promise.all([gatherer.stop(), service.stop()]);
     client.close();
   };
-  return {log, gatherer, service, server, stop};
+  return {log, gatherer, service, server, stop, getCallCount: () => callCount};
 }
 
 /** Returns so many entries that claims are gathered; the one that is given listens for all. */
@@ -78,6 +86,20 @@
     await server.stop();
   });
 
+  t.test('claims and outcomes that come together share calls', async t => {
+    const {service, server, stop, getCallCount} = await createPair();
+    const keys = Array.from({length: BOOKING_COUNT}, (empty, index) => `k${index}`);
+    const book = async (key: string) => {
+      const {verdict} = await service.claim({...request, key, attemptId: key});
+      const outcome = {workspace: 'w', key, attemptId: key, run: 'ran', answer: ANSWER} as const;
+      return verdict === 'granted' && (await service.recordOutcome(outcome));
+    };
+    t.ok((await Promise.all(keys.map(book))).every(Boolean));
+    t.ok(getCallCount() < BOOKING_COUNT / 2, `${getCallCount()} calls`);
+    await stop();
+    await server.stop();
+  });
+
   t.test('an entry claims for itself where the gatherer is gone', async t => {
     const {log, service, server, stop} = await createPair();
     await server.stop();
--- a/tests/support/ClaimsWorld.ts
+++ b/tests/support/ClaimsWorld.ts
@@ -1,5 +1,10 @@
 /** Entries that claim over a faulty log in virtual time, and a ledger of what ran. */
-import {isClaimFresh, ClaimService, type ClaimAnswer} from '../../src/claims/index.js';
+import {
+  isClaimFresh,
+  ClaimService,
+  type ClaimAnswer,
+  type ClaimGatherer,
+} from '../../src/claims/index.js';
 import type {LogAccess, Sleep} from '../../src/log/index.js';
 import {FakeLog} from './FakeLog.js';
 import {VirtualTime} from './VirtualTime.js';
@@ -35,6 +40,7 @@
   readonly log: FakeLog;
   readonly ledger: ClaimsLedger = {grants: new Map(), runs: new Map(), answers: []};
   private readonly entries: Entry[] = [];
+  private readonly gatherers = new Map<string, ClaimGatherer>();
   private readonly random: () => number;
   private faultShare = 0;
   private nextAttempt = 1;
@@ -87,7 +93,7 @@
       snapshotIntervalMs: 8_000,
       isClaimantLive: other => this.entries.some(entry => entry.name === other && !entry.isCrashed),
       gathering: {
-        getGatherer: (workspace, key) => this.getGatherer(name, key),
+        getGatherer: () => this.getGatherer(name),
         getAppenderCount: () => 2,
       },
     });
@@ -144,10 +150,10 @@
     await entry.service.recordOutcome({...outcome, run: 'ran', answer: stored});
   }
 
-  private getGatherer(from: string, key: string) {
-    const live = this.entries.filter(entry => !entry.isCrashed);
-    const gatherer = live[key.length % live.length];
-    if (!gatherer || gatherer.name === from || this.random() < 0.3) return undefined;
+  /** Views of membership change at random, so an entry sends one key's claims to several gatherers. */
+  private getGatherer(from: string): ClaimGatherer | undefined {
+    const gatherer = this.choose();
+    if (gatherer.name === from || this.random() < 0.3) return undefined;
     const call = async <Value>(run: () => Promise<Value>, timeoutMs: number): Promise<Value> => {
       const timeout = this.time.sleep(timeoutMs).then(() => {
         throw new Error('timeout');
@@ -157,14 +163,16 @@
       return Promise.race([this.isFault() ? answer.then(() => timeout) : answer, timeout]);
     };
     const {service} = gatherer;
-    return {
-      claim: (proposal: Parameters<ClaimService['claimFor']>[0], timeoutMs: number) =>
-        call(() => service.claimFor(proposal), timeoutMs),
-      recordOutcome: (
-        outcome: Parameters<ClaimService['recordOutcomeHere']>[0],
-        timeoutMs: number,
-      ) => call(() => service.recordOutcomeHere(outcome), timeoutMs),
+    const kept = this.gatherers.get(`${from} ${gatherer.name}`) ?? {
+      instanceId: gatherer.name,
+      gather: ({claims, outcomes}, timeoutMs) =>
+        call(() => {
+          outcomes.forEach(outcome => service.addOutcomeFor(outcome));
+          return Promise.all(claims.map(claim => service.claimFor(claim)));
+        }, timeoutMs),
     };
+    this.gatherers.set(`${from} ${gatherer.name}`, kept);
+    return kept;
   }
 
   /** Holds back a frozen entry until it is woken, and a crashed one for good. */
