A wall clock that is set back makes no old configuration look fresh

Cause: the entry passed Date.now where ages are decided (configuration, its peers' readings, the fleet stream's relay, claims). Set back by an hour, the configuration read before counted as fresh for an hour more. Now ages come from EntryClock, which runs with the monotonic clock and adds the steps by which the wall clock gets ahead, since the monotonic one stands still on a suspended machine. Instants that others read stay on the wall clock, also the incarnation in membership.

Left: isClaimFresh in src/http still gets the wall clock; a step there can't make a key run twice.

--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -14,6 +14,7 @@
 import type {StreamRelay} from '../peer/index.js';
 import {InstanceListClient} from '../platform/index.js';
 import {ClaimantWatch, createClaimant} from './ClaimantWatch.js';
+import {EntryClock} from './EntryClock.js';
 import type {EntrySettings} from './EntrySettings.js';
 import {PeerParts} from './PeerParts.js';
 import {ServerWatcher} from './ServerWatcher.js';
@@ -50,12 +51,13 @@
   private readonly server: CallersServer;
   private readonly handover: Handover;
   private readonly claimantWatch = new ClaimantWatch();
+  private readonly clock = new EntryClock();
   private isStopping = false;
 
   constructor(options: EntryDaemonOptions) {
     this.options = options;
     const {settings} = options;
-    const getNowMs = () => Date.now();
+    const {getWallMs: getNowMs, getAgeClockMs} = this.clock;
     const writer = createClaimant(settings.instanceId, randomUUID());
     this.log = new LogClient({url: settings.logUrl, timeoutMs: LOG_TIMEOUT_MS});
     this.list = new InstanceListClient({url: settings.listUrl, timeoutMs: LIST_TIMEOUT_MS});
@@ -81,6 +83,7 @@
       log: this.log,
       writer,
       getNowMs,
+      getAgeClockMs,
       random: Math.random,
       onIncidents: incidents => this.serving.incidents.addIncidents(incidents),
       onHandover: requests => this.server.getHandedRuns().accept(requests),
@@ -88,10 +91,10 @@
     this.claims = new ClaimService({
       log: this.log,
       claimant: writer,
-      getNowMs,
+      getNowMs: getAgeClockMs,
       gathering: this.peers.getClaimGathering(),
       random: Math.random,
-      isClaimantLive: claimant => this.isClaimantLive(claimant, getNowMs()),
+      isClaimantLive: claimant => this.isClaimantLive(claimant, getAgeClockMs()),
     });
     this.peers.addClaimService(this.claims);
     this.fleetRelay = this.peers.createRelay({
@@ -205,7 +208,7 @@
     return new StreamFollower({
       stream: 'fleet',
       log: this.log,
-      getNowMs: () => Date.now(),
+      getNowMs: this.clock.getAgeClockMs,
       fold: this.fleetFold,
       writer: this.fleetWriter,
       onApplied: () => this.writeFleetSections(),
--- a/src/entry/PeerParts.ts
+++ b/src/entry/PeerParts.ts
@@ -30,7 +30,10 @@
   readonly log: LogAccess;
   /** Incarnation of this process in the log. */
   readonly writer: string;
+  /** Returns the wall clock's time. */
   readonly getNowMs: () => number;
+  /** Returns the time of a clock that never goes back, for ages; the log's followers use the same. */
+  readonly getAgeClockMs: () => number;
   readonly random: () => number;
   /** Called with evidence that a peer sent. */
   readonly onIncidents: (incidents: readonly Incident[]) => void;
@@ -50,7 +53,7 @@
 
   constructor(options: PeerPartsOptions) {
     this.options = options;
-    const {settings, blackboard, log, writer, getNowMs, random} = options;
+    const {settings, blackboard, log, writer, getAgeClockMs, random} = options;
     const keys = new PeerKeys(settings.deploymentKeys);
     const {address} = settings;
     this.client = new PeerClient({keys, timeoutMs: PEER_TIMEOUT_MS});
@@ -60,7 +63,7 @@
       client: this.client,
       blackboard,
       writer,
-      getNowMs,
+      getNowMs: getAgeClockMs,
       random,
     });
   }
@@ -108,7 +111,7 @@
   createRelay(
     options: Pick<StreamRelayOptions, 'stream' | 'follower' | 'fold' | 'onAdopted'>,
   ): StreamRelay {
-    const {blackboard, settings, writer, getNowMs, random} = this.options;
+    const {blackboard, settings, writer, getAgeClockMs: getNowMs, random} = this.options;
     const {instanceId: ownInstanceId} = settings;
     const {client} = this;
     const shared = {client, blackboard, ownInstanceId, writer, getNowMs, random};
@@ -166,14 +169,14 @@
   }
 
   private createMembership(callersPort: number): MembershipLoop {
-    const {settings, blackboard, getNowMs, random} = this.options;
+    const {settings, blackboard, getNowMs, getAgeClockMs, random} = this.options;
     const {instanceId, address, failureDomain} = settings;
     return new MembershipLoop({
       self: {instanceId, address, failureDomain, callersPort, peerPort: this.peerPort},
       incarnation: getNowMs(),
       client: this.client,
       blackboard,
-      getNowMs,
+      getNowMs: getAgeClockMs,
       random,
       onReading: (reading, member) => this.configuration.observePeer(reading, member),
     });
