The fleet's fold forgets writers, and a relayed state counts as no record

Now a writer is forgotten once 50,000 records came after its last one.

Found with it: StreamRelay applied a peer's state as a record of that peer with sequence 1, so an entry that took it over dropped the peer's own first record (a quarantine) as a repeat, and stayed apart from the others. It now restores the state.

It goes on where it has read everything.

--- a/src/folds/FleetFold.ts
+++ b/src/folds/FleetFold.ts
@@ -5,7 +5,7 @@
 import {DrainFold, instanceDrainSchema, type InstanceDrain} from './DrainFold.js';
 import {FailureDomainFold, failureDomainStatusSchema} from './FailureDomainFold.js';
 import {ACCEPTED, reject, type FleetVerdict} from './FleetVerdict.js';
-import {RepeatFilter, type SnapshotFold} from './Fold.js';
+import {RepeatFilter, type RelayedFold, type RepeatFilterOptions} from './Fold.js';
 import {LeaseFold, leaseStateSchema, type LeaseState} from './LeaseFold.js';
 import {MoveFold, moveSchema} from './MoveFold.js';
 import {QuarantineFold, quarantineSchema, type Quarantine} from './QuarantineFold.js';
@@ -16,12 +16,18 @@
   failureDomains: z.array(failureDomainStatusSchema),
   quarantines: z.array(quarantineSchema),
   drains: z.array(instanceDrainSchema).default([]),
-  lastSequences: z.array(z.strictObject({writer: z.string(), sequence: z.number().int()})),
+  lastSequences: z.array(
+    z.strictObject({
+      writer: z.string(),
+      sequence: z.number().int(),
+      offset: z.number().int().optional(),
+    }),
+  ),
 });
 
 /** Folds the fleet stream; after a gap it ignores records until a snapshot gives it the whole state again. */
-export class FleetFold implements SnapshotFold {
-  private readonly repeats = new RepeatFilter();
+export class FleetFold implements RelayedFold {
+  private readonly repeats: RepeatFilter;
   private readonly lease = new LeaseFold();
   private readonly moves = new MoveFold();
   private readonly failureDomains = new FailureDomainFold();
@@ -30,6 +36,10 @@
   private isWhole = true;
   private lastVerdict: FleetVerdict = ACCEPTED;
 
+  constructor(options?: RepeatFilterOptions) {
+    this.repeats = new RepeatFilter(options);
+  }
+
   applyRecord(placed: PlacedRecord): void {
     this.lastVerdict = this.judge(placed);
   }
@@ -77,20 +87,23 @@
     return this.lastVerdict;
   }
 
+  restoreSnapshot(body: LogBody): void {
+    if (body.kind === 'fleet-snapshot') this.restore(body);
+  }
+
   createSnapshot(coversOffset: number): readonly LogBody[] {
     return [{kind: 'fleet-snapshot', coversOffset, state: this.getSnapshotState()}];
   }
 
   /** Returns the whole state for the `state` field of a snapshot record. */
   getSnapshotState(): string {
-    const lastSequences = [...this.repeats.getLastSequences()];
     return JSON.stringify({
       lease: this.getLease(),
       moves: this.getMoves(),
       failureDomains: this.getFailureDomains(),
       quarantines: this.quarantines.getAllQuarantines(),
       drains: this.getDrains(),
-      lastSequences: lastSequences.map(([writer, sequence]) => ({writer, sequence})),
+      lastSequences: this.repeats.getMarks(),
     });
   }
 
@@ -136,19 +149,22 @@
   /** A snapshot holds only where no record stands between it and the last one that it covers. */
   private applySnapshot(body: LogBodyOf<'fleet-snapshot'>, placed: PlacedRecord): FleetVerdict {
     if (body.coversOffset !== placed.offset - 1) return reject('records-in-between');
-    if (!this.isWhole) this.restore(body.state);
+    if (!this.isWhole) this.restore(body);
     if (this.repeats.isRepeat(placed)) return reject('repeat');
     return ACCEPTED;
   }
 
-  private restore(stateText: string): void {
+  /** A mark without an offset comes from a daemon that kept none; it counts from the snapshot on. */
+  private restore({state: stateText, coversOffset}: LogBodyOf<'fleet-snapshot'>): void {
     const state = fleetStateSchema.parse(JSON.parse(stateText));
     this.lease.restore(state.lease);
     this.moves.restore(state.moves);
     this.failureDomains.restore(state.failureDomains);
     this.quarantines.restore(state.quarantines);
     this.drains.restore(state.drains);
-    this.repeats.restore(new Map(state.lastSequences.map(last => [last.writer, last.sequence])));
+    this.repeats.restore(
+      state.lastSequences.map(mark => ({...mark, offset: mark.offset ?? coversOffset})),
+    );
     this.isWhole = true;
   }
 }
--- a/src/folds/Fold.ts
+++ b/src/folds/Fold.ts
@@ -31,32 +31,76 @@
   createSnapshot(coversOffset: number): readonly LogBody[];
 }
 
-/** Recognises repeated appends: a writer's records stand in order, so a sequence that doesn't grow is a repeat. */
+/** A fold that can take over the state of a daemon that has read further. */
+export interface RelayedFold extends SnapshotFold {
+  /**
+   * Takes over another daemon's state.
+   * @param body - Its snapshot; one of another stream is left.
+   */
+  restoreSnapshot(body: LogBody): void;
+}
+
+/** The newest record of a writer. */
+export interface WriterMark {
+  readonly writer: string;
+  readonly sequence: number;
+  readonly offset: number;
+}
+
+/** Options of a `RepeatFilter`. */
+export interface RepeatFilterOptions {
+  /** Records after which a writer that wrote none of them is forgotten; every reader of a deployment uses the same. */
+  readonly keepRecords: number;
+}
+
+/** Default of `RepeatFilterOptions.keepRecords`: at the log's highest rate still minutes, far longer than an append is repeated. */
+export const DEFAULT_KEEP_RECORDS = 50_000;
+
+/**
+ * Recognises repeated appends: a writer's records stand in order, so a sequence that doesn't grow is a repeat. Writers
+ * are forgotten by offset, which every reader sees alike, and a mark keeps its offset through a snapshot.
+ */
 export class RepeatFilter {
-  private readonly lastSequences = new Map<string, number>();
+  private readonly keepRecords: number;
+  /** Marks in the order of their offsets, so the old ones come first. */
+  private readonly marks = new Map<string, WriterMark>();
+
+  constructor(options: RepeatFilterOptions = {keepRecords: DEFAULT_KEEP_RECORDS}) {
+    this.keepRecords = options.keepRecords;
+  }
 
   /**
    * Notes a record and says whether it repeats an earlier one.
    * @param placed - The record.
    */
-  isRepeat({record}: PlacedRecord): boolean {
-    const last = this.lastSequences.get(record.writer) ?? 0;
-    if (record.sequence <= last) return true;
-    this.lastSequences.set(record.writer, record.sequence);
+  isRepeat({record, offset}: PlacedRecord): boolean {
+    this.forgetOldWriters(offset);
+    const {writer, sequence} = record;
+    const last = this.marks.get(writer);
+    if (last && sequence <= last.sequence) return true;
+    this.marks.delete(writer);
+    this.marks.set(writer, {writer, sequence, offset});
     return false;
   }
 
-  /** Returns the last sequence of each writer, for a snapshot. */
-  getLastSequences(): ReadonlyMap<string, number> {
-    return this.lastSequences;
+  /** Returns the newest record of each writer, the oldest first, for a snapshot. */
+  getMarks(): readonly WriterMark[] {
+    return [...this.marks.values()];
   }
 
   /**
    * Takes over the state of a snapshot.
-   * @param lastSequences - The last sequence of each writer.
+   * @param marks - The newest record of each writer, the oldest first.
    */
-  restore(lastSequences: ReadonlyMap<string, number>): void {
-    this.lastSequences.clear();
-    for (const [writer, sequence] of lastSequences) this.lastSequences.set(writer, sequence);
+  restore(marks: readonly WriterMark[]): void {
+    this.marks.clear();
+    for (const mark of marks) this.marks.set(mark.writer, mark);
+  }
+
+  private forgetOldWriters(offset: number): void {
+    for (const mark of this.marks.values()) {
+      if (mark.offset >= offset - this.keepRecords) return;
+      this.marks.delete(mark.writer);
+    }
   }
 }
--- a/src/folds/index.ts
+++ b/src/folds/index.ts
@@ -4,7 +4,13 @@
 export {FleetFold} from './FleetFold.js';
 export type {FleetRejection, FleetVerdict} from './FleetVerdict.js';
 export type {ClaimOutcome, KeptClaim} from './KeptClaim.js';
-export {RepeatFilter, type Fold, type SnapshotFold} from './Fold.js';
+export {
+  RepeatFilter,
+  type Fold,
+  type RelayedFold,
+  type RepeatFilterOptions,
+  type SnapshotFold,
+} from './Fold.js';
 export type {LeaseState} from './LeaseFold.js';
 export {isMoveEnded} from './MoveFold.js';
 export type {Quarantine} from './QuarantineFold.js';
--- a/src/peer/StreamRelay.ts
+++ b/src/peer/StreamRelay.ts
@@ -1,6 +1,6 @@
 /** Passes on between entries what was read of a stream, for an entry that is cut off from the log alone. */
 import type {Blackboard, Member} from '../blackboard/index.js';
-import type {SnapshotFold} from '../folds/index.js';
+import type {RelayedFold} from '../folds/index.js';
 import {systemSleep, type Sleep, type StreamFollower} from '../log/index.js';
 import {decodeRecord, encodeRecord, type LogStream} from '../records/index.js';
 import type {ReadLogRequest} from './generated/buckthorn/peer/v1/peer_pb.js';
@@ -11,7 +11,7 @@
 export interface StreamRelayOptions {
   readonly stream: LogStream;
   readonly follower: StreamFollower;
-  readonly fold: SnapshotFold;
+  readonly fold: RelayedFold;
   readonly client: PeerClient;
   readonly blackboard: Blackboard;
   readonly ownInstanceId: string;
@@ -116,14 +116,12 @@
     }
   }
 
-  /** The snapshot is applied as if it stood right after what it covers, to a fold that knows that it lacks records. */
+  /** The snapshot stands in no log, so it is taken over as a state and not applied as a record of its writer. */
   private adopt(coversOffset: number, payload: Uint8Array): void {
     const {fold, follower, onAdopted} = this.options;
     if (coversOffset < follower.getNextOffset()) return;
-    const offset = coversOffset + 1;
-    fold.markIncomplete(offset);
-    fold.applyRecord({offset, record: decodeRecord(new TextDecoder().decode(payload))});
-    follower.skipTo(offset);
+    fold.restoreSnapshot(decodeRecord(new TextDecoder().decode(payload)).body);
+    follower.skipTo(coversOffset + 1);
     onAdopted();
   }
 
--- a/tests/peer/StreamRelay.test.ts
+++ b/tests/peer/StreamRelay.test.ts
@@ -46,10 +46,15 @@
   return {fold, relay, stop};
 }
 
-function order(sequence: number, state: 'in' | 'out', replacesRevision: number): string {
+function order(
+  sequence: number,
+  state: 'in' | 'out',
+  replacesRevision: number,
+  writer = 'ctl',
+): string {
   const body = {kind: 'domain-order', failureDomain: 'fd-a', state, replacesRevision} as const;
   const asked = {requestedBy: 'ctl', requestedAtMs: 0};
-  return encodeRecord({writer: 'ctl', sequence, body: {...body, ...asked}});
+  return encodeRecord({writer, sequence, body: {...body, ...asked}});
 }
 
 t.test('StreamRelay', t => {
@@ -82,6 +87,8 @@
       cutLog.setOut(false);
       await cutLog.append('fleet', [order(1, 'out', 0), order(2, 'in', 1)]);
       t.ok(await waitFor(() => !isOut(), OUT_BOUND_MS), 'reads on where the peer stood');
+      await cutLog.append('fleet', [order(1, 'out', 2, 'e1')]);
+      t.ok(await waitFor(isOut, OUT_BOUND_MS), "takes the peer's own first record");
       await Promise.all([one.stop(), two.stop()]);
       await server.stop();
     },
