--- /dev/null
+++ b/tests/controllers/claims/decideClaim.test.ts
@@ -0,0 +1,59 @@
+/** Tests of what becomes of keys that are older than claims are kept, as docs/operators/idempotency-keys.md tells it. */
+import t from 'tap';
+import {decideClaim, type ClaimView} from '../../../src/controllers/claims/index.js';
+import type {KeptClaim} from '../../../src/folds/index.js';
+
+const HOUR_MS = 3_600_000;
+const DAY_MS = 24 * HOUR_MS;
+const NOW_MS = 1_790_000_000_000;
+const FORGOTTEN_BEFORE_MS = NOW_MS - 7 * DAY_MS;
+const TIME_DIGITS = 12;
+const ANSWER = {status: 201, contentType: 'text/plain', bodyBase64: 'b2s='};
+
+/** Returns a UUID of version 7 that was made at an instant. */
+function createKey(atMs: number): string {
+  const digits = atMs.toString(16).padStart(TIME_DIGITS, '0');
+  return `${digits.slice(0, 8)}-${digits.slice(8)}-7cc1-9d3e-5b1f0a6e2c44`;
+}
+
+function createClaim(key: string, outcome?: KeptClaim['outcome']): KeptClaim {
+  const claim = {workspace: 'w', key, attemptId: 'a1', claimant: 'e1', fingerprint: 'f'};
+  return {...claim, offset: 1, claimedAtMs: NOW_MS, outcome};
+}
+
+t.test('decideClaim', t => {
+  function doTest(name: string, key: string, expected: string, claim?: KeptClaim) {
+    t.test(name, t => {
+      const view: ClaimView = {
+        claim,
+        isHistoryWhole: true,
+        forgottenBeforeMs: FORGOTTEN_BEFORE_MS,
+        claimant: 'e1',
+        isClaimantLive: true,
+      };
+      const request = {workspace: 'w', key, attemptId: 'a1', fingerprint: 'f'};
+      t.equal(decideClaim(view, request)?.verdict ?? 'free', expected);
+      t.end();
+    });
+  }
+
+  const old = createKey(NOW_MS - 8 * DAY_MS);
+  doTest('leaves a new key of version 7 free', createKey(NOW_MS), 'free');
+  doTest('refuses an old key of version 7 that no claim is known of', old, 'unknown');
+  doTest(
+    'refuses it from an hour before seven days are over',
+    createKey(FORGOTTEN_BEFORE_MS + HOUR_MS - 1),
+    'unknown',
+  );
+  doTest('leaves it free until then', createKey(FORGOTTEN_BEFORE_MS + HOUR_MS), 'free');
+  doTest('takes an old key without a time for a new one', 'booking-17', 'free');
+  doTest('knows no time in a UUID of version 4', old.replace('-7', '-4'), 'free');
+  doTest('grants no claim on an old key', old, 'unknown', createClaim(old));
+  doTest(
+    'gives the kept answer of an old key whose claim is younger',
+    old,
+    'done',
+    createClaim(old, {run: 'ran', answer: ANSWER}),
+  );
+  t.end();
+});
