A cold server's limit grows only after half its level, from whole answers

Cause: the limit over all entries grew linearly from the first token on, so that with a warm limit of 32 a cold engine which bears 4 had 5 requests open after three answers; and a try that its caller gave up counted as a warming one at its first token. Change: no growth below half the level; a broken-off try raises nothing; reported work counts a third as fast (60 s to warm). Cost: fresh capacity opens later, after 12 answers an entry instead of one.

--- a/src/controllers/warmth/warmthLimit.ts
+++ b/src/controllers/warmth/warmthLimit.ts
@@ -2,6 +2,7 @@
 import type {BackendServer, Member, Warmth} from '../../blackboard/index.js';
 import type {Service} from '../../configuration/index.js';
 import {rankByRendezvous} from '../../utils/index.js';
+import {GROWTH_START_PART} from './warmthState.js';
 
 /** What the limit depends on. */
 export interface WarmthLimitView {
@@ -21,7 +22,8 @@
 /**
  * Returns how many requests this entry may have open at the server.
  *
- * The total over all entries grows with warmth from the cold limit to the warm one. Its places are dealt in turn to the
+ * The total over all entries stays at the cold limit up to a level of warmth, since a server that has answered a few requests
+ * may still be cold, and grows from there to the warm one. Its places are dealt in turn to the
  * first ranks by rendezvous hash. What an entry gets depends on its rank and on the total only, and grows with the total;
  * so all entries together keep to the highest total that any of them sees, without asking each other. A warm server is
  * free to all, up to what the service allows.
@@ -33,7 +35,8 @@
   const {maxConcurrentRequests, coldConcurrentRequests} = service;
   if (levelPart >= 1) return maxConcurrentRequests;
   const coldRequests = Math.min(coldConcurrentRequests, maxConcurrentRequests);
-  const growth = Math.floor((maxConcurrentRequests - coldRequests) * levelPart);
+  const grownPart = Math.max(0, levelPart - GROWTH_START_PART) / (1 - GROWTH_START_PART);
+  const growth = Math.floor((maxConcurrentRequests - coldRequests) * grownPart);
   const rank = getOwnRank(view);
   if (rank >= SHARING_ENTRIES) return 0;
   return Math.floor((coldRequests + growth + SHARING_ENTRIES - 1 - rank) / SHARING_ENTRIES);
--- a/src/controllers/warmth/warmthState.ts
+++ b/src/controllers/warmth/warmthState.ts
@@ -13,7 +13,13 @@
 
 /** What is learned of a backend server. */
 export type WarmthObservation =
-  | {readonly kind: 'first-token'; readonly expectedMs: number; readonly observedMs: number}
+  | {
+      readonly kind: 'first-token';
+      readonly expectedMs: number;
+      readonly observedMs: number;
+      /** Whether the try ended before its answer did, so that it warmed nothing. */
+      readonly isBroken?: boolean;
+    }
   | {
       readonly kind: 'load-report';
       readonly runningRequests: number;
@@ -25,9 +31,14 @@
   | {readonly kind: 'silent'}
   | {readonly kind: 'reported-cold'};
 
+type LoadReportObservation = Extract<WarmthObservation, {kind: 'load-report'}>;
+
+/** Level up to which a server gets no more than a cold one. */
+export const GROWTH_START_PART = 0.5;
+
 const SERVED_REQUESTS_TO_WARM = 24;
 /** Time of reported work after which a server counts as warm for entries that don't use it themselves. */
-const BUSY_MS_TO_WARM = 20_000;
+const BUSY_MS_TO_WARM = 60_000;
 /** Longest time between two reports that counts as work in between. */
 const MAX_REPORT_INTERVAL_MS = 2_000;
 const SLOW_FACTOR = 3;
@@ -78,10 +89,12 @@
 
 function addFirstToken(
   state: WarmthState,
-  {expectedMs, observedMs}: Extract<WarmthObservation, {kind: 'first-token'}>,
+  {expectedMs, observedMs, isBroken}: Extract<WarmthObservation, {kind: 'first-token'}>,
 ): WarmthState {
   const isSlow = observedMs > expectedMs * SLOW_FACTOR + SLOW_MARGIN_MS;
-  if (!isSlow) return addLevel({...state, slowInRow: 0}, 1 / SERVED_REQUESTS_TO_WARM);
+  if (!isSlow) {
+    return addLevel({...state, slowInRow: 0}, isBroken ? 0 : 1 / SERVED_REQUESTS_TO_WARM);
+  }
   const slowInRow = state.slowInRow + 1;
   if (slowInRow >= SLOW_IN_ROW_TO_SUSPECT && state.levelPart > 0) return turnCold(state);
   return {...state, slowInRow};
@@ -90,18 +103,28 @@
 /** A server that runs more than a cold one may was found warm by those who use it. */
 function addLoadReport(
   state: WarmthState,
-  report: Extract<WarmthObservation, {kind: 'load-report'}>,
+  report: LoadReportObservation,
   nowMs: number,
 ): WarmthState {
-  const {runningRequests, coldRequests, warmRequests} = report;
+  const {runningRequests} = report;
   const sinceMs = Math.min(MAX_REPORT_INTERVAL_MS, nowMs - state.lastReportAtMs);
   const busyPart = runningRequests > 0 ? sinceMs / BUSY_MS_TO_WARM : 0;
-  const spanRequests = Math.max(1, warmRequests - coldRequests);
-  const provenPart = state.isSuspect ? 0 : (runningRequests - coldRequests) / spanRequests;
-  const levelPart = Math.max(state.levelPart, provenPart);
+  const levelPart = Math.max(state.levelPart, state.isSuspect ? 0 : getProvenLevel(report));
   return addLevel({...state, levelPart, lastReportAtMs: nowMs}, busyPart);
 }
 
+/** Returns the level at which as many requests as run there are allowed. */
+function getProvenLevel({
+  runningRequests,
+  coldRequests,
+  warmRequests,
+}: LoadReportObservation): number {
+  if (runningRequests <= coldRequests) return 0;
+  const spanRequests = Math.max(1, warmRequests - coldRequests);
+  const grownPart = (runningRequests - coldRequests) / spanRequests;
+  return GROWTH_START_PART + (1 - GROWTH_START_PART) * grownPart;
+}
+
 function addLevel(state: WarmthState, part: number): WarmthState {
   const sum = Math.max(0, state.levelPart + part);
   const levelPart = sum > 1 - ROUNDING ? 1 : sum;
--- a/src/engine/ServerTracker.ts
+++ b/src/engine/ServerTracker.ts
@@ -26,6 +26,8 @@
 export interface FirstTokenSample {
   readonly expectedMs: number;
   readonly observedMs: number;
+  /** Whether the try ended before its answer did. */
+  readonly isBroken?: boolean;
 }
 
 /** Time after which a dead backend server is tried again where no load report came. */
--- a/src/http/CompletionObserver.ts
+++ b/src/http/CompletionObserver.ts
@@ -118,7 +118,8 @@
     const firstTokenMs = attempt.getFirstTokenMs();
     release();
     if (firstTokenMs !== undefined) {
-      const observed = {expectedMs: expectedFirstTokenMs, observedMs: firstTokenMs};
+      const isBroken = error !== undefined;
+      const observed = {expectedMs: expectedFirstTokenMs, observedMs: firstTokenMs, isBroken};
       context.tracker.addFirstToken(server, observed);
     }
     if (error?.failure !== 'broken') this.removeFromQuarantine(attemptId, error === undefined);
--- a/tests/controllers/warmth/warmthState.test.ts
+++ b/tests/controllers/warmth/warmthState.test.ts
@@ -38,7 +38,13 @@
   doTest('warms by answers in time', [[8, IN_TIME]], 'warming');
   doTest('is warm after enough of them', [[24, IN_TIME]], 'warm');
   doTest('does not warm by slow answers', [[30, SLOW]], 'cold');
-  doTest('warms for others by reported work', [[21, {...REPORT, runningRequests: 1}]], 'warm');
+  doTest('does not warm by answers that broke off', [[30, {...IN_TIME, isBroken: true}]], 'cold');
+  doTest('warms for others by reported work', [[61, {...REPORT, runningRequests: 1}]], 'warm');
+  doTest(
+    'is not warm for others by less of it',
+    [[29, {...REPORT, runningRequests: 1}]],
+    'warming',
+  );
   doTest('does not warm while idle', [[100, {...REPORT, runningRequests: 0}]], 'cold');
   doTest('takes a loaded server for warm', [[1, {...REPORT, runningRequests: 16}]], 'warm');
   doTest(
