--- /dev/null
+++ b/src/catalog/index.ts
@@ -0,0 +1,20 @@
+export {Catalog, type RolloutOrder} from './Catalog.js';
+export {RouteTable} from './RouteTable.js';
+export {
+  ServerCatalog,
+  type KnownServer,
+  type ServerChange,
+  type ServerEntry,
+} from './ServerCatalog.js';
+export type {
+  ConnectionLimits,
+  EngineLimits,
+  ReplicaBounds,
+  Route,
+  RouteKind,
+  Service,
+  ServiceShare,
+  ServingConfiguration,
+  Workspace,
+  WorkspaceAllotment,
+} from './ServingConfiguration.js';
--- /dev/null
+++ b/src/controllers/allotments/index.ts
@@ -0,0 +1,6 @@
+export {
+  AllotmentLedger,
+  type AllotmentDecision,
+  type AllotmentLedgerOptions,
+  type PeerReach,
+} from './AllotmentLedger.js';
--- /dev/null
+++ b/src/controllers/fleetSize/index.ts
@@ -0,0 +1,6 @@
+export {
+  decideFleetSize,
+  type DomainFleet,
+  type DomainOrder,
+  type FleetView,
+} from './decideFleetSize.js';
--- /dev/null
+++ b/src/controllers/placement/index.ts
@@ -0,0 +1,10 @@
+export {ColdGate, type ColdLimit} from './ColdGate.js';
+export {ServerHealth, type HealthOutcome} from './ServerHealth.js';
+export {ServerLoads, type ServerLoad} from './ServerLoads.js';
+export {
+  choosePlacement,
+  type PlacementDecision,
+  type PlacementRequest,
+  type PlacementView,
+  type PromptPart,
+} from './choosePlacement.js';
--- /dev/null
+++ b/src/exchange/index.ts
@@ -0,0 +1,28 @@
+export {EventFramer, type FramedEvents} from './EventFramer.js';
+export {
+  ExchangeRun,
+  type AdmittedRequest,
+  type ExchangeRunOptions,
+  type RunOutcome,
+} from './ExchangeRun.js';
+export type {
+  AnswerSink,
+  BackendCall,
+  BackendFailure,
+  BackendHead,
+  BackendReplyHandler,
+  BackendSend,
+  BackendTransport,
+  HeaderFields,
+  Refusal,
+  RefusalKind,
+  ServingRequest,
+} from './ExchangeTypes.js';
+export type {RunServices} from './RunServices.js';
+export {checkRequest, type RequestCheck, type RequestCheckOptions} from './checkRequest.js';
+export {
+  decideAfterFailure,
+  type FailureDecision,
+  type FailureView,
+  type TryEnd,
+} from './decideAfterFailure.js';
--- /dev/null
+++ b/src/gateway/Gateway.ts
@@ -0,0 +1,376 @@
+/** One serving process: admits requests, runs them, and tells the other gateways what it does. */
+import type {Catalog, Route, Workspace} from '../catalog/index.js';
+import {AllotmentLedger} from '../controllers/allotments/index.js';
+import {UsageLedger} from '../controllers/duties/index.js';
+import {ServerLoads} from '../controllers/placement/index.js';
+import {
+  ExchangeRun,
+  checkRequest,
+  type AnswerSink,
+  type BackendTransport,
+  type RefusalKind,
+  type RunOutcome,
+  type ServingRequest,
+} from '../exchange/index.js';
+import {GossipSocket, MemberTable, type GatewayMember, type GossipState} from '../gossip/index.js';
+import type {Logger} from '../logging/index.js';
+import {chooseCallerAddresses} from './chooseCallerAddresses.js';
+import {DutyRunner} from './DutyRunner.js';
+import {GatewayRunServices} from './GatewayRunServices.js';
+import type {GatewaySettings} from './GatewaySettings.js';
+import type {DutyCalls, DutyLog} from './ports.js';
+
+/** Options of a `Gateway`. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly catalog: Catalog;
+  readonly transport: BackendTransport;
+  readonly dutyCalls: DutyCalls;
+  readonly dutyLog: DutyLog;
+  readonly logger: Logger;
+  readonly getNowMs: () => number;
+  readonly getWallMs: () => number;
+  readonly random: () => number;
+}
+
+/** A request that is under way. */
+export interface OpenRequest {
+  /** Ends the request, since its caller has left. */
+  abandon(): void;
+}
+
+const GOSSIP_INTERVAL_MS = 250;
+const DUTY_INTERVAL_MS = 400;
+/** A gateway that is silent for longer gets no callers. */
+const SILENT_AFTER_MS = 1_200;
+/** A gateway that is silent for longer is taken not to run any more. */
+const GONE_AFTER_MS = 8_000;
+/** Part of the revocation bound after which keys are not honoured without news. */
+const CURRENCY_SHARE = 0.8;
+/** Age of the registrations beyond which a gateway doesn't call itself ready. */
+const MAX_SERVERS_AGE_MS = 20_000;
+const CLOSED: OpenRequest = {abandon: () => undefined};
+
+/** A gateway without its sockets for callers, which an adapter opens. */
+export class Gateway {
+  private readonly options: GatewayOptions;
+  private readonly members: MemberTable;
+  private readonly gossip: GossipSocket;
+  private readonly loads = new ServerLoads();
+  private readonly allotments: AllotmentLedger;
+  private readonly usage: UsageLedger;
+  private readonly services: GatewayRunServices;
+  private readonly duties: DutyRunner;
+  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly startedAtMs: number;
+  private readonly runs = new Set<ExchangeRun>();
+  private isStopping = false;
+  /** Next offset of the operators' records, as the adapter reads them. */
+  private operatorOffset = 0;
+
+  constructor(options: GatewayOptions) {
+    const {settings, catalog, logger, getNowMs, getWallMs, random} = options;
+    this.options = options;
+    this.startedAtMs = getNowMs();
+    this.members = new MemberTable(settings.id, {
+      silentAfterMs: SILENT_AFTER_MS,
+      goneAfterMs: GONE_AFTER_MS,
+    });
+    this.allotments = new AllotmentLedger({beginsFull: settings.isFirstStart});
+    this.usage = new UsageLedger(settings.usageWindowSeconds);
+    this.services = new GatewayRunServices({
+      settings,
+      catalog,
+      loads: this.loads,
+      usage: this.usage,
+      getGateways: nowMs => this.members.getKnownCount(nowMs) + 1,
+      getNowMs,
+      getWallMs,
+      random,
+    });
+    this.gossip = new GossipSocket({
+      ip: settings.ip,
+      port: settings.gossipPort,
+      logger,
+      onState: state => this.applyGossip(state),
+    });
+    this.duties = new DutyRunner({
+      settings,
+      catalog,
+      members: this.members,
+      ledger: this.usage,
+      calls: options.dutyCalls,
+      log: options.dutyLog,
+      logger,
+      isReady: () => this.isReady(),
+      getNowMs,
+      getWallMs,
+    });
+  }
+
+  /** Opens the socket to the other gateways and starts the periodic work. */
+  async start(): Promise<void> {
+    await this.gossip.open();
+    this.tell();
+    this.timers.push(setInterval(() => this.tell(), GOSSIP_INTERVAL_MS));
+    this.timers.push(setInterval(() => this.runDuties(), DUTY_INTERVAL_MS));
+  }
+
+  /** Tells the others that this gateway leaves; requests under way go on. */
+  beginStop(): void {
+    this.isStopping = true;
+    this.tell();
+  }
+
+  /** Ends the periodic work. */
+  close(): void {
+    for (const timer of this.timers) clearInterval(timer);
+    this.gossip.close();
+  }
+
+  /** Returns the number of requests under way. */
+  getOpenRequests(): number {
+    return this.runs.size;
+  }
+
+  /** Returns whether this gateway serves new callers. */
+  isReady(): boolean {
+    const {catalog, getNowMs} = this.options;
+    if (this.isStopping || !catalog.table) return false;
+    const nowMs = getNowMs();
+    return (
+      catalog.getOperatorAgeMs(nowMs) <= this.getMaxConfigurationAgeMs() &&
+      catalog.getServersAgeMs(nowMs) <= MAX_SERVERS_AGE_MS
+    );
+  }
+
+  /** Whether the process has been asked to stop. */
+  get isLeaving(): boolean {
+    return this.isStopping;
+  }
+
+  /**
+   * Returns the addresses that a caller may use.
+   * @param callerDomain - The caller's failure domain; undefined where it doesn't say.
+   */
+  getCallerAddresses(callerDomain: string | undefined): readonly string[] {
+    const own = this.describeSelf();
+    const ready = [own, ...this.members.getHeard(this.options.getNowMs())].filter(
+      member => member.isReady && !member.isLeaving,
+    );
+    return chooseCallerAddresses(ready, callerDomain);
+  }
+
+  /**
+   * Notes how far the operators' records have been read.
+   * @param nextOffset - Offset of the next record.
+   */
+  setOperatorOffset(nextOffset: number): void {
+    this.operatorOffset = nextOffset;
+  }
+
+  /**
+   * Serves a request.
+   * @param request - The request.
+   * @param sink - Where its answer goes.
+   */
+  accept(request: ServingRequest, sink: AnswerSink): OpenRequest {
+    const {catalog, getNowMs} = this.options;
+    const nowMs = getNowMs();
+    const maxConfigurationAgeMs = this.getMaxConfigurationAgeMs();
+    const check = checkRequest(catalog, request, {maxConfigurationAgeMs}, nowMs);
+    if (check.kind === 'refused') {
+      sink.refuse(check.refusal);
+      this.logRefusal(request, check.refusal.kind, undefined);
+      return CLOSED;
+    }
+    const {route, workspace} = check;
+    const retryAfterMs = this.takeAllotment(workspace, request, nowMs);
+    if (retryAfterMs !== undefined) {
+      sink.refuse({kind: 'over-allotment', isNotRun: true, retryAfterMs});
+      this.logRefusal(request, 'over-allotment', workspace?.name);
+      return CLOSED;
+    }
+    return this.run(request, route, workspace, sink);
+  }
+
+  private run(
+    request: ServingRequest,
+    route: Route,
+    workspace: Workspace | undefined,
+    sink: AnswerSink,
+  ): OpenRequest {
+    const {transport, getNowMs, random} = this.options;
+    const waitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    const run: ExchangeRun = new ExchangeRun({
+      admitted: {
+        request,
+        route,
+        service: drawService(route, random),
+        workspace: workspace?.name,
+        priority: workspace?.priority ?? route.priority,
+        deadlineAtMs: request.receivedAtMs + waitMs,
+      },
+      sink,
+      transport,
+      services: this.services,
+      getNowMs,
+      onOutcome: outcome => this.endRun(run, request, route, workspace, outcome),
+    });
+    this.runs.add(run);
+    run.start();
+    return run;
+  }
+
+  private endRun(
+    run: ExchangeRun,
+    request: ServingRequest,
+    route: Route,
+    workspace: Workspace | undefined,
+    outcome: RunOutcome,
+  ): void {
+    this.runs.delete(run);
+    if (workspace?.allotment && !outcome.hasRun) {
+      this.allotments.giveBack(workspace.name, getCost(workspace, request));
+    }
+    const {kind, status, refusal, attempts, serverId, firstEventMs, totalMs, detail} = outcome;
+    this.options.logger.info(
+      {
+        request: request.id,
+        route: route.name,
+        workspace: workspace?.name,
+        outcome: kind,
+        status,
+        refusal,
+        attempts,
+        server: serverId,
+        firstEventMs: round(firstEventMs),
+        totalMs: round(totalMs),
+        detail,
+      },
+      'request',
+    );
+  }
+
+  private logRefusal(
+    request: ServingRequest,
+    refusal: RefusalKind,
+    workspace: string | undefined,
+  ): void {
+    const {catalog, logger, getNowMs} = this.options;
+    logger.info(
+      {
+        request: request.id,
+        path: request.path,
+        workspace,
+        refusal,
+        version: catalog.table?.configuration.version,
+        configurationAgeMs: round(catalog.getOperatorAgeMs(getNowMs())),
+      },
+      'request refused',
+    );
+  }
+
+  /** Returns when to come back where the request is over its workspace's allotment. */
+  private takeAllotment(
+    workspace: Workspace | undefined,
+    request: ServingRequest,
+    nowMs: number,
+  ): number | undefined {
+    if (!workspace?.allotment) return undefined;
+    const reach = {
+      heard: this.members.getHeard(nowMs).filter(({isLeaving}) => !isLeaving).length + 1,
+      known: this.members.getKnownCount(nowMs) + 1,
+    };
+    const cost = getCost(workspace, request);
+    const {name, allotment} = workspace;
+    const decision = this.allotments.admit(name, allotment, cost, reach, nowMs);
+    return decision.kind === 'over' ? decision.retryAfterMs : undefined;
+  }
+
+  private getMaxConfigurationAgeMs(): number {
+    return this.options.settings.revocationMs * CURRENCY_SHARE;
+  }
+
+  private runDuties(): void {
+    this.duties.tick(this.startedAtMs).catch((error: unknown) => {
+      this.options.logger.error({error: String(error)}, 'duties failed');
+    });
+  }
+
+  private tell(): void {
+    const {settings, getNowMs} = this.options;
+    const nowMs = getNowMs();
+    const known = this.members.getAll(nowMs).map(({gossipAddress}) => gossipAddress);
+    const own = `${settings.ip}:${settings.gossipPort}`;
+    const seeds = settings.gossipSeeds.filter(seed => seed !== own && !known.includes(seed));
+    this.gossip.send(this.getState(nowMs), [...known, ...seeds]);
+  }
+
+  private getState(nowMs: number): GossipState {
+    const {catalog} = this.options;
+    return {
+      sender: this.describeSelf(),
+      members: this.members.getHeard(nowMs).filter(({isLeaving}) => !isLeaving),
+      admitted: this.allotments.getAdmitted(),
+      serverLoads: this.loads.getOwnLoads(),
+      usage: this.usage.getOwn(),
+      dutyClaim: this.duties.claim,
+      operatorOffset: this.operatorOffset,
+      operatorAgeMs: catalog.getOperatorAgeMs(nowMs),
+      leavingServerIds: [],
+    };
+  }
+
+  private applyGossip(state: GossipState): void {
+    const nowMs = this.options.getNowMs();
+    const {sender, members, admitted, serverLoads, usage, dutyClaim} = state;
+    if (!this.members.applyHeard(sender, nowMs)) return;
+    for (const member of members) this.members.applyNamed(member, nowMs);
+    for (const [workspace, total] of admitted) {
+      this.allotments.applyPeer(sender.id, sender.incarnation, workspace, total, nowMs);
+    }
+    this.loads.setPeer(sender.id, serverLoads, nowMs);
+    this.usage.applyPeer(sender.id, sender.incarnation, usage);
+    this.duties.applyClaim(dutyClaim);
+    this.applyCurrency(state, nowMs);
+  }
+
+  /** Who has read as far as another gateway knows what that one knew, up to the instant at which it read. */
+  private applyCurrency(state: GossipState, nowMs: number): void {
+    if (state.operatorOffset === 0 || this.operatorOffset < state.operatorOffset) return;
+    this.options.catalog.markOperatorCurrent(nowMs - state.operatorAgeMs);
+  }
+
+  private describeSelf(): GatewayMember {
+    const {settings} = this.options;
+    return {
+      id: settings.id,
+      incarnation: settings.incarnation,
+      gossipAddress: `${settings.ip}:${settings.gossipPort}`,
+      trafficAddress: settings.trafficAddress,
+      failureDomain: settings.failureDomain,
+      isReady: this.isReady(),
+      isLeaving: this.isStopping,
+    };
+  }
+}
+
+function drawService(route: Route, random: () => number): string {
+  const total = route.shares.reduce((sum, {weight}) => sum + weight, 0);
+  let drawn = random() * total;
+  for (const {service, weight} of route.shares) {
+    drawn -= weight;
+    if (drawn < 0) return service;
+  }
+  return route.shares[route.shares.length - 1].service;
+}
+
+function getCost({allotment}: Workspace, {tokens}: ServingRequest): number {
+  if (!allotment || allotment.unit === 'requests') return 1;
+  return tokens ?? allotment.plainTokens;
+}
+
+function round(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,11 @@
+export {Gateway, type GatewayOptions, type OpenRequest} from './Gateway.js';
+export type {GatewaySettings} from './GatewaySettings.js';
+export {chooseCallerAddresses} from './chooseCallerAddresses.js';
+export type {
+  DutyCalls,
+  DutyHistory,
+  DutyLog,
+  DutyResult,
+  ServerOrder,
+  UsageReport,
+} from './ports.js';
--- /dev/null
+++ b/src/gossip/GossipState.ts
@@ -0,0 +1,44 @@
+/** What gateways tell each other. */
+import type {ServerLoad} from '../controllers/placement/index.js';
+
+/** A gateway as it describes itself. */
+export interface GatewayMember {
+  readonly id: string;
+  /** Unix time of its start in milliseconds. */
+  readonly incarnation: number;
+  readonly gossipAddress: string;
+  readonly trafficAddress: string;
+  readonly failureDomain: string;
+  readonly isReady: boolean;
+  readonly isLeaving: boolean;
+}
+
+/** Requests of a workspace that began to run in a window of wall clock time. */
+export interface UsageCount {
+  readonly window: number;
+  readonly workspace: string;
+  readonly requests: number;
+}
+
+/** Who performs the duties that one process at a time may perform. */
+export interface DutyClaim {
+  /** Fencing token; a later claim has a higher one. 0 for no claim. */
+  readonly token: number;
+  readonly holderId: string;
+}
+
+/** The state that a gateway tells. */
+export interface GossipState {
+  readonly sender: GatewayMember;
+  readonly members: readonly GatewayMember[];
+  /** Requests or tokens admitted since the sender's start, by workspace. */
+  readonly admitted: ReadonlyMap<string, number>;
+  readonly serverLoads: ReadonlyMap<string, ServerLoad>;
+  readonly usage: readonly UsageCount[];
+  readonly dutyClaim: DutyClaim;
+  /** Next offset of the operators' records that the sender will read. */
+  readonly operatorOffset: number;
+  /** Age of that reading. */
+  readonly operatorAgeMs: number;
+  readonly leavingServerIds: readonly string[];
+}
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -8,3 +8,4 @@
 export {hashText, rankByRendezvous} from './rendezvous.js';
 export {waitForStopSignal} from './stopSignal.js';
 export {createSeededRandom} from './seededRandom.js';
+export {parseJson} from './parseJson.js';
