--- a/src/catalog/ServerCatalog.ts
+++ b/src/catalog/ServerCatalog.ts
@@ -36,35 +36,45 @@
 /** A running server registers again within this time of the store's return. */
 const LAPSED_MS = 2_000;
 
+/** Other gateways are told for this long that a server leaves. */
+const LEAVING_TOLD_MS = 4_000;
+
 /** All registered backend servers. */
 export class ServerCatalog {
   private readonly servers = new Map<string, KnownServer>();
+  /** Instants at which servers were learned to leave, by id. */
+  private readonly leftAtMs = new Map<string, number>();
 
   /**
-   * Takes a registration.
+   * Takes a registration. A server that leaves never takes requests again, whatever older records say.
    * @param entry - The registration.
    * @param nowMs - Present time, monotonic.
    */
   applyEntry(entry: ServerEntry, nowMs: number): ServerChange {
     const known = this.servers.get(entry.id);
     const isRestarted = known !== undefined && known.entry.startedAtMs !== entry.startedAtMs;
+    const isDraining = entry.isDraining || (!isRestarted && known?.entry.isDraining === true);
+    if (entry.isDraining) this.noteLeaving(entry.id, nowMs);
     this.servers.set(entry.id, {
-      entry,
+      entry: {...entry, isDraining},
       firstSeenAtMs: isRestarted ? nowMs : (known?.firstSeenAtMs ?? nowMs),
       coldUntilMs: nowMs + entry.coldMs,
       lapsedAtMs: undefined,
     });
     if (!known || isRestarted) return 'added';
-    if (entry.isDraining && !known.entry.isDraining) return 'draining';
-    return isSameEntry(known.entry, entry) ? 'same' : 'changed';
+    if (isDraining && !known.entry.isDraining) return 'draining';
+    return isSameEntry(known.entry, {...entry, isDraining}) ? 'same' : 'changed';
   }
 
   /**
    * Forgets a backend server.
    * @param id - Its id.
+   * @param nowMs - Present time, monotonic.
    */
-  removeServer(id: string): ServerChange {
-    return this.servers.delete(id) ? 'removed' : 'same';
+  removeServer(id: string, nowMs: number): ServerChange {
+    if (!this.servers.delete(id)) return 'same';
+    this.noteLeaving(id, nowMs);
+    return 'removed';
   }
 
   /**
@@ -87,12 +97,23 @@
     const gone = this.getServers()
       .filter(({lapsedAtMs}) => lapsedAtMs !== undefined && nowMs - lapsedAtMs >= LAPSED_MS)
       .map(({entry}) => entry.id);
-    for (const id of gone) this.servers.delete(id);
+    for (const id of gone) this.removeServer(id, nowMs);
     return gone;
   }
 
   /**
-   * Notes that a backend server itself said that it is leaving.
+   * Returns the ids of servers that were learned to leave not long ago.
+   * @param nowMs - Present time, monotonic.
+   */
+  getLeaving(nowMs: number): readonly string[] {
+    for (const [id, atMs] of this.leftAtMs) {
+      if (nowMs - atMs > LEAVING_TOLD_MS) this.leftAtMs.delete(id);
+    }
+    return [...this.leftAtMs.keys()];
+  }
+
+  /**
+   * Notes that a backend server is leaving, as it said itself or as another gateway has read.
    * @param id - Its id.
    */
   markDraining(id: string): ServerChange {
@@ -136,6 +157,10 @@
         entry.service === service && !entry.isDraining && !closedDomains.has(entry.failureDomain),
     );
   }
+
+  private noteLeaving(id: string, nowMs: number): void {
+    if (!this.leftAtMs.has(id)) this.leftAtMs.set(id, nowMs);
+  }
 }
 
 function isSameEntry(a: ServerEntry, b: ServerEntry): boolean {
--- a/src/controllers/allotments/AllotmentLedger.ts
+++ b/src/controllers/allotments/AllotmentLedger.ts
@@ -4,6 +4,8 @@
 interface Bucket {
   /** What may still be admitted; below 0 after other gateways admitted the same. */
   level: number;
+  /** Whether the first fill has been made. */
+  isFilled: boolean;
   updatedAtMs: number;
   /** Total of what this gateway admitted since its start. */
   admitted: number;
@@ -38,12 +40,25 @@
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 4_000;
 
+/** What may be admitted beyond an allotment in any window of a length. */
+export interface AllotmentTolerance {
+  readonly windowMs: number;
+  /** Share of what the allotment allows in a window. */
+  readonly share: number;
+  /** Requests or tokens beyond that share. */
+  readonly slack: number;
+}
+
 /** Options of an `AllotmentLedger`. */
 export interface AllotmentLedgerOptions {
   /** Whether buckets begin full; false where this process may follow one that has admitted requests. */
   readonly beginsFull: boolean;
+  readonly tolerance: AllotmentTolerance;
 }
 
+/** Part of the tolerance that lengthens bursts; the rest covers what gateways admit before they hear of each other. */
+const BURST_TOLERANCE_SHARE = 0.2;
+
 /**
  * Token buckets that count the admissions of all gateways.
  *
@@ -75,7 +90,7 @@
   ): AllotmentDecision {
     const bucket = this.refill(workspace, allotment, reach, nowMs);
     const available = bucket.level - getUnreported(bucket, nowMs);
-    if (available < Math.min(cost, allotment.burst * getShare(reach))) {
+    if (available < Math.min(cost, this.getDepth(allotment) * getShare(reach))) {
       return {kind: 'over', retryAfterMs: getRetryAfterMs(allotment, cost - available)};
     }
     bucket.level -= cost;
@@ -137,20 +152,27 @@
     reach: PeerReach,
     nowMs: number,
   ): Bucket {
-    const isNew = !this.buckets.has(workspace);
+    const depth = this.getDepth(allotment);
     const bucket = this.getBucket(workspace, nowMs);
-    if (isNew && this.options.beginsFull) bucket.level = allotment.burst;
+    if (!bucket.isFilled && this.options.beginsFull) bucket.level += depth;
+    bucket.isFilled = true;
     const elapsedMs = Math.max(0, nowMs - bucket.updatedAtMs);
     const added = (elapsedMs * allotment.ratePerSecond * getShare(reach)) / MS_PER_SECOND;
-    bucket.level = Math.min(allotment.burst, bucket.level + added);
+    bucket.level = Math.min(depth * getShare(reach), bucket.level + added);
     bucket.updatedAtMs = nowMs;
     return bucket;
   }
 
+  private getDepth({burst, ratePerSecond}: WorkspaceAllotment): number {
+    const {windowMs, share, slack} = this.options.tolerance;
+    const inWindow = burst + (ratePerSecond * windowMs) / MS_PER_SECOND;
+    return burst + BURST_TOLERANCE_SHARE * (share * inWindow + slack);
+  }
+
   private getBucket(workspace: string, nowMs: number): Bucket {
     const found = this.buckets.get(workspace);
     if (found) return found;
-    const created = {level: 0, updatedAtMs: nowMs, admitted: 0, peers: new Map()};
+    const created = {level: 0, isFilled: false, updatedAtMs: nowMs, admitted: 0, peers: new Map()};
     this.buckets.set(workspace, created);
     return created;
   }
--- a/src/controllers/allotments/index.ts
+++ b/src/controllers/allotments/index.ts
@@ -2,5 +2,6 @@
   AllotmentLedger,
   type AllotmentDecision,
   type AllotmentLedgerOptions,
+  type AllotmentTolerance,
   type PeerReach,
 } from './AllotmentLedger.js';
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -76,7 +76,10 @@
       silentAfterMs: SILENT_AFTER_MS,
       goneAfterMs: GONE_AFTER_MS,
     });
-    this.allotments = new AllotmentLedger({beginsFull: settings.isFirstStart});
+    this.allotments = new AllotmentLedger({
+      beginsFull: settings.isFirstStart,
+      tolerance: settings.allotmentTolerance,
+    });
     this.usage = new UsageLedger(settings.usageWindowSeconds);
     this.services = new GatewayRunServices({
       settings,
@@ -318,7 +321,7 @@
       dutyClaim: this.duties.claim,
       operatorOffset: this.operatorOffset,
       operatorAgeMs: catalog.getOperatorAgeMs(nowMs),
-      leavingServerIds: [],
+      leavingServerIds: catalog.servers.getLeaving(nowMs),
     };
   }
 
@@ -333,9 +336,16 @@
     this.loads.setPeer(sender.id, serverLoads, nowMs);
     this.usage.applyPeer(sender.id, sender.incarnation, usage);
     this.duties.applyClaim(dutyClaim);
+    for (const id of state.leavingServerIds) this.applyLeaving(id, sender.id);
     this.applyCurrency(state, nowMs);
   }
 
+  private applyLeaving(serverId: string, toldBy: string): void {
+    const change = this.options.catalog.servers.markDraining(serverId);
+    if (change === 'same') return;
+    this.options.logger.info({server: serverId, change, toldBy}, 'backend server');
+  }
+
   /** Who has read as far as another gateway knows what that one knew, up to the instant at which it read. */
   private applyCurrency(state: GossipState, nowMs: number): void {
     if (state.operatorOffset === 0 || this.operatorOffset < state.operatorOffset) return;
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -103,7 +103,7 @@
   }
 
   onHead(server: KnownServer, head: BackendHead, nowMs: number): void {
-    if (head.isMisdirected) this.options.catalog.servers.removeServer(server.entry.id);
+    if (head.isMisdirected) this.options.catalog.servers.removeServer(server.entry.id, nowMs);
     else if (head.coldMs !== undefined && head.coldMs > 0) {
       this.options.catalog.servers.markCold(server.entry.id, nowMs + head.coldMs);
     }
--- a/src/gateway/GatewaySettings.ts
+++ b/src/gateway/GatewaySettings.ts
@@ -1,5 +1,7 @@
 /** Settings of a gateway process. */
 
+import type {AllotmentTolerance} from '../controllers/allotments/index.js';
+
 /** What a gateway is told at its start; times are bounds that the deployment has set. */
 export interface GatewaySettings {
   readonly id: string;
@@ -25,6 +27,7 @@
   readonly retryShare: number;
   /** Retries in a window beyond that share, over all gateways. */
   readonly retrySlack: number;
+  readonly allotmentTolerance: AllotmentTolerance;
   readonly usageWindowSeconds: number;
   /** Time after the end of a usage window within which it is reported. */
   readonly usageDueMs: number;
--- /dev/null
+++ b/tests/controllers/duties/duties.test.ts
@@ -0,0 +1,71 @@
+/** Who claims the duties and when, and what usage adds up to. */
+import t from 'tap';
+import {
+  UsageLedger,
+  mayActOnDuty,
+  shouldClaimDuty,
+  type DutyView,
+} from '../../../src/controllers/duties/index.js';
+
+const VIEW: DutyView = {
+  ownId: 'g1',
+  claim: {token: 5, holderId: 'g0'},
+  candidateIds: ['g1', 'g2', 'g3'],
+  isAble: true,
+  holderSilentSinceMs: 10_000,
+  startedAtMs: 0,
+};
+
+t.test('shouldClaimDuty', t => {
+  const doTest = (name: string, view: Partial<DutyView>, nowMs: number, expected: boolean) => {
+    t.test(name, t => {
+      t.equal(shouldClaimDuty({...VIEW, ...view}, nowMs), expected);
+      t.end();
+    });
+  };
+  doTest('a holder that is heard keeps them', {holderSilentSinceMs: undefined}, 99_000, false);
+  doTest('the first candidate waits for the holder', {}, 11_499, false);
+  doTest('the first candidate claims', {}, 11_500, true);
+  doTest('the second one waits longer', {ownId: 'g2'}, 12_499, false);
+  doTest('the second one claims', {ownId: 'g2'}, 12_500, true);
+  doTest('a gateway that cannot reach the store does not', {isAble: false}, 99_000, false);
+  doTest('a gateway that is no candidate does not', {ownId: 'g9'}, 99_000, false);
+  doTest('a process that has just started listens first', {startedAtMs: 11_000}, 11_900, false);
+  doTest('the holder does not claim again', {claim: {token: 5, holderId: 'g1'}}, 99_000, false);
+  t.end();
+});
+
+t.test('mayActOnDuty', t => {
+  t.notOk(mayActOnDuty(undefined, 3_000, 99_000));
+  t.notOk(mayActOnDuty(1_000, 3_000, 3_999));
+  t.ok(mayActOnDuty(1_000, 3_000, 4_000));
+  t.end();
+});
+
+t.test('UsageLedger', t => {
+  t.test('adds up all gateways, each start of them by itself', t => {
+    const ledger = new UsageLedger(5);
+    const window = ledger.getWindow(1_000_000);
+    ledger.addRequest('w', 1_000_000);
+    ledger.addRequest('v', 1_000_100);
+    ledger.applyPeer('g2', 1, [{window, workspace: 'w', requests: 3}]);
+    ledger.applyPeer('g2', 1, [{window, workspace: 'w', requests: 2}]);
+    ledger.applyPeer('g2', 2, [{window, workspace: 'w', requests: 1}]);
+    t.same(
+      [...ledger.getTotal(window)],
+      [
+        ['w', 5],
+        ['v', 1],
+      ],
+    );
+    t.equal(ledger.getEndMs(window), 1_005_000);
+    t.end();
+  });
+  t.test('tells the windows that others may still need', t => {
+    const ledger = new UsageLedger(5);
+    for (let second = 0; second < 60; second += 5) ledger.addRequest('w', second * 1_000);
+    t.equal(ledger.getOwn().length, 6);
+    t.end();
+  });
+  t.end();
+});
--- /dev/null
+++ b/tests/exchange/exchangeFixtures.ts
@@ -0,0 +1,156 @@
+/** A run with a scripted transport and a recording sink, in virtual time. */
+import type {KnownServer, Route} from '../../src/catalog/index.js';
+import {
+  ExchangeRun,
+  type BackendCall,
+  type BackendHead,
+  type BackendReplyHandler,
+  type HeaderFields,
+  type Refusal,
+  type RunOutcome,
+  type RunServices,
+  type ServingRequest,
+} from '../../src/exchange/index.js';
+
+/** A try that the transport was asked for. */
+export interface SentTry {
+  readonly call: BackendCall;
+  readonly handler: BackendReplyHandler;
+  isCancelled: boolean;
+}
+
+export const SUCCESS: BackendHead = {
+  status: 200,
+  headers: {'x-signature': 's1'},
+  isNotRun: false,
+  isSigned: true,
+  isMisdirected: false,
+  coldMs: undefined,
+};
+
+export const NOT_RUN: BackendHead = {...SUCCESS, status: 503, isNotRun: true, isSigned: false};
+
+/** Returns a registered server. */
+export function createServer(id: string, service = 'app'): KnownServer {
+  return {
+    entry: {
+      id,
+      service,
+      address: '10.0.0.1:80',
+      failureDomain: 'a',
+      softwareVersion: 'v1',
+      slots: 8,
+      isDraining: false,
+      isReclaimable: false,
+      coldMs: 0,
+      startedAtMs: 1,
+    },
+    firstSeenAtMs: 0,
+    coldUntilMs: 0,
+    lapsedAtMs: undefined,
+  };
+}
+
+export const ROUTE: Route = {
+  name: 'r',
+  host: 'h.example',
+  pathPrefix: '/a/',
+  kind: 'idempotent',
+  isResumable: false,
+  isPublic: false,
+  maxAttempts: 2,
+  timeoutMs: 1_000,
+  latencyTargetMs: 100,
+  priority: 1,
+  shares: [{service: 'app', weight: 1}],
+};
+
+export const REQUEST: ServingRequest = {
+  id: 'q1',
+  method: 'GET',
+  host: 'h.example',
+  path: '/a/1',
+  key: 'k',
+  headers: {},
+  body: Buffer.alloc(0),
+  deadlineMs: 1_000,
+  receivedAtMs: 0,
+  promptParts: [],
+  tokens: undefined,
+  lastEventId: undefined,
+};
+
+/** One run and all that it did. */
+export class RunHarness {
+  readonly tries: SentTry[] = [];
+  readonly written: string[] = [];
+  readonly open = new Map<string, number>();
+  starts: {status: number; headers: HeaderFields}[] = [];
+  refusals: Refusal[] = [];
+  outcome: RunOutcome | undefined;
+  isEnded = false;
+  isBrokenOff = false;
+  retriesLeft = 10;
+  runningCount = 0;
+  readonly run: ExchangeRun;
+
+  constructor(route: Partial<Route>, serverIds: readonly string[], request = REQUEST) {
+    this.run = new ExchangeRun({
+      admitted: {
+        request,
+        route: {...ROUTE, ...route},
+        service: 'app',
+        workspace: 'w',
+        priority: 1,
+        deadlineAtMs: 1_000,
+      },
+      sink: {
+        start: (status, headers) => this.starts.push({status, headers}),
+        write: chunk => this.written.push(chunk.toString()),
+        end: () => (this.isEnded = true),
+        breakOff: () => (this.isBrokenOff = true),
+        refuse: refusal => this.refusals.push(refusal),
+      },
+      transport: {
+        send: (call, handler) => {
+          const sent: SentTry = {call, handler, isCancelled: false};
+          this.tries.push(sent);
+          return {cancel: () => (sent.isCancelled = true)};
+        },
+      },
+      services: this.createServices(serverIds),
+      getNowMs: () => 0,
+      onOutcome: outcome => (this.outcome = outcome),
+    });
+  }
+
+  /** Text that the caller got. */
+  get text(): string {
+    return this.written.join('');
+  }
+
+  /** Requests that count as open at any server. */
+  get openCount(): number {
+    return [...this.open.values()].reduce((sum, count) => sum + count, 0);
+  }
+
+  private createServices(serverIds: readonly string[]): RunServices {
+    const add = (id: string, count: number) => this.open.set(id, (this.open.get(id) ?? 0) + count);
+    return {
+      choose: (_admitted, triedIds) => {
+        const id = serverIds.find(candidate => !triedIds.has(candidate));
+        if (id === undefined) return {kind: 'none', reason: 'all-tried'};
+        return {kind: 'chosen', server: createServer(id), uncachedTokens: 10, expectedWaitMs: 0};
+      },
+      takeRetry: () => (this.retriesLeft -= 1) >= 0,
+      getMaxConnections: () => 10,
+      getRetryAfterMs: () => 250,
+      onSent: (_admitted, server) => add(server.entry.id, 1),
+      onHead: () => undefined,
+      onPromptRead: () => undefined,
+      onRunning: () => (this.runningCount += 1),
+      onTryEnd: () => undefined,
+      onClosed: server => add(server.entry.id, -1),
+    };
+  }
+}
