--- a/tests/platform/BackendConnections.test.ts
+++ b/tests/platform/BackendConnections.test.ts
@@ -83,6 +83,15 @@
     },
     reply => t.match(reply.failure, {kind: 'broken', isSent: true}),
   );
+  doTest(
+    'nor where the reset arrives together with the last bytes',
+    socket => {
+      socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}connection: close\r\n\r\nhalf`, () =>
+        socket.resetAndDestroy(),
+      );
+    },
+    reply => t.match(reply.failure, {kind: 'broken', isSent: true}),
+  );
   doTest(
     'an answer that ends before its length is broken',
     socket => socket.end(`HTTP/1.1 200 OK\r\n${SIGNED}content-length: 9\r\n\r\nhalf`),
