--- a/src/controllers/duties/decideDutyClaim.ts
+++ b/src/controllers/duties/decideDutyClaim.ts
@@ -1,4 +1,4 @@
-/** Decides when a gateway claims the duties that one process at a time performs, and when it may act on its claim. */
+/** Decides when a gateway claims the duties that one process at a time performs, and from when on it may act. */
 import type {DutyClaim} from '../../gossip/index.js';
 
 /** What the decision depends on. Instants are monotonic. */
@@ -38,16 +38,12 @@
 }
 
 /**
- * Returns whether a holder may act: only after the time in which an earlier holder may have acted, so that no two holders
- * act in turns.
- * @param claimedAtMs - Instant at which the claim was confirmed; undefined for no claim.
+ * Returns the instant from which a holder may act: after the time in which an earlier holder may have acted, so that no
+ * two holders act in turns.
+ * @param previous - The newest claim before its own; token 0 for none.
  * @param leaseMs - That time.
- * @param nowMs - Present time.
+ * @param claimedAtMs - Instant at which its claim was confirmed.
  */
-export function mayActOnDuty(
-  claimedAtMs: number | undefined,
-  leaseMs: number,
-  nowMs: number,
-): boolean {
-  return claimedAtMs !== undefined && nowMs - claimedAtMs >= leaseMs;
+export function getFirstActMs(previous: DutyClaim, leaseMs: number, claimedAtMs: number): number {
+  return previous.token === 0 ? claimedAtMs : claimedAtMs + leaseMs;
 }
--- a/src/gateway/DutyRunner.ts
+++ b/src/gateway/DutyRunner.ts
@@ -1,6 +1,6 @@
 /** Claims the duties when their holder falls silent, and performs them while the claim holds. */
 import type {Catalog} from '../catalog/index.js';
-import {mayActOnDuty, shouldClaimDuty, type UsageLedger} from '../controllers/duties/index.js';
+import {getFirstActMs, shouldClaimDuty, type UsageLedger} from '../controllers/duties/index.js';
 import type {DutyClaim, MemberTable} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import {FleetDuty} from './FleetDuty.js';
@@ -29,7 +29,7 @@
 
 interface HeldDuties {
   readonly claim: DutyClaim;
-  readonly claimedAtMs: number;
+  readonly mayActAtMs: number;
   readonly usage: UsageDuty;
   readonly fleet: FleetDuty;
 }
@@ -97,18 +97,20 @@
 
   private async claimDuties(): Promise<void> {
     const {settings, log, logger, getNowMs, getWallMs, ledger, calls, catalog} = this.options;
-    const claim = await log.claim(settings.id);
+    const claimed = await log.claim(settings.id);
     const history = await log.read();
     if (history) this.applyClaim(history.claim);
-    if (!claim || !history || history.claim.token !== claim.token) {
+    if (!claimed || !history || history.claim.token !== claimed.claim.token) {
       this.claimAgainAtMs = getNowMs() + FAILED_CLAIM_PAUSE_MS;
-      logger.info({token: claim?.token, newest: this.newest.token}, 'duties not claimed');
+      const token = claimed?.claim.token;
+      logger.info({token, newest: this.newest.token}, 'duties not claimed');
       return;
     }
+    const {claim, previous} = claimed;
     const {usageDueMs: dueMs, failureDomains} = settings;
     this.held = {
       claim,
-      claimedAtMs: getNowMs(),
+      mayActAtMs: getFirstActMs(previous, settings.leaseMs, getNowMs()),
       usage: new UsageDuty({ledger, calls, log, logger, dueMs}, history.reports, getWallMs()),
       fleet: new FleetDuty({catalog, calls, logger, failureDomains}),
     };
@@ -118,7 +120,7 @@
   private async perform(held: HeldDuties): Promise<void> {
     const {settings, isReady, getNowMs, getWallMs} = this.options;
     const nowMs = getNowMs();
-    if (!mayActOnDuty(held.claimedAtMs, settings.leaseMs, nowMs) || !isReady()) return;
+    if (nowMs < held.mayActAtMs || !isReady()) return;
     const {reportsUsage, ordersServers} = settings.duties;
     const fleet: DutyResult = ordersServers ? await held.fleet.run(held.claim, nowMs) : 'done';
     if (fleet === 'superseded') return this.drop('an order was fenced');
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -26,7 +26,7 @@
 /** An order that was turned down is repeated after this time. */
 const REPEAT_REJECTED_MS = 1_000;
 /** Servers are given back only after the fleet was large enough for this long. */
-const GIVE_BACK_AFTER_MS = 3_000;
+const GIVE_BACK_AFTER_MS = 1_500;
 
 /** Orders of one claim. */
 export class FleetDuty {
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -42,7 +42,7 @@
 const GOSSIP_INTERVAL_MS = 250;
 const DUTY_INTERVAL_MS = 400;
 /** A gateway that is silent for longer gets no callers. */
-const SILENT_AFTER_MS = 1_200;
+const SILENT_AFTER_MS = 900;
 /** A gateway that is silent for longer is taken not to run any more. */
 const GONE_AFTER_MS = 8_000;
 /** Part of the revocation bound after which keys are not honoured without news. */
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -2,6 +2,7 @@
 export type {GatewaySettings} from './GatewaySettings.js';
 export {chooseCallerAddresses} from './chooseCallerAddresses.js';
 export type {
+  ClaimResult,
   DutyCalls,
   DutyHistory,
   DutyLog,
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -32,12 +32,19 @@
   readonly reports: readonly UsageReport[];
 }
 
+/** A claim that was made, and the newest one before it. */
+export interface ClaimResult {
+  readonly claim: DutyClaim;
+  /** Token 0 where nobody has ever claimed the duties. */
+  readonly previous: DutyClaim;
+}
+
 /** The durable record of claims and reports. Writers with an older claim are refused. */
 export interface DutyLog {
   /** Returns the newest claim and the reports; undefined where the store doesn't answer. */
   read(): Promise<DutyHistory | undefined>;
-  /** Claims the duties; returns the claim, or undefined where another process was first or the store doesn't answer. */
-  claim(holderId: string): Promise<DutyClaim | undefined>;
+  /** Claims the duties; returns undefined where another process was first or the store doesn't answer. */
+  claim(holderId: string): Promise<ClaimResult | undefined>;
   /** Writes reports down before they are made. */
   writeReports(reports: readonly UsageReport[], claim: DutyClaim): Promise<DutyResult>;
 }
