Metrics, home regions, more addresses for callers, and no refusals in the first moments of a start

Change: StartGate holds requests up to 0.8 s; six addresses of the caller's region; buckets fill by half of the tolerated share faster; servers outside the home regions are not offered; metrics in the text exposition format on the second port of the range.

--- a/src/catalog/ServingConfiguration.ts
+++ b/src/catalog/ServingConfiguration.ts
@@ -29,6 +29,8 @@
   /** Rank; 0 is the most urgent. */
   readonly priority: number;
   readonly shares: readonly ServiceShare[];
+  /** Regions in which its requests may run; empty for all. */
+  readonly homeRegions: readonly string[];
 }
 
 /** Bounds within which backend servers of a service are ordered. */
@@ -75,6 +77,8 @@
   readonly keys: readonly string[];
   /** Goes before the route's priority; undefined for none. */
   readonly priority: number | undefined;
+  /** Regions in which its requests may run; empty for all. */
+  readonly homeRegions: readonly string[];
   /** Undefined for no limit. */
   readonly allotment: WorkspaceAllotment | undefined;
 }
--- a/src/controllers/allotments/AllotmentLedger.ts
+++ b/src/controllers/allotments/AllotmentLedger.ts
@@ -40,24 +40,19 @@
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 4_000;
 
-/** What may be admitted beyond an allotment in any window of a length. */
-export interface AllotmentTolerance {
-  readonly windowMs: number;
-  /** Share of what the allotment allows in a window. */
-  readonly share: number;
-  /** Requests or tokens beyond that share. */
-  readonly slack: number;
-}
-
 /** Options of an `AllotmentLedger`. */
 export interface AllotmentLedgerOptions {
   /** Whether buckets begin full; false where this process may follow one that has admitted requests. */
   readonly beginsFull: boolean;
-  readonly tolerance: AllotmentTolerance;
+  /** Share of an allotment that may be admitted beyond it. */
+  readonly toleratedShare: number;
 }
 
-/** Part of the tolerance that lengthens bursts; the rest covers what gateways admit before they hear of each other. */
-const BURST_TOLERANCE_SHARE = 0.2;
+/**
+ * Part of the tolerated share by which buckets fill faster; the rest covers what gateways admit before they hear of each
+ * other.
+ */
+const RATE_TOLERANCE_SHARE = 0.5;
 
 /**
  * Token buckets that count the admissions of all gateways.
@@ -157,16 +152,19 @@
     if (!bucket.isFilled && this.options.beginsFull) bucket.level += depth;
     bucket.isFilled = true;
     const elapsedMs = Math.max(0, nowMs - bucket.updatedAtMs);
-    const added = (elapsedMs * allotment.ratePerSecond * getShare(reach)) / MS_PER_SECOND;
+    const added = elapsedMs * this.getRatePerMs(allotment) * getShare(reach);
     bucket.level = Math.min(depth * getShare(reach), bucket.level + added);
     bucket.updatedAtMs = nowMs;
     return bucket;
   }
 
-  private getDepth({burst, ratePerSecond}: WorkspaceAllotment): number {
-    const {windowMs, share, slack} = this.options.tolerance;
-    const inWindow = burst + (ratePerSecond * windowMs) / MS_PER_SECOND;
-    return burst + BURST_TOLERANCE_SHARE * (share * inWindow + slack);
+  private getDepth({burst}: WorkspaceAllotment): number {
+    return burst * (1 + this.options.toleratedShare);
+  }
+
+  private getRatePerMs({ratePerSecond}: WorkspaceAllotment): number {
+    const tolerated = 1 + RATE_TOLERANCE_SHARE * this.options.toleratedShare;
+    return (ratePerSecond * tolerated) / MS_PER_SECOND;
   }
 
   private getBucket(workspace: string, nowMs: number): Bucket {
--- a/src/controllers/allotments/index.ts
+++ b/src/controllers/allotments/index.ts
@@ -2,6 +2,5 @@
   AllotmentLedger,
   type AllotmentDecision,
   type AllotmentLedgerOptions,
-  type AllotmentTolerance,
   type PeerReach,
 } from './AllotmentLedger.js';
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -21,6 +21,8 @@
   readonly service: string;
   readonly workspace: string | undefined;
   readonly priority: number;
+  /** Lists of regions in which the request may run; it may run where all of them allow. */
+  readonly homeRegions: readonly (readonly string[])[];
   /** Instant at which the caller must have an answer, monotonic. */
   readonly deadlineAtMs: number;
 }
--- a/src/gateway/DutyRunner.ts
+++ b/src/gateway/DutyRunner.ts
@@ -107,7 +107,8 @@
       return;
     }
     const {claim, previous} = claimed;
-    const {usageDueMs: dueMs, failureDomains} = settings;
+    const {usageDueMs: dueMs, regionByDomain} = settings;
+    const failureDomains = [...regionByDomain.keys()];
     this.held = {
       claim,
       mayActAtMs: getFirstActMs(previous, settings.leaseMs, getNowMs()),
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -16,9 +16,11 @@
 import type {Logger} from '../logging/index.js';
 import {chooseCallerAddresses} from './chooseCallerAddresses.js';
 import {DutyRunner} from './DutyRunner.js';
+import {GatewayMetrics, type GatewayGauges} from './GatewayMetrics.js';
 import {GatewayRunServices} from './GatewayRunServices.js';
 import type {GatewaySettings} from './GatewaySettings.js';
 import type {DutyCalls, DutyLog} from './ports.js';
+import {StartGate} from './StartGate.js';
 
 /** Options of a `Gateway`. */
 export interface GatewayOptions {
@@ -28,6 +30,7 @@
   readonly dutyCalls: DutyCalls;
   readonly dutyLog: DutyLog;
   readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
   readonly getNowMs: () => number;
   readonly getWallMs: () => number;
   readonly random: () => number;
@@ -64,6 +67,7 @@
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly startedAtMs: number;
   private readonly runs = new Set<ExchangeRun>();
+  private readonly startGate: StartGate;
   private isStopping = false;
   /** Next offset of the operators' records, as the adapter reads them. */
   private operatorOffset = 0;
@@ -78,7 +82,7 @@
     });
     this.allotments = new AllotmentLedger({
       beginsFull: settings.isFirstStart,
-      tolerance: settings.allotmentTolerance,
+      toleratedShare: settings.allotmentToleratedShare,
     });
     this.usage = new UsageLedger(settings.usageWindowSeconds);
     this.services = new GatewayRunServices({
@@ -91,6 +95,11 @@
       getWallMs,
       random,
     });
+    this.startGate = new StartGate({
+      isInformed: () =>
+        catalog.table !== undefined && catalog.getServersAgeMs(getNowMs()) < Infinity,
+      getNowMs,
+    });
     this.gossip = new GossipSocket({
       ip: settings.ip,
       port: settings.gossipPort,
@@ -131,6 +140,27 @@
     this.gossip.close();
   }
 
+  /**
+   * Returns what the metrics show.
+   * @param droppedLogLines - Log lines dropped since the start.
+   */
+  getGauges(droppedLogLines: number): GatewayGauges {
+    const {catalog, getNowMs, settings} = this.options;
+    const nowMs = getNowMs();
+    return {
+      openRequests: this.runs.size,
+      configurationVersion: catalog.table?.configuration.version ?? 0,
+      configurationAgeMs: catalog.getOperatorAgeMs(nowMs),
+      registrationsAgeMs: catalog.getServersAgeMs(nowMs),
+      gatewaysHeard: this.members.getHeard(nowMs).length,
+      gatewaysKnown: this.members.getKnownCount(nowMs),
+      backendServers: catalog.servers.getServers().length,
+      dutyToken: this.duties.claim.token,
+      isDutyHolder: this.duties.claim.holderId === settings.id,
+      droppedLogLines,
+    };
+  }
+
   /** Returns the number of requests under way. */
   getOpenRequests(): number {
     return this.runs.size;
@@ -161,7 +191,8 @@
     const ready = [own, ...this.members.getHeard(this.options.getNowMs())].filter(
       member => member.isReady && !member.isLeaving,
     );
-    return chooseCallerAddresses(ready, callerDomain);
+    const {regionByDomain} = this.options.settings;
+    return chooseCallerAddresses(ready, callerDomain, domain => regionByDomain.get(domain));
   }
 
   /**
@@ -178,6 +209,20 @@
    * @param sink - Where its answer goes.
    */
   accept(request: ServingRequest, sink: AnswerSink): OpenRequest {
+    let open: OpenRequest | undefined;
+    let isAbandoned = false;
+    this.startGate.pass(() => {
+      if (!isAbandoned) open = this.serve(request, sink);
+    });
+    return {
+      abandon: () => {
+        isAbandoned = true;
+        open?.abandon();
+      },
+    };
+  }
+
+  private serve(request: ServingRequest, sink: AnswerSink): OpenRequest {
     const {catalog, getNowMs} = this.options;
     const nowMs = getNowMs();
     const maxConfigurationAgeMs = this.getMaxConfigurationAgeMs();
@@ -212,6 +257,7 @@
         service: drawService(route, random),
         workspace: workspace?.name,
         priority: workspace?.priority ?? route.priority,
+        homeRegions: [route.homeRegions, workspace?.homeRegions ?? []],
         deadlineAtMs: request.receivedAtMs + waitMs,
       },
       sink,
@@ -236,6 +282,7 @@
     if (workspace?.allotment && !outcome.hasRun) {
       this.allotments.giveBack(workspace.name, getCost(workspace, request));
     }
+    this.options.metrics.addOutcome(route.name, workspace?.name, outcome);
     const {kind, status, refusal, attempts, serverId, firstEventMs, totalMs, detail} = outcome;
     this.options.logger.info(
       {
@@ -260,7 +307,8 @@
     refusal: RefusalKind,
     workspace: string | undefined,
   ): void {
-    const {catalog, logger, getNowMs} = this.options;
+    const {catalog, logger, metrics, getNowMs} = this.options;
+    metrics.addRefusal(refusal, workspace);
     logger.info(
       {
         request: request.id,
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -56,11 +56,11 @@
     triedIds: ReadonlySet<string>,
     nowMs: number,
   ): PlacementDecision {
-    const {catalog, loads, random} = this.options;
+    const {loads, random} = this.options;
     const service = this.getService(admitted.service);
     return choosePlacement(
       {
-        servers: catalog.servers.getOpenServers(admitted.service, catalog.evacuatedDomains),
+        servers: this.getAllowedServers(admitted),
         getLoad: serverId => loads.getLoad(serverId, nowMs),
         getFailureShare: serverId => this.health.getFailureShare(serverId, nowMs),
         isAvoided: serverId => this.health.isAvoided(serverId, nowMs),
@@ -127,6 +127,17 @@
     this.options.loads.endRequest(server.entry.id);
   }
 
+  private getAllowedServers({service, homeRegions}: AdmittedRequest): readonly KnownServer[] {
+    const {catalog, settings} = this.options;
+    const servers = catalog.servers.getOpenServers(service, catalog.evacuatedDomains);
+    const lists = homeRegions.filter(regions => regions.length > 0);
+    if (lists.length === 0) return servers;
+    return servers.filter(({entry}) => {
+      const region = settings.regionByDomain.get(entry.failureDomain) ?? '';
+      return lists.every(regions => regions.includes(region));
+    });
+  }
+
   private hasColdRoom(server: KnownServer, service: Service | undefined, nowMs: number): boolean {
     if (server.coldUntilMs <= nowMs) return true;
     const limit = this.getColdLimit(service, nowMs);
--- a/src/gateway/GatewaySettings.ts
+++ b/src/gateway/GatewaySettings.ts
@@ -1,7 +1,5 @@
 /** Settings of a gateway process. */
 
-import type {AllotmentTolerance} from '../controllers/allotments/index.js';
-
 /** What a gateway is told at its start; times are bounds that the deployment has set. */
 export interface GatewaySettings {
   readonly id: string;
@@ -16,8 +14,8 @@
   readonly gossipSeeds: readonly string[];
   /** Whether the whole deployment starts for the first time. */
   readonly isFirstStart: boolean;
-  /** Names of all failure domains. */
-  readonly failureDomains: readonly string[];
+  /** Region of each failure domain. */
+  readonly regionByDomain: ReadonlyMap<string, string>;
   /** Longest time for which a key may be honoured after it was taken away. */
   readonly revocationMs: number;
   /** Time within which no two holders may act in turns. */
@@ -27,7 +25,8 @@
   readonly retryShare: number;
   /** Retries in a window beyond that share, over all gateways. */
   readonly retrySlack: number;
-  readonly allotmentTolerance: AllotmentTolerance;
+  /** Share of a workspace's allotment that may be admitted beyond it. */
+  readonly allotmentToleratedShare: number;
   readonly usageWindowSeconds: number;
   /** Time after the end of a usage window within which it is reported. */
   readonly usageDueMs: number;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,4 +1,5 @@
 export {Gateway, type GatewayOptions, type OpenRequest} from './Gateway.js';
+export {GatewayMetrics, type GatewayGauges} from './GatewayMetrics.js';
 export type {GatewaySettings} from './GatewaySettings.js';
 export {chooseCallerAddresses} from './chooseCallerAddresses.js';
 export type {
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -63,6 +63,7 @@
   latencyTargetMs: 100,
   priority: 1,
   shares: [{service: 'app', weight: 1}],
+  homeRegions: [],
 };
 
 export const REQUEST: ServingRequest = {
@@ -102,6 +103,7 @@
         service: 'app',
         workspace: 'w',
         priority: 1,
+        homeRegions: [],
         deadlineAtMs: 1_000,
       },
       sink: {
