--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -20,13 +20,13 @@
 }
 
 /** Servers that the load needs, for each failure domain that there is. */
-const NEEDED_SERVERS_PER_DOMAIN = 2;
+const NEEDED_SERVERS_PER_DOMAIN = 1.25;
 /** An order that has no effect is repeated after this time. */
 const REPEAT_ORDER_MS = 5_000;
 /** An order that was turned down is repeated after this time. */
 const REPEAT_REJECTED_MS = 1_000;
 /** Servers are given back only after the fleet was large enough for this long. */
-const GIVE_BACK_AFTER_MS = 1_500;
+const GIVE_BACK_AFTER_MS = 800;
 
 /** Orders of one claim. */
 export class FleetDuty {
@@ -61,7 +61,7 @@
       onDemand: count(servers, failureDomain, false),
       reclaimable: count(servers, failureDomain, true),
     }));
-    const neededServers = domains.length * NEEDED_SERVERS_PER_DOMAIN;
+    const neededServers = Math.ceil(domains.length * NEEDED_SERVERS_PER_DOMAIN);
     for (const order of decideFleetSize({bounds, domains, neededServers})) {
       const result = await this.orderDomain(service.name, order, servers, claim, nowMs);
       if (result === 'superseded') return result;
