--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -12,10 +12,11 @@
   type RunOutcome,
   type ServingRequest,
 } from '../exchange/index.js';
-import {GossipSocket, MemberTable, type GatewayMember, type GossipState} from '../gossip/index.js';
+import {MemberTable} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import {chooseCallerAddresses} from './chooseCallerAddresses.js';
 import {DutyRunner} from './DutyRunner.js';
+import {GatewayGossip} from './GatewayGossip.js';
 import {GatewayMetrics, type GatewayGauges} from './GatewayMetrics.js';
 import {GatewayRunServices} from './GatewayRunServices.js';
 import type {GatewaySettings} from './GatewaySettings.js';
@@ -42,7 +43,6 @@
   abandon(): void;
 }
 
-const GOSSIP_INTERVAL_MS = 250;
 const DUTY_INTERVAL_MS = 400;
 /** A gateway that is silent for longer gets no callers. */
 const SILENT_AFTER_MS = 900;
@@ -58,19 +58,17 @@
 export class Gateway {
   private readonly options: GatewayOptions;
   private readonly members: MemberTable;
-  private readonly gossip: GossipSocket;
+  private readonly gossip: GatewayGossip;
   private readonly loads = new ServerLoads();
   private readonly allotments: AllotmentLedger;
   private readonly usage: UsageLedger;
   private readonly services: GatewayRunServices;
   private readonly duties: DutyRunner;
-  private readonly timers: NodeJS.Timeout[] = [];
+  private dutyTimer: NodeJS.Timeout | undefined;
   private readonly startedAtMs: number;
   private readonly runs = new Set<ExchangeRun>();
   private readonly startGate: StartGate;
   private isStopping = false;
-  /** Next offset of the operators' records, as the adapter reads them. */
-  private operatorOffset = 0;
 
   constructor(options: GatewayOptions) {
     const {settings, catalog, logger, getNowMs, getWallMs, random} = options;
@@ -100,12 +98,6 @@
         catalog.table !== undefined && catalog.getServersAgeMs(getNowMs()) < Infinity,
       getNowMs,
     });
-    this.gossip = new GossipSocket({
-      ip: settings.ip,
-      port: settings.gossipPort,
-      logger,
-      onState: state => this.applyGossip(state),
-    });
     this.duties = new DutyRunner({
       settings,
       catalog,
@@ -118,25 +110,36 @@
       getNowMs,
       getWallMs,
     });
+    this.gossip = new GatewayGossip({
+      settings,
+      catalog,
+      members: this.members,
+      loads: this.loads,
+      allotments: this.allotments,
+      usage: this.usage,
+      duties: this.duties,
+      logger,
+      isReady: () => this.isReady(),
+      isLeaving: () => this.isStopping,
+      getNowMs,
+    });
   }
 
   /** Opens the socket to the other gateways and starts the periodic work. */
   async start(): Promise<void> {
-    await this.gossip.open();
-    this.tell();
-    this.timers.push(setInterval(() => this.tell(), GOSSIP_INTERVAL_MS));
-    this.timers.push(setInterval(() => this.runDuties(), DUTY_INTERVAL_MS));
+    await this.gossip.start();
+    this.dutyTimer = setInterval(() => this.runDuties(), DUTY_INTERVAL_MS);
   }
 
   /** Tells the others that this gateway leaves; requests under way go on. */
   beginStop(): void {
     this.isStopping = true;
-    this.tell();
+    this.gossip.tell();
   }
 
   /** Ends the periodic work. */
   close(): void {
-    for (const timer of this.timers) clearInterval(timer);
+    clearInterval(this.dutyTimer);
     this.gossip.close();
   }
 
@@ -187,7 +190,7 @@
    * @param callerDomain - The caller's failure domain; undefined where it doesn't say.
    */
   getCallerAddresses(callerDomain: string | undefined): readonly string[] {
-    const own = this.describeSelf();
+    const own = this.gossip.describeSelf();
     const ready = [own, ...this.members.getHeard(this.options.getNowMs())].filter(
       member => member.isReady && !member.isLeaving,
     );
@@ -200,7 +203,7 @@
    * @param nextOffset - Offset of the next record.
    */
   setOperatorOffset(nextOffset: number): void {
-    this.operatorOffset = nextOffset;
+    this.gossip.setOperatorOffset(nextOffset);
   }
 
   /**
@@ -348,70 +351,6 @@
       this.options.logger.error({error: String(error)}, 'duties failed');
     });
   }
-
-  private tell(): void {
-    const {settings, getNowMs} = this.options;
-    const nowMs = getNowMs();
-    const known = this.members.getAll(nowMs).map(({gossipAddress}) => gossipAddress);
-    const own = `${settings.ip}:${settings.gossipPort}`;
-    const seeds = settings.gossipSeeds.filter(seed => seed !== own && !known.includes(seed));
-    this.gossip.send(this.getState(nowMs), [...known, ...seeds]);
-  }
-
-  private getState(nowMs: number): GossipState {
-    const {catalog} = this.options;
-    return {
-      sender: this.describeSelf(),
-      members: this.members.getHeard(nowMs).filter(({isLeaving}) => !isLeaving),
-      admitted: this.allotments.getAdmitted(),
-      serverLoads: this.loads.getOwnLoads(),
-      usage: this.usage.getOwn(),
-      dutyClaim: this.duties.claim,
-      operatorOffset: this.operatorOffset,
-      operatorAgeMs: catalog.getOperatorAgeMs(nowMs),
-      leavingServerIds: catalog.servers.getLeaving(nowMs),
-    };
-  }
-
-  private applyGossip(state: GossipState): void {
-    const nowMs = this.options.getNowMs();
-    const {sender, members, admitted, serverLoads, usage, dutyClaim} = state;
-    if (!this.members.applyHeard(sender, nowMs)) return;
-    for (const member of members) this.members.applyNamed(member, nowMs);
-    for (const [workspace, total] of admitted) {
-      this.allotments.applyPeer(sender.id, sender.incarnation, workspace, total, nowMs);
-    }
-    this.loads.setPeer(sender.id, serverLoads, nowMs);
-    this.usage.applyPeer(sender.id, sender.incarnation, usage);
-    this.duties.applyClaim(dutyClaim);
-    for (const id of state.leavingServerIds) this.applyLeaving(id, sender.id);
-    this.applyCurrency(state, nowMs);
-  }
-
-  private applyLeaving(serverId: string, toldBy: string): void {
-    const change = this.options.catalog.servers.markDraining(serverId);
-    if (change === 'same') return;
-    this.options.logger.info({server: serverId, change, toldBy}, 'backend server');
-  }
-
-  /** Who has read as far as another gateway knows what that one knew, up to the instant at which it read. */
-  private applyCurrency(state: GossipState, nowMs: number): void {
-    if (state.operatorOffset === 0 || this.operatorOffset < state.operatorOffset) return;
-    this.options.catalog.markOperatorCurrent(nowMs - state.operatorAgeMs);
-  }
-
-  private describeSelf(): GatewayMember {
-    const {settings} = this.options;
-    return {
-      id: settings.id,
-      incarnation: settings.incarnation,
-      gossipAddress: `${settings.ip}:${settings.gossipPort}`,
-      trafficAddress: settings.trafficAddress,
-      failureDomain: settings.failureDomain,
-      isReady: this.isReady(),
-      isLeaving: this.isStopping,
-    };
-  }
 }
 
 function drawService(route: Route, random: () => number): string {
