Gossip leaves out members and old usage windows where nothing changed

Cause: a state of 7 gateways is 1,575 bytes, 38 KB/s a gateway, above the budget of 21 KB/s for control. Change: members and older windows are told when the members change and in one datagram of eight.

--- a/src/controllers/duties/UsageLedger.ts
+++ b/src/controllers/duties/UsageLedger.ts
@@ -64,11 +64,16 @@
     }
   }
 
-  /** Returns this gateway's counts of the kept windows. */
-  getOwn(): readonly UsageCount[] {
-    return [...this.own].flatMap(([window, counts]) =>
-      [...counts].map(([workspace, requests]) => ({window, workspace, requests})),
-    );
+  /**
+   * Returns this gateway's counts of the newest windows.
+   * @param windows - How many of them; absent for all that are kept.
+   */
+  getOwn(windows = KEPT_WINDOWS): readonly UsageCount[] {
+    return [...this.own]
+      .slice(-windows)
+      .flatMap(([window, counts]) =>
+        [...counts].map(([workspace, requests]) => ({window, workspace, requests})),
+      );
   }
 
   /**
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -29,6 +29,10 @@
 }
 
 const INTERVAL_MS = 250;
+/** Datagrams between two that hold the whole state; the others leave out what seldom changes. */
+const WHOLE_STATE_INTERVAL = 8;
+/** Usage windows in each datagram: the present one and the one before. */
+const RECENT_WINDOWS = 2;
 
 /** The exchange of state with the other gateways. */
 export class GatewayGossip {
@@ -37,6 +41,8 @@
   private timer: NodeJS.Timeout | undefined;
   /** Next offset of the operators' records, as the adapter reads them. */
   private operatorOffset = 0;
+  private told = 0;
+  private toldMemberIds = '';
 
   constructor(options: GatewayGossipOptions) {
     const {settings, logger} = options;
@@ -96,12 +102,14 @@
 
   private getState(nowMs: number): GossipState {
     const {catalog, members, allotments, loads, usage, duties} = this.options;
+    const heard = members.getHeard(nowMs).filter(({isLeaving}) => !isLeaving);
+    const isWhole = this.isWholeStateDue(heard);
     return {
       sender: this.describeSelf(),
-      members: members.getHeard(nowMs).filter(({isLeaving}) => !isLeaving),
+      members: isWhole ? heard : [],
       admitted: allotments.getAdmitted(),
       serverLoads: loads.getOwnLoads(),
-      usage: usage.getOwn(),
+      usage: isWhole ? usage.getOwn() : usage.getOwn(RECENT_WINDOWS),
       dutyClaim: duties.claim,
       operatorOffset: this.operatorOffset,
       operatorAgeMs: catalog.getOperatorAgeMs(nowMs),
@@ -109,6 +117,15 @@
     };
   }
 
+  /** The whole state is told now and then, and as soon as the members have changed. */
+  private isWholeStateDue(heard: readonly GatewayMember[]): boolean {
+    const memberIds = heard.map(({id, incarnation}) => `${id}/${incarnation}`).join();
+    const hasChanged = memberIds !== this.toldMemberIds;
+    this.toldMemberIds = memberIds;
+    this.told += 1;
+    return hasChanged || this.told % WHOLE_STATE_INTERVAL === 0;
+  }
+
   private applyState(state: GossipState): void {
     const {allotments, duties, loads, members, usage, getNowMs} = this.options;
     const nowMs = getNowMs();
--- a/tests/controllers/duties/duties.test.ts
+++ b/tests/controllers/duties/duties.test.ts
@@ -64,6 +64,10 @@
     const ledger = new UsageLedger(5);
     for (let second = 0; second < 60; second += 5) ledger.addRequest('w', second * 1_000);
     t.equal(ledger.getOwn().length, 6);
+    t.same(
+      ledger.getOwn(2).map(({window}) => window),
+      [10, 11],
+    );
     t.end();
   });
   t.end();
