--- /dev/null
+++ b/tests/gateway/duties.test.ts
@@ -0,0 +1,179 @@
+/** What the holder of the duties reports and orders, and when it stops. */
+import t from 'tap';
+import {Catalog, type ServerEntry} from '../../src/catalog/index.js';
+import {UsageLedger} from '../../src/controllers/duties/index.js';
+import {FleetDuty} from '../../src/gateway/FleetDuty.js';
+import {UsageDuty} from '../../src/gateway/UsageDuty.js';
+import type {
+  DutyCalls,
+  DutyLog,
+  DutyResult,
+  ServerOrder,
+  UsageReport,
+} from '../../src/gateway/index.js';
+import {silentLogger as logger} from '../../src/logging/index.js';
+import {createServer} from '../exchange/exchangeFixtures.js';
+
+const CLAIM = {token: 3, holderId: 'g1'};
+const DUE_MS = 10_000;
+
+/** Records calls and answers them as it is told. */
+class DutyPlatform implements DutyCalls, DutyLog {
+  readonly reported: UsageReport[] = [];
+  readonly orders: ServerOrder[] = [];
+  written: readonly UsageReport[] = [];
+  reportResult: DutyResult = 'done';
+  writeResult: DutyResult = 'done';
+  orderResult: DutyResult = 'done';
+
+  async reportUsage(report: UsageReport): Promise<DutyResult> {
+    if (this.reportResult === 'done') this.reported.push(report);
+    return this.reportResult;
+  }
+
+  async orderServers(order: ServerOrder): Promise<DutyResult> {
+    this.orders.push(order);
+    return this.orderResult;
+  }
+
+  async writeReports(reports: readonly UsageReport[]): Promise<DutyResult> {
+    if (this.writeResult === 'done') this.written = reports;
+    return this.writeResult;
+  }
+
+  async read(): Promise<undefined> {
+    return undefined;
+  }
+
+  async claim(): Promise<undefined> {
+    return undefined;
+  }
+}
+
+function createUsageDuty(history: readonly UsageReport[], wallMs: number) {
+  const platform = new DutyPlatform();
+  const ledger = new UsageLedger(5);
+  const options = {ledger, calls: platform, log: platform, logger, dueMs: DUE_MS};
+  return {platform, ledger, duty: new UsageDuty(options, history, wallMs)};
+}
+
+t.test('UsageDuty', t => {
+  t.test('writes a window down before it reports it, once', async t => {
+    const {platform, ledger, duty} = createUsageDuty([], 1_000_000);
+    ledger.addRequest('w', 1_001_000);
+    await duty.run(CLAIM, 1_007_400);
+    t.notOk(platform.written.some(({window}) => window === 200));
+    await duty.run(CLAIM, 1_007_500);
+    t.same(platform.reported.at(-1), {window: 200, counts: new Map([['w', 1]])});
+    const count = platform.reported.length;
+    await duty.run(CLAIM, 1_008_000);
+    t.equal(platform.reported.length, count);
+  });
+
+  t.test('reports nothing that it could not write down', async t => {
+    const {platform, ledger, duty} = createUsageDuty([], 1_000_000);
+    ledger.addRequest('w', 1_001_000);
+    platform.writeResult = 'unavailable';
+    await duty.run(CLAIM, 1_008_000);
+    t.same(platform.reported, []);
+    platform.writeResult = 'done';
+    await duty.run(CLAIM, 1_009_000);
+    t.ok(platform.reported.some(({window}) => window === 200));
+  });
+
+  t.test('repeats exactly what a predecessor wrote down', async t => {
+    const written = {window: 199, counts: new Map([['w', 17]])};
+    const {platform, ledger, duty} = createUsageDuty([written], 1_001_000);
+    ledger.addRequest('w', 999_000);
+    await duty.run(CLAIM, 1_001_000);
+    t.same(platform.reported, [written]);
+  });
+
+  t.test('stops when another holder has written', async t => {
+    const {platform, duty} = createUsageDuty([], 1_000_000);
+    platform.writeResult = 'superseded';
+    t.equal(await duty.run(CLAIM, 1_008_000), 'superseded');
+    t.same(platform.reported, []);
+  });
+
+  t.test('gives a window up when it is too late for it', async t => {
+    const {platform, duty} = createUsageDuty([], 1_000_000);
+    platform.reportResult = 'unavailable';
+    await duty.run(CLAIM, 1_008_000);
+    platform.reportResult = 'done';
+    await duty.run(CLAIM, 1_060_000);
+    t.notOk(platform.reported.some(({window}) => window === 200));
+  });
+  t.end();
+});
+
+function createFleet() {
+  const catalog = new Catalog();
+  const bounds = {
+    minPerDomain: 1,
+    maxPerDomain: 6,
+    bootMs: 4_000,
+    reclaimablePriceShare: 0.15,
+    domainPrices: new Map([
+      ['a', 1],
+      ['b', 0.8],
+    ]),
+  };
+  const service = {
+    name: 'app',
+    maxConnections: 10,
+    coldStartMs: 0,
+    coldRequestsPerSecond: 0,
+    engine: undefined,
+    replicaBounds: bounds,
+  };
+  catalog.applyConfiguration({
+    version: 1,
+    routes: [],
+    services: new Map([['app', service]]),
+    workspaces: [],
+    limits: {maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
+  });
+  const platform = new DutyPlatform();
+  const duty = new FleetDuty({catalog, calls: platform, logger, failureDomains: ['a', 'b']});
+  const add = (id: string, fields: Partial<ServerEntry>) =>
+    catalog.servers.applyEntry({...createServer(id).entry, ...fields}, 0);
+  return {platform, duty, add};
+}
+
+t.test('FleetDuty', t => {
+  t.test('orders reclaimable servers and keeps on-demand ones until they serve', async t => {
+    const {platform, duty, add} = createFleet();
+    for (const id of ['o1', 'o2', 'o3']) add(id, {failureDomain: 'a'});
+    await duty.run(CLAIM, 0);
+    t.same(
+      platform.orders.filter(({isReclaimable}) => isReclaimable).map(({count}) => count),
+      [3, 3],
+    );
+    t.notOk(
+      platform.orders.some(({isReclaimable, failureDomain, count}) => {
+        return !isReclaimable && failureDomain === 'a' && count === 0;
+      }),
+    );
+  });
+
+  t.test('does not order again what was ordered a moment ago', async t => {
+    const {platform, duty} = createFleet();
+    await duty.run(CLAIM, 0);
+    const count = platform.orders.length;
+    await duty.run(CLAIM, 400);
+    t.equal(platform.orders.length, count);
+    await duty.run(CLAIM, 6_000);
+    t.ok(platform.orders.length > count, 'an order without effect is repeated');
+  });
+
+  t.test('asks again soon for what was not to be had', async t => {
+    const {platform, duty} = createFleet();
+    platform.orderResult = 'rejected';
+    await duty.run(CLAIM, 0);
+    const count = platform.orders.length;
+    await duty.run(CLAIM, 1_000);
+    t.ok(platform.orders.length > count);
+  });
+  t.end();
+});
