Name the clients of the own interface's cloud, list and weight store src/infrastructure

Cause: src/platform (what the product's own interface calls) and platform/ (the adapter) had one name for two things. Change: the folder and its imports are renamed; nothing else changes.

--- a/bench/capacity/ReplicaSlopes.ts
+++ b/bench/capacity/ReplicaSlopes.ts
@@ -4,7 +4,7 @@
   PrefixIndex,
   type RoutingView,
 } from '../../src/controllers/routing/index.js';
-import {instanceSchema} from '../../src/platform/InstanceSchema.js';
+import {instanceSchema} from '../../src/infrastructure/InstanceSchema.js';
 import {
   createBackendServer,
   createConfiguration,
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -12,7 +12,7 @@
 import type {Logger} from '../logging/index.js';
 import {Metrics} from '../metrics/index.js';
 import type {StreamRelay} from '../peer/index.js';
-import {InstanceListClient} from '../platform/index.js';
+import {InstanceListClient} from '../infrastructure/index.js';
 import {ClaimantWatch, createClaimant} from './ClaimantWatch.js';
 import {EntryClock} from './EntryClock.js';
 import type {EntrySettings} from './EntrySettings.js';
--- a/src/entry/ServerWatcher.ts
+++ b/src/entry/ServerWatcher.ts
@@ -1,7 +1,7 @@
 /** Keeps the sections of instances and backend servers up to date. */
 import type {BackendServer, Blackboard, Instance} from '../blackboard/index.js';
 import type {EngineClient, ServerReport, ServerTracker} from '../engine/index.js';
-import type {InstanceListClient} from '../platform/index.js';
+import type {InstanceListClient} from '../infrastructure/index.js';
 import {isReportDue} from './reportSchedule.js';
 
 /** Options of a `ServerWatcher`. */
--- a/src/fleet/CapacityRunner.ts
+++ b/src/fleet/CapacityRunner.ts
@@ -15,7 +15,7 @@
 import {ServingError} from '../errors/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {CloudClient} from '../platform/index.js';
+import type {CloudClient} from '../infrastructure/index.js';
 import type {FleetStream} from './FleetStream.js';
 import type {LeaseKeeper} from './LeaseKeeper.js';
 import type {PlatformWatch} from './PlatformWatch.js';
--- a/src/fleet/EvidenceCollector.ts
+++ b/src/fleet/EvidenceCollector.ts
@@ -7,7 +7,7 @@
   mergeEvidence,
 } from '../controllers/moves/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {EvidenceClient} from '../platform/index.js';
+import type {EvidenceClient} from '../infrastructure/index.js';
 
 /** Options of an `EvidenceCollector`. */
 export interface EvidenceCollectorOptions {
--- a/src/fleet/FleetDaemon.ts
+++ b/src/fleet/FleetDaemon.ts
@@ -9,7 +9,7 @@
   InstanceListClient,
   RefusalsClient,
   WeightStoreClient,
-} from '../platform/index.js';
+} from '../infrastructure/index.js';
 import {CapacityRunner} from './CapacityRunner.js';
 import {ConfigurationStream} from './ConfigurationStream.js';
 import {EvidenceCollector} from './EvidenceCollector.js';
--- a/src/fleet/LoadCollector.ts
+++ b/src/fleet/LoadCollector.ts
@@ -3,7 +3,7 @@
 import {LOAD_KEPT_MS, type ServerLoad} from '../controllers/capacity/index.js';
 import {EngineClient} from '../engine/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {RefusalCount, RefusalsClient} from '../platform/index.js';
+import type {RefusalCount, RefusalsClient} from '../infrastructure/index.js';
 
 /** Options of a `LoadCollector`. */
 export interface LoadCollectorOptions {
--- a/src/fleet/LoadRunner.ts
+++ b/src/fleet/LoadRunner.ts
@@ -2,7 +2,7 @@
 import type {Instance} from '../blackboard/index.js';
 import {decideLoads, type ReadyCount, type VersionNeed} from '../controllers/capacity/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {WeightStoreClient} from '../platform/index.js';
+import type {WeightStoreClient} from '../infrastructure/index.js';
 import type {LeaseKeeper} from './LeaseKeeper.js';
 
 /** Options of a `LoadRunner`. */
--- a/src/fleet/PlatformWatch.ts
+++ b/src/fleet/PlatformWatch.ts
@@ -9,7 +9,7 @@
   type RefusedStart,
 } from '../controllers/capacity/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {CloudClient, InstanceListClient} from '../platform/index.js';
+import type {CloudClient, InstanceListClient} from '../infrastructure/index.js';
 
 /** Options of a `PlatformWatch`. */
 export interface PlatformWatchOptions {
--- a/src/fleet/StopRunner.ts
+++ b/src/fleet/StopRunner.ts
@@ -4,7 +4,7 @@
 import type {InstanceDrain} from '../folds/index.js';
 import type {Logger} from '../logging/index.js';
 import type {Metrics} from '../metrics/index.js';
-import type {CloudClient} from '../platform/index.js';
+import type {CloudClient} from '../infrastructure/index.js';
 import type {LeaseKeeper} from './LeaseKeeper.js';
 
 /** Options of a `StopRunner`. */
--- a/src/operator/DaemonsClient.ts
+++ b/src/operator/DaemonsClient.ts
@@ -2,7 +2,7 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 import type {Instance, InstancesSection} from '../blackboard/index.js';
-import {InstanceListClient} from '../platform/index.js';
+import {InstanceListClient} from '../infrastructure/index.js';
 
 const statusSchema = z.object({configurationRevision: z.number().int().min(0)});
 const metricSchema = z.object({
--- a/tests/fleet/CapacityRunner.test.ts
+++ b/tests/fleet/CapacityRunner.test.ts
@@ -7,7 +7,7 @@
 import {FleetFold} from '../../src/folds/index.js';
 import {createLogger} from '../../src/logging/index.js';
 import {Metrics} from '../../src/metrics/index.js';
-import {CloudClient, InstanceListClient} from '../../src/platform/index.js';
+import {CloudClient, InstanceListClient} from '../../src/infrastructure/index.js';
 import {CONFIGURATION, GUIDANCE} from '../support/deployment.js';
 import {FleetHarness, waitFor} from '../support/FleetHarness.js';
 
--- a/tests/fleet/PlatformWatch.test.ts
+++ b/tests/fleet/PlatformWatch.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import {PlatformWatch} from '../../src/fleet/PlatformWatch.js';
 import {Metrics} from '../../src/metrics/index.js';
-import {CloudClient, InstanceListClient} from '../../src/platform/index.js';
+import {CloudClient, InstanceListClient} from '../../src/infrastructure/index.js';
 import {FleetHarness, waitFor} from '../support/FleetHarness.js';
 import {CONFIGURATION} from '../support/deployment.js';
 
--- a/tests/support/DomainsModel.ts
+++ b/tests/support/DomainsModel.ts
@@ -5,7 +5,7 @@
 import {FleetFold} from '../../src/folds/index.js';
 import {createLogger} from '../../src/logging/index.js';
 import {Metrics} from '../../src/metrics/index.js';
-import type {StartOrder} from '../../src/platform/index.js';
+import type {StartOrder} from '../../src/infrastructure/index.js';
 import type {LogBody} from '../../src/records/index.js';
 import {CONFIGURATION, GUIDANCE} from './deployment.js';
 
