One gateway reads the store's logs for all; starts of servers and wall clocks are told apart

Reading the code for the change showed three faults: (1) a leaving server was told by its id alone, so news of an earlier start closed a later one with the same id for good; (2) a gateway restarted with its clock set back was ignored by the others; (3) a wrong clock moved usage between windows. Change: controllers/reading orders the gateways as readers; the first reads, the others step in by the age of what they are told, and read operators' records when told of news. Registrations that changed are told, with a digest of all servers as the proof that nothing was missed. Leaving servers are told as starts. MemberTable takes a lower incarnation where the higher one is silent. PeerClock: median of the clocks that are heard.

--- a/src/catalog/ServerCatalog.ts
+++ b/src/catalog/ServerCatalog.ts
@@ -1,9 +1,16 @@
 /** Backend servers as they register themselves, and what this process has learned of their leaving. */
+import {hashText} from '../utils/index.js';
 
-/** Registration of a backend server. */
-export interface ServerEntry {
-  /** Names one start of the server; another start mostly has another id. */
+/** One start of a backend server. */
+export interface ServerStart {
+  /** Another start mostly has another id, but the same id may come again. */
   readonly id: string;
+  /** Wall clock instant of the start, as the server itself tells it; undefined where it doesn't. */
+  readonly startedAtMs: number | undefined;
+}
+
+/** Registration of a backend server. */
+export interface ServerEntry extends ServerStart {
   readonly service: string;
   /** IP number and port. */
   readonly address: string;
@@ -15,8 +22,6 @@
   readonly isReclaimable: boolean;
   /** Time for which the server stays cold, from the instant of the entry. */
   readonly coldMs: number;
-  /** Wall clock instant at which the server started; undefined where it isn't told. */
-  readonly startedAtMs: number | undefined;
 }
 
 /** A backend server as the gateway sees it. */
@@ -24,6 +29,8 @@
   readonly entry: ServerEntry;
   /** Instant at which the server first appeared, monotonic. */
   readonly firstSeenAtMs: number;
+  /** Instant at which its registration last changed, monotonic. */
+  readonly changedAtMs: number;
   /** Instant until which the server counts as cold, monotonic. */
   readonly coldUntilMs: number;
   /** Instant at which its registration lapsed while the store was away; undefined while it is registered. */
@@ -38,15 +45,26 @@
 
 /** Other gateways are told for this long that a server leaves. */
 const LEAVING_TOLD_MS = 4_000;
+/** A start that has left is remembered for this long, so that late news of it is known to be old. */
+const LEFT_KEPT_MS = 60_000;
+/** A server that leaves is forgotten after this time where nothing more is heard of it. */
+const LEAVING_KEPT_MS = 30_000;
+
+interface LeftStart {
+  readonly startedAtMs: number | undefined;
+  readonly atMs: number;
+}
 
 /** All registered backend servers. */
 export class ServerCatalog {
   private readonly servers = new Map<string, KnownServer>();
-  /** Instants at which servers were learned to leave, by id. */
-  private readonly leftAtMs = new Map<string, number>();
+  /** Starts that were learned to leave, by id. */
+  private readonly left = new Map<string, LeftStart>();
+  /** Digest of the present servers; undefined after a change. */
+  private digest: bigint | undefined;
 
   /**
-   * Takes a registration. A server that leaves never takes requests again, whatever older records say.
+   * Takes a registration. A start that leaves never takes requests again, whatever older records say.
    * @param entry - The registration.
    * @param nowMs - Present time, monotonic.
    */
@@ -54,16 +72,28 @@
     const known = this.servers.get(entry.id);
     const isRestarted = known !== undefined && known.entry.startedAtMs !== entry.startedAtMs;
     const isDraining = entry.isDraining || (!isRestarted && known?.entry.isDraining === true);
-    if (entry.isDraining) this.noteLeaving(entry.id, nowMs);
+    if (entry.isDraining) this.noteLeaving(entry, nowMs);
+    const change = getChange(isRestarted ? undefined : known, {...entry, isDraining});
+    if (change !== 'same') this.digest = undefined;
     this.servers.set(entry.id, {
       entry: {...entry, isDraining},
       firstSeenAtMs: isRestarted ? nowMs : (known?.firstSeenAtMs ?? nowMs),
+      changedAtMs: change === 'same' ? (known?.changedAtMs ?? nowMs) : nowMs,
       coldUntilMs: nowMs + entry.coldMs,
       lapsedAtMs: undefined,
     });
-    if (!known || isRestarted) return 'added';
-    if (isDraining && !known.entry.isDraining) return 'draining';
-    return isSameEntry(known.entry, {...entry, isDraining}) ? 'same' : 'changed';
+    return change;
+  }
+
+  /**
+   * Takes a registration that another gateway has read; it may be older than what is known here.
+   * @param entry - The registration.
+   * @param nowMs - Present time, monotonic.
+   */
+  applyRelayed(entry: ServerEntry, nowMs: number): ServerChange {
+    const left = this.left.get(entry.id);
+    if (left && left.startedAtMs === entry.startedAtMs) return 'same';
+    return this.applyEntry(entry, nowMs);
   }
 
   /**
@@ -72,8 +102,11 @@
    * @param nowMs - Present time, monotonic.
    */
   removeServer(id: string, nowMs: number): ServerChange {
-    if (!this.servers.delete(id)) return 'same';
-    this.noteLeaving(id, nowMs);
+    const known = this.servers.get(id);
+    if (!known) return 'same';
+    this.servers.delete(id);
+    this.digest = undefined;
+    this.noteLeaving(known.entry, nowMs);
     return 'removed';
   }
 
@@ -102,27 +135,71 @@
   }
 
   /**
-   * Returns the ids of servers that were learned to leave not long ago.
+   * Forgets the servers that were learned to leave long ago; returns their ids.
+   * @param nowMs - Present time, monotonic.
+   */
+  dropLeft(nowMs: number): readonly string[] {
+    const gone = this.getServers()
+      .filter(({entry, changedAtMs}) => entry.isDraining && nowMs - changedAtMs > LEAVING_KEPT_MS)
+      .map(({entry}) => entry.id);
+    for (const id of gone) this.removeServer(id, nowMs);
+    return gone;
+  }
+
+  /**
+   * Returns the starts that were learned to leave not long ago.
    * @param nowMs - Present time, monotonic.
    */
-  getLeaving(nowMs: number): readonly string[] {
-    for (const [id, atMs] of this.leftAtMs) {
-      if (nowMs - atMs > LEAVING_TOLD_MS) this.leftAtMs.delete(id);
+  getLeaving(nowMs: number): readonly ServerStart[] {
+    for (const [id, {atMs}] of this.left) {
+      if (nowMs - atMs > LEFT_KEPT_MS) this.left.delete(id);
     }
-    return [...this.leftAtMs.keys()];
+    return [...this.left]
+      .filter(([, {atMs}]) => nowMs - atMs <= LEAVING_TOLD_MS)
+      .map(([id, {startedAtMs}]) => ({id, startedAtMs}));
   }
 
   /**
-   * Notes that a backend server is leaving, as it said itself or as another gateway has read.
-   * @param id - Its id.
+   * Notes that a backend server is leaving, as another gateway has learned. Another start under the same id stays.
+   * @param start - The start that leaves.
+   * @param nowMs - Present time, monotonic.
    */
-  markDraining(id: string): ServerChange {
-    const known = this.servers.get(id);
+  markDraining(start: ServerStart, nowMs: number): ServerChange {
+    const known = this.servers.get(start.id);
     if (!known || known.entry.isDraining) return 'same';
-    this.servers.set(id, {...known, entry: {...known.entry, isDraining: true}});
+    if (known.entry.startedAtMs !== start.startedAtMs) return 'same';
+    const entry = {...known.entry, isDraining: true};
+    this.digest = undefined;
+    this.servers.set(start.id, {...known, entry, changedAtMs: nowMs});
     return 'draining';
   }
 
+  /**
+   * Returns the servers that take requests and whose registrations changed lately, or that are cold.
+   * @param withinMs - How lately.
+   * @param nowMs - Present time, monotonic.
+   */
+  getRecentlyChanged(withinMs: number, nowMs: number): readonly KnownServer[] {
+    return this.getServers().filter(
+      ({entry, changedAtMs, coldUntilMs}) =>
+        !entry.isDraining && (nowMs - changedAtMs <= withinMs || coldUntilMs > nowMs),
+    );
+  }
+
+  /** Returns a hash of all servers that take requests; two gateways with the same hash know the same servers. */
+  getDigest(): bigint {
+    this.digest ??= this.computeDigest();
+    return this.digest;
+  }
+
+  private computeDigest(): bigint {
+    const open = this.getServers().filter(({entry}) => !entry.isDraining);
+    const rows = open.map(({entry: {id, startedAtMs, address, service, failureDomain}}) =>
+      [id, startedAtMs, address, service, failureDomain].join(),
+    );
+    return hashText(rows.sort().join('\n'));
+  }
+
   /**
    * Notes that a backend server itself said for how long it stays cold.
    * @param id - Its id.
@@ -158,15 +235,24 @@
     );
   }
 
-  private noteLeaving(id: string, nowMs: number): void {
-    if (!this.leftAtMs.has(id)) this.leftAtMs.set(id, nowMs);
+  private noteLeaving({id, startedAtMs}: ServerStart, nowMs: number): void {
+    if (this.left.get(id)?.startedAtMs === startedAtMs && this.left.has(id)) return;
+    this.left.set(id, {startedAtMs, atMs: nowMs});
   }
 }
 
+/** `known` is the same start as it was known before; undefined for a start that is new. */
+function getChange(known: KnownServer | undefined, entry: ServerEntry): ServerChange {
+  if (!known) return 'added';
+  if (entry.isDraining && !known.entry.isDraining) return 'draining';
+  return isSameEntry(known.entry, entry) ? 'same' : 'changed';
+}
+
 function isSameEntry(a: ServerEntry, b: ServerEntry): boolean {
   return (
     a.address === b.address &&
     a.service === b.service &&
+    a.failureDomain === b.failureDomain &&
     a.isDraining === b.isDraining &&
     a.isReclaimable === b.isReclaimable &&
     a.softwareVersion === b.softwareVersion
--- a/src/catalog/index.ts
+++ b/src/catalog/index.ts
@@ -5,6 +5,7 @@
   type KnownServer,
   type ServerChange,
   type ServerEntry,
+  type ServerStart,
 } from './ServerCatalog.js';
 export type {
   ConnectionLimits,
--- /dev/null
+++ b/src/controllers/reading/index.ts
@@ -0,0 +1,7 @@
+export {
+  getReaderRank,
+  getReadingDelayMs,
+  type ReadingCandidate,
+  type ReadingTimes,
+  type ReadingView,
+} from './decideReading.js';
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -12,7 +12,7 @@
   type RunOutcome,
   type ServingRequest,
 } from '../exchange/index.js';
-import {MemberTable} from '../gossip/index.js';
+import {MemberTable, type GatewayMember} from '../gossip/index.js';
 import type {Logger} from '../logging/index.js';
 import {chooseCallerAddresses} from './chooseCallerAddresses.js';
 import {DutyRunner} from './DutyRunner.js';
@@ -20,7 +20,9 @@
 import {GatewayMetrics, type GatewayGauges} from './GatewayMetrics.js';
 import {GatewayRunServices} from './GatewayRunServices.js';
 import type {GatewaySettings} from './GatewaySettings.js';
+import {PeerClock} from './PeerClock.js';
 import type {DutyCalls, DutyLog} from './ports.js';
+import {SharedReadings} from './SharedReadings.js';
 import {StartGate} from './StartGate.js';
 
 /** Options of a `Gateway`. */
@@ -59,6 +61,8 @@
   private readonly options: GatewayOptions;
   private readonly members: MemberTable;
   private readonly gossip: GatewayGossip;
+  /** What the gateways read of the deployment's logs for each other. */
+  readonly readings: SharedReadings;
   private readonly loads = new ServerLoads();
   private readonly allotments: AllotmentLedger;
   private readonly usage: UsageLedger;
@@ -74,6 +78,8 @@
     const {settings, catalog, logger, getNowMs, getWallMs, random} = options;
     this.options = options;
     this.startedAtMs = getNowMs();
+    const clock = new PeerClock({getWallMs, getNowMs});
+    const describeSelf = () => this.describeSelf();
     this.members = new MemberTable(settings.id, {
       silentAfterMs: SILENT_AFTER_MS,
       goneAfterMs: GONE_AFTER_MS,
@@ -90,9 +96,10 @@
       usage: this.usage,
       getGateways: nowMs => this.members.getKnownCount(nowMs) + 1,
       getNowMs,
-      getWallMs,
+      getWallMs: () => clock.getWallMs(),
       random,
     });
+    this.readings = new SharedReadings({catalog, members: this.members, logger, describeSelf});
     this.startGate = new StartGate({
       isInformed: () =>
         catalog.table !== undefined && catalog.getServersAgeMs(getNowMs()) < Infinity,
@@ -108,7 +115,7 @@
       logger,
       isReady: () => this.isReady(),
       getNowMs,
-      getWallMs,
+      getWallMs: () => clock.getWallMs(),
     });
     this.gossip = new GatewayGossip({
       settings,
@@ -118,9 +125,10 @@
       allotments: this.allotments,
       usage: this.usage,
       duties: this.duties,
+      readings: this.readings,
+      clock,
       logger,
-      isReady: () => this.isReady(),
-      isLeaving: () => this.isStopping,
+      describeSelf,
       getNowMs,
     });
   }
@@ -131,6 +139,11 @@
     this.dutyTimer = setInterval(() => this.runDuties(), DUTY_INTERVAL_MS);
   }
 
+  /** Tells the others at once what has changed here. */
+  tellOthers(): void {
+    this.gossip.tell();
+  }
+
   /** Tells the others that this gateway leaves; requests under way go on. */
   beginStop(): void {
     this.isStopping = true;
@@ -190,7 +203,7 @@
    * @param callerDomain - The caller's failure domain; undefined where it doesn't say.
    */
   getCallerAddresses(callerDomain: string | undefined): readonly string[] {
-    const own = this.gossip.describeSelf();
+    const own = this.describeSelf();
     const ready = [own, ...this.members.getHeard(this.options.getNowMs())].filter(
       member => member.isReady && !member.isLeaving,
     );
@@ -198,14 +211,6 @@
     return chooseCallerAddresses(ready, callerDomain, domain => regionByDomain.get(domain));
   }
 
-  /**
-   * Notes how far the operators' records have been read.
-   * @param nextOffset - Offset of the next record.
-   */
-  setOperatorOffset(nextOffset: number): void {
-    this.gossip.setOperatorOffset(nextOffset);
-  }
-
   /**
    * Serves a request.
    * @param request - The request.
@@ -225,6 +230,19 @@
     };
   }
 
+  private describeSelf(): GatewayMember {
+    const {settings} = this.options;
+    return {
+      id: settings.id,
+      incarnation: settings.incarnation,
+      gossipAddress: `${settings.ip}:${settings.gossipPort}`,
+      trafficAddress: settings.trafficAddress,
+      failureDomain: settings.failureDomain,
+      isReady: this.isReady(),
+      isLeaving: this.isStopping,
+    };
+  }
+
   private serve(request: ServingRequest, sink: AnswerSink): OpenRequest {
     const {catalog, getNowMs} = this.options;
     const nowMs = getNowMs();
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -12,6 +12,8 @@
 import type {Logger} from '../logging/index.js';
 import type {DutyRunner} from './DutyRunner.js';
 import type {GatewaySettings} from './GatewaySettings.js';
+import type {PeerClock} from './PeerClock.js';
+import type {SharedReadings} from './SharedReadings.js';
 
 /** Options of a `GatewayGossip`. */
 export interface GatewayGossipOptions {
@@ -22,9 +24,11 @@
   readonly allotments: AllotmentLedger;
   readonly usage: UsageLedger;
   readonly duties: DutyRunner;
+  readonly readings: SharedReadings;
+  readonly clock: PeerClock;
   readonly logger: Logger;
-  readonly isReady: () => boolean;
-  readonly isLeaving: () => boolean;
+  /** Returns this gateway as it describes itself. */
+  readonly describeSelf: () => GatewayMember;
   readonly getNowMs: () => number;
 }
 
@@ -39,8 +43,6 @@
   private readonly options: GatewayGossipOptions;
   private readonly socket: GossipSocket;
   private timer: NodeJS.Timeout | undefined;
-  /** Next offset of the operators' records, as the adapter reads them. */
-  private operatorOffset = 0;
   private told = 0;
   private toldMemberIds = '';
 
@@ -68,14 +70,6 @@
     this.socket.close();
   }
 
-  /**
-   * Notes how far the operators' records have been read.
-   * @param nextOffset - Offset of the next record.
-   */
-  setOperatorOffset(nextOffset: number): void {
-    this.operatorOffset = nextOffset;
-  }
-
   /** Tells the own state now. */
   tell(): void {
     const {settings, members, getNowMs} = this.options;
@@ -86,34 +80,21 @@
     this.socket.send(this.getState(nowMs), [...known, ...seeds]);
   }
 
-  /** Returns this gateway as it describes itself. */
-  describeSelf(): GatewayMember {
-    const {settings, isReady, isLeaving} = this.options;
-    return {
-      id: settings.id,
-      incarnation: settings.incarnation,
-      gossipAddress: `${settings.ip}:${settings.gossipPort}`,
-      trafficAddress: settings.trafficAddress,
-      failureDomain: settings.failureDomain,
-      isReady: isReady(),
-      isLeaving: isLeaving(),
-    };
-  }
-
   private getState(nowMs: number): GossipState {
-    const {catalog, members, allotments, loads, usage, duties} = this.options;
+    const {catalog, members, allotments, loads, usage, duties, readings, clock} = this.options;
     const heard = members.getHeard(nowMs).filter(({isLeaving}) => !isLeaving);
     const isWhole = this.isWholeStateDue(heard);
     return {
-      sender: this.describeSelf(),
+      sender: this.options.describeSelf(),
       members: isWhole ? heard : [],
       admitted: allotments.getAdmitted(),
       serverLoads: loads.getOwnLoads(),
       usage: isWhole ? usage.getOwn() : usage.getOwn(RECENT_WINDOWS),
       dutyClaim: duties.claim,
-      operatorOffset: this.operatorOffset,
+      operatorOffset: readings.getKnownOffset('operator'),
       operatorAgeMs: catalog.getOperatorAgeMs(nowMs),
-      leavingServerIds: catalog.servers.getLeaving(nowMs),
+      registrations: readings.describeRegistrations(nowMs),
+      wallMs: clock.getOwnWallMs(),
     };
   }
 
@@ -127,7 +108,7 @@
   }
 
   private applyState(state: GossipState): void {
-    const {allotments, duties, loads, members, usage, getNowMs} = this.options;
+    const {allotments, clock, duties, loads, members, readings, usage, getNowMs} = this.options;
     const nowMs = getNowMs();
     const {sender} = state;
     if (!members.applyHeard(sender, nowMs)) return;
@@ -138,19 +119,7 @@
     loads.setPeer(sender.id, state.serverLoads, nowMs);
     usage.applyPeer(sender.id, sender.incarnation, state.usage);
     duties.applyClaim(state.dutyClaim);
-    for (const id of state.leavingServerIds) this.applyLeaving(id, sender.id);
-    this.applyCurrency(state, nowMs);
-  }
-
-  private applyLeaving(serverId: string, toldBy: string): void {
-    const {catalog, logger} = this.options;
-    const change = catalog.servers.markDraining(serverId);
-    if (change !== 'same') logger.info({server: serverId, change, toldBy}, 'backend server');
-  }
-
-  /** Who has read as far as another gateway knows what that one knew, up to the instant at which it read. */
-  private applyCurrency({operatorOffset, operatorAgeMs}: GossipState, nowMs: number): void {
-    if (operatorOffset === 0 || this.operatorOffset < operatorOffset) return;
-    this.options.catalog.markOperatorCurrent(nowMs - operatorAgeMs);
+    readings.apply(state, nowMs);
+    clock.applyPeer(sender.id, state.wallMs);
   }
 }
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -1,4 +1,5 @@
 /** What gateways tell each other. */
+import type {ServerEntry, ServerStart} from '../catalog/index.js';
 import type {ServerLoad} from '../controllers/placement/index.js';
 
 /** A gateway as it describes itself. */
@@ -27,6 +28,19 @@
   readonly holderId: string;
 }
 
+/** What a gateway has read of the backend servers' registrations. */
+export interface RegistrationsReading {
+  /** Next offset that the gateway will read; 0 before its first reading. */
+  readonly offset: number;
+  /** Age of the reading. */
+  readonly ageMs: number;
+  /** Hash of all servers that took requests then. */
+  readonly digest: bigint;
+  /** Registrations that changed lately, and those of cold servers. */
+  readonly changed: readonly ServerEntry[];
+  readonly leaving: readonly ServerStart[];
+}
+
 /** The state that a gateway tells. */
 export interface GossipState {
   readonly sender: GatewayMember;
@@ -40,5 +54,7 @@
   readonly operatorOffset: number;
   /** Age of that reading. */
   readonly operatorAgeMs: number;
-  readonly leavingServerIds: readonly string[];
+  readonly registrations: RegistrationsReading;
+  /** The sender's clock, Unix time. */
+  readonly wallMs: number;
 }
--- a/src/gossip/MemberTable.ts
+++ b/src/gossip/MemberTable.ts
@@ -18,6 +18,9 @@
   readonly goneAfterMs: number;
 }
 
+/** Datagrams of an earlier start don't arrive later than this after the first one of a later start. */
+const LATE_DATAGRAM_MS = 600;
+
 /** All other gateways that one gateway knows. */
 export class MemberTable {
   private readonly members = new Map<string, HeardMember>();
@@ -30,14 +33,17 @@
   }
 
   /**
-   * Takes a datagram's sender; returns false for an earlier start of a known gateway.
+   * Takes a datagram's sender; returns false for an earlier start of a gateway whose later start is being heard. Where
+   * that one is silent, the lower number comes from a clock that was set back.
    * @param member - The sender.
    * @param nowMs - Present time, monotonic.
    */
   applyHeard(member: GatewayMember, nowMs: number): boolean {
     if (member.id === this.ownId) return false;
     const known = this.members.get(member.id);
-    if (known && known.member.incarnation > member.incarnation) return false;
+    if (known && known.member.incarnation > member.incarnation) {
+      if (this.isWithin(known.heardAtMs, nowMs, LATE_DATAGRAM_MS)) return false;
+    }
     this.members.set(member.id, {member, heardAtMs: nowMs, namedAtMs: known?.namedAtMs ?? nowMs});
     return true;
   }
--- a/src/gossip/gossipCodec.ts
+++ b/src/gossip/gossipCodec.ts
@@ -5,7 +5,12 @@
   type Gossip,
   type Member,
   type MemberSchema,
+  type Registration,
+  type RegistrationSchema,
+  type ServerStart as ServerStartMessage,
+  type ServerStartSchema,
 } from '../peer/generated/buckthorn/gossip/v1/gossip_pb.js';
+import type {ServerEntry, ServerStart} from '../catalog/index.js';
 import type {GatewayMember, GossipState} from './GossipState.js';
 
 /** Age that is told where nothing has been read yet. */
@@ -33,8 +38,13 @@
     dutyToken: BigInt(state.dutyClaim.token),
     dutyHolderId: state.dutyClaim.holderId,
     operatorOffset: BigInt(state.operatorOffset),
-    operatorAgeMs: Math.min(MAX_AGE_MS, Math.max(0, Math.round(state.operatorAgeMs))),
-    leavingServerIds: [...state.leavingServerIds],
+    operatorAgeMs: toAge(state.operatorAgeMs),
+    registrationsOffset: BigInt(state.registrations.offset),
+    registrationsAgeMs: toAge(state.registrations.ageMs),
+    registrationsDigest: state.registrations.digest,
+    registrations: state.registrations.changed.map(toRegistration),
+    leavingServers: state.registrations.leaving.map(toServerStart),
+    wallMs: BigInt(Math.round(state.wallMs)),
   });
   return toBinary(GossipSchema, message);
 }
@@ -59,7 +69,57 @@
     dutyClaim: {token: Number(message.dutyToken), holderId: message.dutyHolderId},
     operatorOffset: Number(message.operatorOffset),
     operatorAgeMs: message.operatorAgeMs,
-    leavingServerIds: message.leavingServerIds,
+    registrations: {
+      offset: Number(message.registrationsOffset),
+      ageMs: message.registrationsAgeMs,
+      digest: message.registrationsDigest,
+      changed: message.registrations.map(fromRegistration),
+      leaving: message.leavingServers.map(fromServerStart),
+    },
+    wallMs: Number(message.wallMs),
+  };
+}
+
+function toAge(ageMs: number): number {
+  return Math.min(MAX_AGE_MS, Math.max(0, Math.round(ageMs)));
+}
+
+function toServerStart({id, startedAtMs}: ServerStart): MessageInitShape<typeof ServerStartSchema> {
+  return {id, startedAtMs: BigInt(startedAtMs ?? 0)};
+}
+
+function fromServerStart({id, startedAtMs}: ServerStartMessage): ServerStart {
+  return {id, startedAtMs: startedAtMs === 0n ? undefined : Number(startedAtMs)};
+}
+
+function toRegistration(entry: ServerEntry): MessageInitShape<typeof RegistrationSchema> {
+  const {service, address, failureDomain, softwareVersion, slots, isDraining, isReclaimable} =
+    entry;
+  return {
+    server: toServerStart(entry),
+    service,
+    address,
+    failureDomain,
+    softwareVersion,
+    slots,
+    isDraining,
+    isReclaimable,
+    coldMs: toAge(entry.coldMs),
+  };
+}
+
+function fromRegistration({server, ...registration}: Registration): ServerEntry {
+  const {service, address, failureDomain, softwareVersion, slots} = registration;
+  return {
+    ...(server ? fromServerStart(server) : {id: '', startedAtMs: undefined}),
+    service,
+    address,
+    failureDomain,
+    softwareVersion,
+    slots,
+    isDraining: registration.isDraining,
+    isReclaimable: registration.isReclaimable,
+    coldMs: registration.coldMs,
   };
 }
 
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -1,4 +1,10 @@
 export {GossipSocket, type GossipSocketOptions} from './GossipSocket.js';
-export type {DutyClaim, GatewayMember, GossipState, UsageCount} from './GossipState.js';
+export type {
+  DutyClaim,
+  GatewayMember,
+  GossipState,
+  RegistrationsReading,
+  UsageCount,
+} from './GossipState.js';
 export {MemberTable, type HeardMember, type MemberTimes} from './MemberTable.js';
 export {decodeGossip, encodeGossip} from './gossipCodec.js';
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -46,6 +46,7 @@
       startedAtMs: 1,
     },
     firstSeenAtMs: 0,
+    changedAtMs: 0,
     coldUntilMs: 0,
     lapsedAtMs: undefined,
   };
--- a/tests/gossip/gossip.test.ts
+++ b/tests/gossip/gossip.test.ts
@@ -7,6 +7,7 @@
   type GatewayMember,
   type GossipState,
 } from '../../src/gossip/index.js';
+import {createServer} from '../exchange/exchangeFixtures.js';
 
 function member(id: string, fields: Partial<GatewayMember> = {}): GatewayMember {
   return {
@@ -30,7 +31,17 @@
   dutyClaim: {token: 12, holderId: 'g2'},
   operatorOffset: 4,
   operatorAgeMs: 250,
-  leavingServerIds: ['s9'],
+  registrations: {
+    offset: 77,
+    ageMs: 300,
+    digest: 0xfedc_ba98_7654_3210n,
+    changed: [{...createServer('s8').entry, coldMs: 1_200}],
+    leaving: [
+      {id: 's9', startedAtMs: 1_780_000_000_000},
+      {id: 's7', startedAtMs: undefined},
+    ],
+  },
+  wallMs: 1_780_000_001_000,
 };
 
 t.test('gossip codec', t => {
@@ -71,6 +82,17 @@
     t.equal(table.getHeard(10)[0].incarnation, 5);
     t.end();
   });
+  t.test(
+    'a start with an earlier time is taken where the later one is silent: its clock was set back',
+    t => {
+      const table = create();
+      table.applyHeard(member('g2', {incarnation: 5_000}), 0);
+      t.notOk(table.applyHeard(member('g2', {incarnation: 3_000}), 600));
+      t.ok(table.applyHeard(member('g2', {incarnation: 3_000}), 601));
+      t.equal(table.getHeard(601)[0].incarnation, 3_000);
+      t.end();
+    },
+  );
   t.test('a gateway that leaves is not counted', t => {
     const table = create();
     table.applyHeard(member('g2', {isLeaving: true}), 0);
