A holder of the duties that was restarted, or whose write is in doubt, goes on at once

Change: a process that isn't part of the first start reads who held the duties; the holder claims again at once, and the lease is waited for only after another holder, so that no two act in turns. After a claim in doubt it tries again after 0.5 s. The check that a holder does not claim again is replaced: the function is only asked by one that doesn't hold them.

--- a/src/controllers/duties/decideDutyClaim.ts
+++ b/src/controllers/duties/decideDutyClaim.ts
@@ -1,7 +1,7 @@
 /** Decides when a gateway claims the duties that one process at a time performs, and from when on it may act. */
 import type {DutyClaim} from '../../gossip/index.js';
 
-/** What the decision depends on. Instants are monotonic. */
+/** What the decision depends on, for a gateway that doesn't hold the duties. Instants are monotonic. */
 export interface DutyView {
   readonly ownId: string;
   /** Newest claim that is known; token 0 for none. */
@@ -23,13 +23,15 @@
 const LISTEN_MS = 1_000;
 
 /**
- * Returns whether a gateway claims the duties now.
+ * Returns whether a gateway claims the duties now. One that held them, before its restart or until its claim was in doubt,
+ * claims them at once; others wait until the holder has been silent.
  * @param view - What it knows.
  * @param nowMs - Present time.
  */
 export function shouldClaimDuty(view: DutyView, nowMs: number): boolean {
   const {ownId, claim, candidateIds, isAble, holderSilentSinceMs, startedAtMs} = view;
-  if (!isAble || claim.holderId === ownId) return false;
+  if (!isAble) return false;
+  if (claim.holderId === ownId) return true;
   if (nowMs - startedAtMs < LISTEN_MS) return false;
   if (holderSilentSinceMs === undefined) return false;
   const rank = [...candidateIds].sort().indexOf(ownId);
@@ -37,13 +39,22 @@
   return nowMs - holderSilentSinceMs >= HOLDER_SILENCE_MS + rank * CANDIDATE_DELAY_MS;
 }
 
+/** A claim that has just been made. */
+export interface NewClaim {
+  readonly ownId: string;
+  /** The newest claim before it; token 0 for none. */
+  readonly previous: DutyClaim;
+  /** Instant at which it was confirmed, monotonic. */
+  readonly claimedAtMs: number;
+}
+
 /**
- * Returns the instant from which a holder may act: after the time in which an earlier holder may have acted, so that no
- * two holders act in turns.
- * @param previous - The newest claim before its own; token 0 for none.
+ * Returns the instant from which a holder may act: after the time in which another holder may have acted, so that no two
+ * holders act in turns.
+ * @param claim - The claim.
  * @param leaseMs - That time.
- * @param claimedAtMs - Instant at which its claim was confirmed.
  */
-export function getFirstActMs(previous: DutyClaim, leaseMs: number, claimedAtMs: number): number {
-  return previous.token === 0 ? claimedAtMs : claimedAtMs + leaseMs;
+export function getFirstActMs({ownId, previous, claimedAtMs}: NewClaim, leaseMs: number): number {
+  const isOthers = previous.token !== 0 && previous.holderId !== ownId;
+  return isOthers ? claimedAtMs + leaseMs : claimedAtMs;
 }
--- a/src/controllers/duties/index.ts
+++ b/src/controllers/duties/index.ts
@@ -1,2 +1,2 @@
 export {UsageLedger, type WindowCounts} from './UsageLedger.js';
-export {getFirstActMs, shouldClaimDuty, type DutyView} from './decideDutyClaim.js';
+export {getFirstActMs, shouldClaimDuty, type DutyView, type NewClaim} from './decideDutyClaim.js';
--- a/src/gateway/DutyRunner.ts
+++ b/src/gateway/DutyRunner.ts
@@ -25,7 +25,7 @@
 
 const NO_CLAIM: DutyClaim = {token: 0, holderId: ''};
 /** Pause before claiming again after a claim that failed. */
-const FAILED_CLAIM_PAUSE_MS = 1_000;
+const FAILED_CLAIM_PAUSE_MS = 500;
 
 interface HeldDuties {
   readonly claim: DutyClaim;
@@ -42,9 +42,12 @@
   private holderSilentSinceMs: number | undefined;
   private claimAgainAtMs = -Infinity;
   private isRunning = false;
+  /** Whether it is known who held the duties before this process started. */
+  private isHistoryKnown: boolean;
 
   constructor(options: DutyRunnerOptions) {
     this.options = options;
+    this.isHistoryKnown = options.settings.isFirstStart;
     this.holderSilentSinceMs = options.getNowMs();
   }
 
@@ -80,13 +83,14 @@
 
   private async claimIfDue(startedAtMs: number): Promise<void> {
     const {settings, members, isReady, getNowMs} = this.options;
+    if (isReady()) await this.learnHistory();
     const nowMs = getNowMs();
     const heard = members.getHeard(nowMs).filter(member => member.isReady && !member.isLeaving);
     const isHolderHeard = heard.some(({id}) => id === this.newest.holderId);
     this.holderSilentSinceMs = isHolderHeard ? undefined : (this.holderSilentSinceMs ?? nowMs);
     const view = {
       ownId: settings.id,
-      claim: this.held ? this.newest : withoutOwn(this.newest, settings.id),
+      claim: this.newest,
       candidateIds: [...heard.map(({id}) => id), settings.id],
       isAble: isReady() && nowMs >= this.claimAgainAtMs,
       holderSilentSinceMs: this.holderSilentSinceMs,
@@ -95,6 +99,15 @@
     if (shouldClaimDuty(view, nowMs)) await this.claimDuties();
   }
 
+  /** A process that follows an earlier one learns whether that one held the duties. */
+  private async learnHistory(): Promise<void> {
+    if (this.isHistoryKnown) return;
+    const history = await this.options.log.read();
+    if (!history) return;
+    this.isHistoryKnown = true;
+    this.applyClaim(history.claim);
+  }
+
   private async claimDuties(): Promise<void> {
     const {settings, log, logger, getNowMs, getWallMs, ledger, calls, catalog} = this.options;
     const claimed = await log.claim(settings.id);
@@ -111,7 +124,10 @@
     const failureDomains = [...regionByDomain.keys()];
     this.held = {
       claim,
-      mayActAtMs: getFirstActMs(previous, settings.leaseMs, getNowMs()),
+      mayActAtMs: getFirstActMs(
+        {ownId: settings.id, previous, claimedAtMs: getNowMs()},
+        settings.leaseMs,
+      ),
       usage: new UsageDuty({ledger, calls, log, logger, dueMs}, history.reports, getWallMs()),
       fleet: new FleetDuty({catalog, calls, logger, failureDomains}),
     };
@@ -124,20 +140,16 @@
     if (nowMs < held.mayActAtMs || !isReady()) return;
     const {reportsUsage, ordersServers} = settings.duties;
     const fleet: DutyResult = ordersServers ? await held.fleet.run(held.claim, nowMs) : 'done';
-    if (fleet === 'superseded') return this.drop('an order was fenced');
+    if (fleet === 'superseded') return this.drop('an order was refused');
     const usage = reportsUsage ? await held.usage.run(held.claim, getWallMs()) : 'done';
-    if (usage === 'superseded') this.drop('a report was fenced');
+    if (usage === 'superseded') this.drop('a report was refused or may not be written down');
   }
 
   private drop(reason: string): void {
-    const {logger, getNowMs} = this.options;
+    const {logger, settings, getNowMs} = this.options;
     logger.info({token: this.held?.claim.token, newest: this.newest.token, reason}, 'duties lost');
     this.held = undefined;
-    this.claimAgainAtMs = getNowMs() + this.options.settings.leaseMs;
+    const isOthers = this.newest.holderId !== settings.id;
+    this.claimAgainAtMs = getNowMs() + (isOthers ? settings.leaseMs : FAILED_CLAIM_PAUSE_MS);
   }
 }
-
-/** A claim of an earlier start of this gateway is nobody's. */
-function withoutOwn(claim: DutyClaim, ownId: string): DutyClaim {
-  return claim.holderId === ownId ? NO_CLAIM : claim;
-}
