--- a/src/catalog/ServerCatalog.ts
+++ b/src/catalog/ServerCatalog.ts
@@ -50,8 +50,15 @@
 /** A server that leaves is forgotten after this time where nothing more is heard of it. */
 const LEAVING_KEPT_MS = 30_000;
 
+/**
+ * How a server left: it said so itself, which is final for its start, or its registration has gone, which may have lapsed
+ * and come back.
+ */
+export type LeavingReason = 'draining' | 'removed';
+
 interface LeftStart {
   readonly startedAtMs: number | undefined;
+  readonly reason: LeavingReason;
   readonly atMs: number;
 }
 
@@ -64,7 +71,7 @@
   private digest: bigint | undefined;
 
   /**
-   * Takes a registration. A start that leaves never takes requests again, whatever older records say.
+   * Takes a registration. A start that said that it leaves never takes requests again, whatever older records say.
    * @param entry - The registration.
    * @param nowMs - Present time, monotonic.
    */
@@ -72,9 +79,10 @@
     const known = this.servers.get(entry.id);
     const isRestarted = known !== undefined && known.entry.startedAtMs !== entry.startedAtMs;
     const isDraining = entry.isDraining || (!isRestarted && known?.entry.isDraining === true);
-    if (entry.isDraining) this.noteLeaving(entry, nowMs);
+    if (entry.isDraining) this.noteLeaving(entry, 'draining', nowMs);
+    else if (this.left.get(entry.id)?.reason === 'removed') this.left.delete(entry.id);
     const change = getChange(isRestarted ? undefined : known, {...entry, isDraining});
-    if (change !== 'same') this.digest = undefined;
+    if (change !== 'same' || known?.lapsedAtMs !== undefined) this.digest = undefined;
     this.servers.set(entry.id, {
       entry: {...entry, isDraining},
       firstSeenAtMs: isRestarted ? nowMs : (known?.firstSeenAtMs ?? nowMs),
@@ -92,8 +100,8 @@
    */
   applyRelayed(entry: ServerEntry, nowMs: number): ServerChange {
     const left = this.left.get(entry.id);
-    if (left && left.startedAtMs === entry.startedAtMs) return 'same';
-    return this.applyEntry(entry, nowMs);
+    const isOld = left?.reason === 'draining' && left.startedAtMs === entry.startedAtMs;
+    return isOld ? 'same' : this.applyEntry(entry, nowMs);
   }
 
   /**
@@ -104,9 +112,8 @@
   removeServer(id: string, nowMs: number): ServerChange {
     const known = this.servers.get(id);
     if (!known) return 'same';
-    this.servers.delete(id);
-    this.digest = undefined;
-    this.noteLeaving(known.entry, nowMs);
+    this.deleteServer(id);
+    this.noteLeaving(known.entry, 'removed', nowMs);
     return 'removed';
   }
 
@@ -118,6 +125,7 @@
   markLapsed(id: string, nowMs: number): void {
     const known = this.servers.get(id);
     if (known && known.lapsedAtMs === undefined) {
+      this.digest = undefined;
       this.servers.set(id, {...known, lapsedAtMs: nowMs});
     }
   }
@@ -148,26 +156,32 @@
 
   /**
    * Returns the starts that were learned to leave not long ago.
+   * @param reason - How they left.
    * @param nowMs - Present time, monotonic.
    */
-  getLeaving(nowMs: number): readonly ServerStart[] {
+  getLeaving(reason: LeavingReason, nowMs: number): readonly ServerStart[] {
     for (const [id, {atMs}] of this.left) {
       if (nowMs - atMs > LEFT_KEPT_MS) this.left.delete(id);
     }
     return [...this.left]
-      .filter(([, {atMs}]) => nowMs - atMs <= LEAVING_TOLD_MS)
+      .filter(([, left]) => left.reason === reason && nowMs - left.atMs <= LEAVING_TOLD_MS)
       .map(([id, {startedAtMs}]) => ({id, startedAtMs}));
   }
 
   /**
-   * Notes that a backend server is leaving, as another gateway has learned. Another start under the same id stays.
+   * Takes the news that a backend server is leaving. Another start under the same id stays.
    * @param start - The start that leaves.
+   * @param reason - How it leaves.
    * @param nowMs - Present time, monotonic.
    */
-  markDraining(start: ServerStart, nowMs: number): ServerChange {
+  applyLeaving(start: ServerStart, reason: LeavingReason, nowMs: number): ServerChange {
     const known = this.servers.get(start.id);
-    if (!known || known.entry.isDraining) return 'same';
-    if (known.entry.startedAtMs !== start.startedAtMs) return 'same';
+    if (!known || known.entry.startedAtMs !== start.startedAtMs) return 'same';
+    if (reason === 'removed') {
+      this.deleteServer(start.id);
+      return 'removed';
+    }
+    if (known.entry.isDraining) return 'same';
     const entry = {...known.entry, isDraining: true};
     this.digest = undefined;
     this.servers.set(start.id, {...known, entry, changedAtMs: nowMs});
@@ -186,7 +200,10 @@
     );
   }
 
-  /** Returns a hash of all servers that take requests; two gateways with the same hash know the same servers. */
+  /**
+   * Returns a hash of all servers that take requests and of whose registrations have lapsed; two gateways with the same
+   * hash know the same.
+   */
   getDigest(): bigint {
     this.digest ??= this.computeDigest();
     return this.digest;
@@ -194,9 +211,10 @@
 
   private computeDigest(): bigint {
     const open = this.getServers().filter(({entry}) => !entry.isDraining);
-    const rows = open.map(({entry: {id, startedAtMs, address, service, failureDomain}}) =>
-      [id, startedAtMs, address, service, failureDomain].join(),
-    );
+    const rows = open.map(({entry, lapsedAtMs}) => {
+      const {id, startedAtMs, address, service, failureDomain} = entry;
+      return [id, startedAtMs, address, service, failureDomain, lapsedAtMs !== undefined].join();
+    });
     return hashText(rows.sort().join('\n'));
   }
 
@@ -235,9 +253,15 @@
     );
   }
 
-  private noteLeaving({id, startedAtMs}: ServerStart, nowMs: number): void {
-    if (this.left.get(id)?.startedAtMs === startedAtMs && this.left.has(id)) return;
-    this.left.set(id, {startedAtMs, atMs: nowMs});
+  private deleteServer(id: string): void {
+    this.servers.delete(id);
+    this.digest = undefined;
+  }
+
+  private noteLeaving({id, startedAtMs}: ServerStart, reason: LeavingReason, nowMs: number): void {
+    const known = this.left.get(id);
+    if (known && known.startedAtMs === startedAtMs && known.reason === 'draining') return;
+    this.left.set(id, {startedAtMs, reason, atMs: nowMs});
   }
 }
 
--- a/src/catalog/index.ts
+++ b/src/catalog/index.ts
@@ -3,6 +3,7 @@
 export {
   ServerCatalog,
   type KnownServer,
+  type LeavingReason,
   type ServerChange,
   type ServerEntry,
   type ServerStart,
--- a/src/gateway/SharedReadings.ts
+++ b/src/gateway/SharedReadings.ts
@@ -1,5 +1,5 @@
 /** What the gateways read of the deployment's logs for each other: the operators' records and the registrations. */
-import type {Catalog, ServerEntry, ServerStart} from '../catalog/index.js';
+import type {Catalog, LeavingReason, ServerEntry, ServerStart} from '../catalog/index.js';
 import {getReaderRank, getReadingDelayMs, type ReadingTimes} from '../controllers/reading/index.js';
 import type {
   GatewayMember,
@@ -109,7 +109,8 @@
         ...entry,
         coldMs: Math.max(0, coldUntilMs - nowMs),
       })),
-      leaving: catalog.servers.getLeaving(nowMs),
+      draining: catalog.servers.getLeaving('draining', nowMs),
+      removed: catalog.servers.getLeaving('removed', nowMs),
     };
   }
 
@@ -119,7 +120,9 @@
    * @param nowMs - Present time, monotonic.
    */
   apply({sender, operatorOffset, operatorAgeMs, registrations}: GossipState, nowMs: number): void {
-    for (const start of registrations.leaving) this.applyLeaving(start, sender.id, nowMs);
+    for (const start of registrations.draining) {
+      this.applyLeaving(start, 'draining', sender.id, nowMs);
+    }
     this.applyRegistrations(registrations, sender.id, nowMs);
     this.applyOperatorReading(operatorOffset, operatorAgeMs, nowMs);
   }
@@ -138,17 +141,21 @@
     if (isNew) this.onNews();
   }
 
-  /** Servers that both know alike are known here up to the instant at which the other gateway read. */
+  /**
+   * Takes what was read up to here or further. Servers that both then know alike are known here up to the instant at which
+   * the other gateway read.
+   */
   private applyRegistrations(reading: RegistrationsReading, toldBy: string, nowMs: number): void {
     const {catalog} = this.options;
     if (reading.offset === 0 || reading.offset < this.knownOffsets.registrations) return;
+    for (const start of reading.removed) this.applyLeaving(start, 'removed', toldBy, nowMs);
     for (const entry of reading.changed) this.applyRegistration(entry, toldBy, nowMs);
     if (reading.digest !== catalog.servers.getDigest()) return;
     this.knownOffsets.registrations = reading.offset;
-    const readAtMs = nowMs - reading.ageMs;
-    catalog.markServersCurrent(readAtMs);
-    const gone = [...catalog.servers.removeLapsed(readAtMs), ...catalog.servers.dropLeft(nowMs)];
-    for (const id of gone) this.logServer({server: id, change: 'removed', toldBy});
+    catalog.markServersCurrent(nowMs - reading.ageMs);
+    for (const id of catalog.servers.dropLeft(nowMs)) {
+      this.logServer({server: id, change: 'removed', toldBy});
+    }
   }
 
   private applyRegistration(entry: ServerEntry, toldBy: string, nowMs: number): void {
@@ -158,8 +165,13 @@
     this.logServer({server: id, change, service, failureDomain, toldBy});
   }
 
-  private applyLeaving(start: ServerStart, toldBy: string, nowMs: number): void {
-    const change = this.options.catalog.servers.markDraining(start, nowMs);
+  private applyLeaving(
+    start: ServerStart,
+    reason: LeavingReason,
+    toldBy: string,
+    nowMs: number,
+  ): void {
+    const change = this.options.catalog.servers.applyLeaving(start, reason, nowMs);
     if (change !== 'same') this.logServer({server: start.id, change, toldBy});
   }
 
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -38,7 +38,10 @@
   readonly digest: bigint;
   /** Registrations that changed lately, and those of cold servers. */
   readonly changed: readonly ServerEntry[];
-  readonly leaving: readonly ServerStart[];
+  /** Starts that said themselves that they leave. */
+  readonly draining: readonly ServerStart[];
+  /** Starts whose registrations have gone. */
+  readonly removed: readonly ServerStart[];
 }
 
 /** The state that a gateway tells. */
--- a/src/gossip/gossipCodec.ts
+++ b/src/gossip/gossipCodec.ts
@@ -43,7 +43,8 @@
     registrationsAgeMs: toAge(state.registrations.ageMs),
     registrationsDigest: state.registrations.digest,
     registrations: state.registrations.changed.map(toRegistration),
-    leavingServers: state.registrations.leaving.map(toServerStart),
+    drainingServers: state.registrations.draining.map(toServerStart),
+    removedServers: state.registrations.removed.map(toServerStart),
     wallMs: BigInt(Math.round(state.wallMs)),
   });
   return toBinary(GossipSchema, message);
@@ -74,7 +75,8 @@
       ageMs: message.registrationsAgeMs,
       digest: message.registrationsDigest,
       changed: message.registrations.map(fromRegistration),
-      leaving: message.leavingServers.map(fromServerStart),
+      draining: message.drainingServers.map(fromServerStart),
+      removed: message.removedServers.map(fromServerStart),
     },
     wallMs: Number(message.wallMs),
   };
--- a/tests/gateway/SharedReadings.test.ts
+++ b/tests/gateway/SharedReadings.test.ts
@@ -93,6 +93,43 @@
     t.end();
   });
 
+  t.test('a registration that lapsed in an outage and came back opens the server everywhere', t => {
+    const {reader, other} = createPair();
+    for (const gateway of [reader, other]) gateway.read([S1, S2], 5, 0);
+    reader.catalog.servers.removeServer('s2', 10_000);
+    other.readings.apply(reader.tell(10_000), 10_000);
+    t.same(other.getOpenIds(), ['s1']);
+    reader.read([S2], 6, 11_000);
+    other.readings.apply(reader.tell(11_000), 11_000);
+    t.same(other.getOpenIds(), ['s1', 's2']);
+    t.equal(other.catalog.getServersAgeMs(11_000), 0);
+    t.end();
+  });
+
+  t.test(
+    'a registration that lapsed here and came back for the reader is no proof of anything here',
+    t => {
+      const {reader, other} = createPair();
+      for (const gateway of [reader, other]) gateway.read([S1, S2], 5, 0);
+      reader.readings.noteRead('registrations', 8);
+      other.catalog.servers.markLapsed('s2', 10_000);
+      other.readings.apply(reader.tell(12_500), 12_500);
+      t.same(other.getOpenIds(), ['s1', 's2']);
+      t.equal(other.readings.getKnownOffset('registrations'), 5, 'so it reads for itself');
+      t.end();
+    },
+  );
+
+  t.test('a removal that was read further back than here is ignored', t => {
+    const {reader, other} = createPair();
+    for (const gateway of [reader, other]) gateway.read([S1, S2], 5, 0);
+    reader.catalog.servers.removeServer('s2', 10_000);
+    other.read([S2], 7, 10_100);
+    other.readings.apply(reader.tell(10_200), 10_200);
+    t.same(other.getOpenIds(), ['s1', 's2']);
+    t.end();
+  });
+
   t.test('news that was missed is no proof that all servers are known', t => {
     const {reader, other} = createPair();
     for (const gateway of [reader, other]) gateway.read([S1], 5, 0);
