A closed list of log events at bounded rates, settings reload, metric names held to the page

Cause: log messages were free text without a bound on their volume; changed settings needed a restart and were only noted; nothing held the page of metrics to the code. The log writer is given to bunyan as a stream, without a cast. A test compares the metrics that are served with docs/OPERATIONS.md.

--- a/src/gateway/DutyRunner.ts
+++ b/src/gateway/DutyRunner.ts
@@ -2,7 +2,7 @@
 import type {Catalog} from '../catalog/index.js';
 import {getFirstActMs, shouldClaimDuty, type UsageLedger} from '../controllers/duties/index.js';
 import type {DutyClaim, MemberTable} from '../gossip/index.js';
-import type {Logger} from '../logging/index.js';
+import type {EventLogger} from '../logging/index.js';
 import {FleetDuty} from './FleetDuty.js';
 import type {GatewaySettings} from './GatewaySettings.js';
 import type {DutyCalls, DutyLog, DutyResult} from './ports.js';
@@ -16,7 +16,7 @@
   readonly ledger: UsageLedger;
   readonly calls: DutyCalls;
   readonly log: DutyLog;
-  readonly logger: Logger;
+  readonly events: EventLogger;
   /** Whether this gateway is ready to serve. */
   readonly isReady: () => boolean;
   readonly getNowMs: () => number;
@@ -109,14 +109,14 @@
   }
 
   private async claimDuties(): Promise<void> {
-    const {settings, log, logger, getNowMs, getWallMs, ledger, calls, catalog} = this.options;
+    const {settings, log, events, getNowMs, getWallMs, ledger, calls, catalog} = this.options;
     const claimed = await log.claim(settings.id);
     const history = await log.read();
     if (history) this.applyClaim(history.claim);
     if (!claimed || !history || history.claim.token !== claimed.claim.token) {
       this.claimAgainAtMs = getNowMs() + FAILED_CLAIM_PAUSE_MS;
       const token = claimed?.claim.token;
-      logger.info({token, newest: this.newest.token}, 'duties not claimed');
+      events.log('duties not claimed', {token, newest: this.newest.token});
       return;
     }
     const {claim, previous} = claimed;
@@ -128,10 +128,10 @@
         {ownId: settings.id, previous, claimedAtMs: getNowMs()},
         settings.leaseMs,
       ),
-      usage: new UsageDuty({ledger, calls, log, logger, dueMs}, history.reports, getWallMs()),
-      fleet: new FleetDuty({catalog, calls, logger, failureDomains}),
+      usage: new UsageDuty({ledger, calls, log, events, dueMs}, history.reports, getWallMs()),
+      fleet: new FleetDuty({catalog, calls, events, failureDomains}),
     };
-    logger.info({token: claim.token}, 'duties claimed');
+    events.log('duties claimed', {token: claim.token});
   }
 
   private async perform(held: HeldDuties): Promise<void> {
@@ -146,8 +146,8 @@
   }
 
   private drop(reason: string): void {
-    const {logger, settings, getNowMs} = this.options;
-    logger.info({token: this.held?.claim.token, newest: this.newest.token, reason}, 'duties lost');
+    const {events, settings, getNowMs} = this.options;
+    events.log('duties lost', {token: this.held?.claim.token, newest: this.newest.token, reason});
     this.held = undefined;
     const isOthers = this.newest.holderId !== settings.id;
     this.claimAgainAtMs = getNowMs() + (isOthers ? settings.leaseMs : FAILED_CLAIM_PAUSE_MS);
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -2,14 +2,14 @@
 import type {Catalog, KnownServer, Service} from '../catalog/index.js';
 import {decideFleetSize, type DomainOrder} from '../controllers/fleetSize/index.js';
 import type {DutyClaim} from '../gossip/index.js';
-import type {Logger} from '../logging/index.js';
+import type {EventLogger} from '../logging/index.js';
 import type {DutyCalls, DutyResult, ServerOrder} from './ports.js';
 
 /** Options of a `FleetDuty`. */
 export interface FleetDutyOptions {
   readonly catalog: Catalog;
   readonly calls: DutyCalls;
-  readonly logger: Logger;
+  readonly events: EventLogger;
   readonly failureDomains: readonly string[];
 }
 
@@ -112,7 +112,7 @@
       atMs: nowMs,
       isDone: result === 'done',
     });
-    this.options.logger.info({...order, present, result, token: claim.token}, 'server order');
+    this.options.events.log('server order', {...order, present, result, token: claim.token});
     return result;
   }
 
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -13,8 +13,9 @@
   type ServingRequest,
 } from '../exchange/index.js';
 import {MemberTable, type GatewayMember} from '../gossip/index.js';
-import type {Logger} from '../logging/index.js';
+import type {EventLogger} from '../logging/index.js';
 import {chooseCallerAddresses} from './chooseCallerAddresses.js';
+import {compareSettings} from './compareSettings.js';
 import {DutyRunner} from './DutyRunner.js';
 import {GatewayGossip} from './GatewayGossip.js';
 import {GatewayMetrics, type GatewayGauges} from './GatewayMetrics.js';
@@ -32,7 +33,7 @@
   readonly transport: BackendTransport;
   readonly dutyCalls: DutyCalls;
   readonly dutyLog: DutyLog;
-  readonly logger: Logger;
+  readonly events: EventLogger;
   readonly metrics: GatewayMetrics;
   readonly getNowMs: () => number;
   readonly getWallMs: () => number;
@@ -75,7 +76,7 @@
   private isStopping = false;
 
   constructor(options: GatewayOptions) {
-    const {settings, catalog, logger, getNowMs, getWallMs, random} = options;
+    const {settings, catalog, events, getNowMs, getWallMs, random} = options;
     this.options = options;
     this.startedAtMs = getNowMs();
     const clock = new PeerClock({getWallMs, getNowMs});
@@ -99,7 +100,7 @@
       getWallMs: () => clock.getWallMs(),
       random,
     });
-    this.readings = new SharedReadings({catalog, members: this.members, logger, describeSelf});
+    this.readings = new SharedReadings({catalog, members: this.members, events, describeSelf});
     this.startGate = new StartGate({
       isInformed: () =>
         catalog.table !== undefined && catalog.getServersAgeMs(getNowMs()) < Infinity,
@@ -112,7 +113,7 @@
       ledger: this.usage,
       calls: options.dutyCalls,
       log: options.dutyLog,
-      logger,
+      events,
       isReady: () => this.isReady(),
       getNowMs,
       getWallMs: () => clock.getWallMs(),
@@ -127,7 +128,7 @@
       duties: this.duties,
       readings: this.readings,
       clock,
-      logger,
+      events,
       describeSelf,
       getNowMs,
     });
@@ -139,6 +140,19 @@
     this.dutyTimer = setInterval(() => this.runDuties(), DUTY_INTERVAL_MS);
   }
 
+  /**
+   * Applies what can be applied of changed settings, and logs what can't.
+   * @param settings - The changed settings.
+   */
+  reload(settings: GatewaySettings): void {
+    const {applied, needRestart} = compareSettings(this.options.settings, settings);
+    this.gossip.setSeeds(settings.gossipSeeds);
+    this.options.events.log('settings reloaded', {
+      applied: applied.join(),
+      needRestart: needRestart.join(),
+    });
+  }
+
   /** Tells the others at once what has changed here. */
   tellOthers(): void {
     this.gossip.tell();
@@ -158,9 +172,10 @@
 
   /**
    * Returns what the metrics show.
-   * @param droppedLogLines - Log lines dropped since the start.
+   * @param droppedLogLines - Log lines dropped since the start, since nobody read them.
+   * @param leftOutLogLines - Log lines left out since the start, since their event came too often.
    */
-  getGauges(droppedLogLines: number): GatewayGauges {
+  getGauges(droppedLogLines: number, leftOutLogLines: number): GatewayGauges {
     const {catalog, getNowMs, settings} = this.options;
     const nowMs = getNowMs();
     return {
@@ -174,6 +189,7 @@
       dutyToken: this.duties.claim.token,
       isDutyHolder: this.duties.claim.holderId === settings.id,
       droppedLogLines,
+      leftOutLogLines,
     };
   }
 
@@ -305,22 +321,19 @@
     }
     this.options.metrics.addOutcome(route.name, workspace?.name, outcome);
     const {kind, status, refusal, attempts, serverId, firstEventMs, totalMs, detail} = outcome;
-    this.options.logger.info(
-      {
-        request: request.id,
-        route: route.name,
-        workspace: workspace?.name,
-        outcome: kind,
-        status,
-        refusal,
-        attempts,
-        server: serverId,
-        firstEventMs: round(firstEventMs),
-        totalMs: round(totalMs),
-        detail,
-      },
-      'request',
-    );
+    this.options.events.log('request', {
+      request: request.id,
+      route: route.name,
+      workspace: workspace?.name,
+      outcome: kind,
+      status,
+      refusal,
+      attempts,
+      server: serverId,
+      firstEventMs: round(firstEventMs),
+      totalMs: round(totalMs),
+      detail,
+    });
   }
 
   private logRefusal(
@@ -328,19 +341,16 @@
     refusal: RefusalKind,
     workspace: string | undefined,
   ): void {
-    const {catalog, logger, metrics, getNowMs} = this.options;
+    const {catalog, events, metrics, getNowMs} = this.options;
     metrics.addRefusal(refusal, workspace);
-    logger.info(
-      {
-        request: request.id,
-        path: request.path,
-        workspace,
-        refusal,
-        version: catalog.table?.configuration.version,
-        configurationAgeMs: round(catalog.getOperatorAgeMs(getNowMs())),
-      },
-      'request refused',
-    );
+    events.log('request refused', {
+      request: request.id,
+      path: request.path,
+      workspace,
+      refusal,
+      version: catalog.table?.configuration.version,
+      configurationAgeMs: round(catalog.getOperatorAgeMs(getNowMs())),
+    });
   }
 
   /** Returns when to come back where the request is over its workspace's allotment. */
@@ -366,7 +376,7 @@
 
   private runDuties(): void {
     this.duties.tick(this.startedAtMs).catch((error: unknown) => {
-      this.options.logger.error({error: String(error)}, 'duties failed');
+      this.options.events.log('duties failed', {error: String(error)});
     });
   }
 }
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -9,7 +9,7 @@
   type GossipState,
   type MemberTable,
 } from '../gossip/index.js';
-import type {Logger} from '../logging/index.js';
+import type {EventLogger} from '../logging/index.js';
 import type {DutyRunner} from './DutyRunner.js';
 import type {GatewaySettings} from './GatewaySettings.js';
 import type {PeerClock} from './PeerClock.js';
@@ -26,7 +26,7 @@
   readonly duties: DutyRunner;
   readonly readings: SharedReadings;
   readonly clock: PeerClock;
-  readonly logger: Logger;
+  readonly events: EventLogger;
   /** Returns this gateway as it describes itself. */
   readonly describeSelf: () => GatewayMember;
   readonly getNowMs: () => number;
@@ -43,16 +43,18 @@
   private readonly options: GatewayGossipOptions;
   private readonly socket: GossipSocket;
   private timer: NodeJS.Timeout | undefined;
+  private seeds: readonly string[];
   private told = 0;
   private toldMemberIds = '';
 
   constructor(options: GatewayGossipOptions) {
-    const {settings, logger} = options;
+    const {settings, events} = options;
     this.options = options;
+    this.seeds = settings.gossipSeeds;
     this.socket = new GossipSocket({
       ip: settings.ip,
       port: settings.gossipPort,
-      logger,
+      events,
       onState: state => this.applyState(state),
     });
   }
@@ -70,13 +72,21 @@
     this.socket.close();
   }
 
+  /**
+   * Sets the gateways to speak to besides those that are known.
+   * @param addresses - Their IP numbers and ports.
+   */
+  setSeeds(addresses: readonly string[]): void {
+    this.seeds = addresses;
+  }
+
   /** Tells the own state now. */
   tell(): void {
     const {settings, members, getNowMs} = this.options;
     const nowMs = getNowMs();
     const known = members.getAll(nowMs).map(({gossipAddress}) => gossipAddress);
     const own = `${settings.ip}:${settings.gossipPort}`;
-    const seeds = settings.gossipSeeds.filter(seed => seed !== own && !known.includes(seed));
+    const seeds = this.seeds.filter(seed => seed !== own && !known.includes(seed));
     this.socket.send(this.getState(nowMs), [...known, ...seeds]);
   }
 
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -14,6 +14,7 @@
   readonly dutyToken: number;
   readonly isDutyHolder: boolean;
   readonly droppedLogLines: number;
+  readonly leftOutLogLines: number;
 }
 
 /** Labels of requests that are refused before they have a route or workspace. */
@@ -41,7 +42,14 @@
   backendServers: ['buckthorn_backend_servers', 'Backend servers that are known.'],
   dutyToken: ['buckthorn_duty_token', 'Fencing token of the newest claim of the duties.'],
   isDutyHolder: ['buckthorn_duty_held', 'Whether this gateway holds the duties.'],
-  droppedLogLines: ['buckthorn_log_lines_dropped', 'Log lines dropped since the start.'],
+  droppedLogLines: [
+    'buckthorn_log_lines_dropped',
+    'Log lines dropped since the start, since nobody read them.',
+  ],
+  leftOutLogLines: [
+    'buckthorn_log_lines_left_out',
+    'Log lines left out since the start, since their event came too often.',
+  ],
 };
 
 /** Metrics of one process. */
--- a/src/gateway/SharedReadings.ts
+++ b/src/gateway/SharedReadings.ts
@@ -7,7 +7,7 @@
   MemberTable,
   RegistrationsReading,
 } from '../gossip/index.js';
-import type {LogFields, Logger} from '../logging/index.js';
+import type {EventLogger, LogFields} from '../logging/index.js';
 
 /** A log of the deployment. */
 export type SharedLog = 'operator' | 'registrations';
@@ -16,7 +16,7 @@
 export interface SharedReadingsOptions {
   readonly catalog: Catalog;
   readonly members: MemberTable;
-  readonly logger: Logger;
+  readonly events: EventLogger;
   /** Returns this gateway as it describes itself. */
   readonly describeSelf: () => GatewayMember;
 }
@@ -176,7 +176,7 @@
   }
 
   private logServer(fields: LogFields): void {
-    this.options.logger.info(fields, 'backend server');
+    this.options.events.log('backend server', fields);
   }
 
   private getReaderRank(nowMs: number): number {
--- a/src/gateway/UsageDuty.ts
+++ b/src/gateway/UsageDuty.ts
@@ -1,7 +1,7 @@
 /** Reports usage as the holder of the duties: each window is written down before it is reported. */
 import type {UsageLedger} from '../controllers/duties/index.js';
 import type {DutyClaim} from '../gossip/index.js';
-import type {Logger} from '../logging/index.js';
+import type {EventLogger} from '../logging/index.js';
 import type {DutyCalls, DutyLog, DutyResult, UsageReport} from './ports.js';
 
 /** Options of a `UsageDuty`. */
@@ -9,7 +9,7 @@
   readonly ledger: UsageLedger;
   readonly calls: DutyCalls;
   readonly log: DutyLog;
-  readonly logger: Logger;
+  readonly events: EventLogger;
   /** Time after the end of a window within which it is reported. */
   readonly dueMs: number;
 }
@@ -51,7 +51,7 @@
       if (this.reported.has(report.window) || this.isTooLate(report, wallMs)) continue;
       const result = await this.options.calls.reportUsage(report, claim);
       const total = [...report.counts.values()].reduce((sum, count) => sum + count, 0);
-      this.options.logger.info({window: report.window, total, result, token: claim.token}, 'usage');
+      this.options.events.log('usage', {window: report.window, total, result, token: claim.token});
       if (result === 'superseded') return result;
       if (result !== 'unavailable') this.reported.add(report.window);
     }
--- a/src/gossip/GossipSocket.ts
+++ b/src/gossip/GossipSocket.ts
@@ -1,6 +1,6 @@
 /** Sends and receives the gateways' datagrams. */
 import {createSocket, type Socket} from 'node:dgram';
-import type {Logger} from '../logging/index.js';
+import type {EventLogger} from '../logging/index.js';
 import {decodeGossip, encodeGossip} from './gossipCodec.js';
 import type {GossipState} from './GossipState.js';
 
@@ -8,7 +8,7 @@
 export interface GossipSocketOptions {
   readonly ip: string;
   readonly port: number;
-  readonly logger: Logger;
+  readonly events: EventLogger;
   readonly onState: (state: GossipState) => void;
 }
 
@@ -23,12 +23,12 @@
 
   /** Binds the socket. */
   async open(): Promise<void> {
-    const {ip, port, logger, onState} = this.options;
-    this.socket.on('error', error => logger.warn({error: error.message}, 'gossip socket failed'));
+    const {ip, port, events, onState} = this.options;
+    this.socket.on('error', error => events.log('gossip socket failed', {error: error.message}));
     this.socket.on('message', bytes => {
       const state = decodeGossip(bytes);
       if (state) onState(state);
-      else logger.warn({bytes: bytes.length}, 'unreadable gossip datagram');
+      else events.log('unreadable gossip datagram', {bytes: bytes.length});
     });
     await new Promise<void>(resolve => this.socket.bind(port, ip, resolve));
   }
@@ -43,7 +43,7 @@
     for (const address of addresses) {
       const [ip, port] = address.split(':');
       this.socket.send(bytes, Number(port), ip, error => {
-        if (error) this.options.logger.warn({error: error.message, address}, 'gossip not sent');
+        if (error) this.options.events.log('gossip not sent', {error: error.message, address});
       });
     }
   }
--- a/src/logging/LineWriter.ts
+++ b/src/logging/LineWriter.ts
@@ -1,5 +1,6 @@
 /** Writes log lines to a file descriptor without ever waiting for its reader. */
 import {write} from 'node:fs';
+import {Writable} from 'node:stream';
 
 /** Options of a `LineWriter`. */
 export interface LineWriterOptions {
@@ -28,6 +29,17 @@
     return this.dropped;
   }
 
+  /** Returns a stream that writes each of its chunks as a line. */
+  toStream(): Writable {
+    return new Writable({
+      decodeStrings: false,
+      write: (line: string, encoding, done) => {
+        this.write(line);
+        done();
+      },
+    });
+  }
+
   /**
    * Queues a line, or drops it where the reader is too slow.
    * @param line - The line with its line feed.
--- a/tests/gateway/DutyRunner.test.ts
+++ b/tests/gateway/DutyRunner.test.ts
@@ -12,7 +12,7 @@
   UsageReport,
 } from '../../src/gateway/index.js';
 import {MemberTable, type DutyClaim} from '../../src/gossip/index.js';
-import {silentLogger as logger} from '../../src/logging/index.js';
+import {silentEvents as events} from '../../src/logging/index.js';
 import {createSettings} from './gatewayFixtures.js';
 
 /** Keeps claims and accepts reports, as the store and the platform do. */
@@ -66,7 +66,7 @@
     ledger: new UsageLedger(settings.usageWindowSeconds),
     calls: standIn,
     log: standIn,
-    logger,
+    events,
     isReady: () => true,
     getNowMs: () => clock.nowMs,
     getWallMs: () => 1_000_000 + clock.nowMs,
--- /dev/null
+++ b/tests/gateway/GatewayMetrics.test.ts
@@ -0,0 +1,26 @@
+/** The page of metrics names all that there are. */
+import {readFileSync} from 'node:fs';
+import t from 'tap';
+import {GatewayMetrics} from '../../src/gateway/index.js';
+
+t.test('docs/OPERATIONS.md names each metric, and no other one', async t => {
+  const metrics = new GatewayMetrics();
+  metrics.setGauges(() => ({
+    openRequests: 0,
+    configurationVersion: 0,
+    configurationAgeMs: 0,
+    registrationsAgeMs: 0,
+    gatewaysHeard: 0,
+    gatewaysKnown: 0,
+    backendServers: 0,
+    dutyToken: 0,
+    isDutyHolder: false,
+    droppedLogLines: 0,
+    leftOutLogLines: 0,
+  }));
+  const text = await metrics.getText();
+  const shown = [...text.matchAll(/^# HELP (\S+)/gm)].map(([, name]) => name);
+  const page = readFileSync('docs/OPERATIONS.md', 'utf8');
+  const named = [...page.matchAll(/`(buckthorn_\w+)/g)].map(([, name]) => name);
+  t.same([...new Set(shown)].sort(), [...new Set(named)].sort());
+});
--- a/tests/gateway/SharedReadings.test.ts
+++ b/tests/gateway/SharedReadings.test.ts
@@ -3,7 +3,7 @@
 import {Catalog, type ServerEntry} from '../../src/catalog/index.js';
 import {SharedReadings} from '../../src/gateway/index.js';
 import {MemberTable, type GatewayMember, type GossipState} from '../../src/gossip/index.js';
-import {silentLogger} from '../../src/logging/index.js';
+import {silentEvents} from '../../src/logging/index.js';
 import {createServer} from '../exchange/exchangeFixtures.js';
 
 function member(id: string): GatewayMember {
@@ -29,7 +29,7 @@
     this.readings = new SharedReadings({
       catalog: this.catalog,
       members: new MemberTable(id, {silentAfterMs: 900, goneAfterMs: 8_000}),
-      logger: silentLogger,
+      events: silentEvents,
       describeSelf: () => this.member,
     });
     this.readings.setNewsListener(() => (this.news += 1));
--- a/tests/gateway/duties.test.ts
+++ b/tests/gateway/duties.test.ts
@@ -11,7 +11,7 @@
   ServerOrder,
   UsageReport,
 } from '../../src/gateway/index.js';
-import {silentLogger as logger} from '../../src/logging/index.js';
+import {silentEvents as events} from '../../src/logging/index.js';
 import {createServer} from '../exchange/exchangeFixtures.js';
 
 const CLAIM = {token: 3, holderId: 'g1'};
@@ -53,7 +53,7 @@
 function createUsageDuty(history: readonly UsageReport[], wallMs: number) {
   const platform = new DutyPlatform();
   const ledger = new UsageLedger(5);
-  const options = {ledger, calls: platform, log: platform, logger, dueMs: DUE_MS};
+  const options = {ledger, calls: platform, log: platform, events, dueMs: DUE_MS};
   return {platform, ledger, duty: new UsageDuty(options, history, wallMs)};
 }
 
@@ -135,7 +135,7 @@
     limits: {maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
   });
   const platform = new DutyPlatform();
-  const duty = new FleetDuty({catalog, calls: platform, logger, failureDomains: ['a', 'b']});
+  const duty = new FleetDuty({catalog, calls: platform, events, failureDomains: ['a', 'b']});
   const add = (id: string, fields: Partial<ServerEntry>) =>
     catalog.servers.applyEntry({...createServer(id).entry, ...fields}, 0);
   return {platform, duty, add};
--- a/tests/platform/BackendConnections.test.ts
+++ b/tests/platform/BackendConnections.test.ts
@@ -3,7 +3,7 @@
 import t from 'tap';
 import {BackendConnections} from '../../platform/BackendConnections.js';
 import type {BackendFailure, BackendHead} from '../../src/exchange/index.js';
-import {silentLogger} from '../../src/logging/index.js';
+import {silentEvents} from '../../src/logging/index.js';
 import {REQUEST, createServer as createEntry} from '../exchange/exchangeFixtures.js';
 
 interface Reply {
@@ -61,7 +61,7 @@
     t.test(name, async t => {
       const server = await listen(answer);
       t.teardown(() => server.close());
-      const connections = new BackendConnections(silentLogger);
+      const connections = new BackendConnections(silentEvents);
       check(await send(connections, getPort(server)));
       connections.removeServers(() => false);
     });
@@ -125,7 +125,7 @@
       socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}content-length: 0\r\n\r\n`);
     });
     t.teardown(() => server.close());
-    const connections = new BackendConnections(silentLogger);
+    const connections = new BackendConnections(silentEvents);
     await send(connections, getPort(server));
     connections.removeServers(() => false);
     t.match(seen, /^POST \/a\/1 HTTP\/1.1\r\n/);
@@ -140,7 +140,7 @@
     const server = await listen(() => undefined);
     const port = getPort(server);
     await new Promise(resolve => server.close(resolve));
-    const reply = await send(new BackendConnections(silentLogger), port);
+    const reply = await send(new BackendConnections(silentEvents), port);
     t.match(reply.failure, {kind: 'unreachable', isSent: false});
   });
 
@@ -153,7 +153,7 @@
       socket.write(`${answer}a${count}${count === 1 ? `${answer}zz` : ''}`);
     });
     t.teardown(() => server.close());
-    const connections = new BackendConnections(silentLogger);
+    const connections = new BackendConnections(silentEvents);
     await send(connections, getPort(server), 'q1');
     const second = await send(connections, getPort(server), 'q2');
     t.not(second.body, 'zz');
--- a/tests/platform/StoreDutyLog.test.ts
+++ b/tests/platform/StoreDutyLog.test.ts
@@ -3,7 +3,7 @@
 import {StoreClient} from '../../platform/StoreClient.js';
 import {StoreDutyLog} from '../../platform/StoreDutyLog.js';
 import type {UsageReport} from '../../src/gateway/index.js';
-import {silentLogger} from '../../src/logging/index.js';
+import {silentEvents} from '../../src/logging/index.js';
 import {StoreStandIn} from './StoreStandIn.js';
 
 async function createWorld(t: Test): Promise<{store: StoreStandIn; createLog: () => StoreDutyLog}> {
@@ -13,7 +13,7 @@
   const onCall = () => undefined;
   return {
     store,
-    createLog: () => new StoreDutyLog(new StoreClient({address, logger: silentLogger, onCall})),
+    createLog: () => new StoreDutyLog(new StoreClient({address, events: silentEvents, onCall})),
   };
 }
 
