--- a/tests/platform/gatewayProcess.test.ts
+++ b/tests/platform/gatewayProcess.test.ts
@@ -1,20 +1,26 @@
 /** The process of one machine, whole, against stand-ins of the store and of a backend server. */
-import {spawn, type ChildProcess} from 'node:child_process';
-import {writeFileSync} from 'node:fs';
+import {execFileSync, spawn, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {createServer, request as httpRequest, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import t, {type Test} from 'tap';
 import {encodeKeyed} from '../../platform/records.js';
 import {StoreStandIn} from './StoreStandIn.js';
 
-const BINARY = 'dist/platform/main.js';
+const FOLDER = mkdtempSync(join(tmpdir(), 'gateway-'));
+/** The bundle, as it is deployed. */
+const BINARY = join(FOLDER, 'gateway.mjs');
 const WAIT_MS = 10_000;
 const POLL_MS = 50;
 /** Loopback address of this process alone, so that its fixed ports are free. */
 const OWN_IP = `127.${50 + (process.pid % 100)}.${Math.floor(process.pid / 100) % 250}.1`;
 const PORTS = {traffic: 8_221, ready: 8_224, directory: 8_220, gossip: 7_600, metrics: 7_601};
 
+execFileSync(process.execPath, ['scripts/bundle.mjs', 'dist/platform/main.js', BINARY]);
+t.teardown(() => rmSync(FOLDER, {recursive: true}));
+
 interface Reply {
   readonly status: number;
   readonly headers: NodeJS.Dict<string | string[]>;
