On-demand servers in reserve while failure domains are being reclaimed

Change: while some domains have lost all their reclaimable servers and others have not, two on-demand servers more than what is missing are ordered.

--- a/src/controllers/fleetSize/decideFleetSize.ts
+++ b/src/controllers/fleetSize/decideFleetSize.ts
@@ -27,6 +27,8 @@
 
 /** Reclaimable servers beyond what is needed, as a share; a reclaim takes a whole failure domain's. */
 const SPARE_SHARE = 0.5;
+/** On-demand servers that are ordered at a reclaim beyond what is missing, since reclaims come one after the other. */
+const RECLAIM_RESERVE_SERVERS = 2;
 
 /**
  * Returns what to order in each failure domain.
@@ -39,7 +41,8 @@
   const {bounds, domains, neededServers} = view;
   const reclaimablePerDomain = getReclaimablePerDomain(view);
   const reclaimable = domains.reduce((sum, domain) => sum + domain.reclaimable, 0);
-  let missing = Math.max(0, neededServers - reclaimable);
+  const reserve = isBeingReclaimed(domains) ? RECLAIM_RESERVE_SERVERS : 0;
+  let missing = Math.max(0, neededServers + reserve - reclaimable);
   const byPrice = [...domains].sort((a, b) => getPrice(bounds, a) - getPrice(bounds, b));
   const onDemand = new Map<string, number>();
   for (let round = 0; round < bounds.maxPerDomain && missing > 0; round += 1) {
@@ -61,6 +64,12 @@
   });
 }
 
+/** Some failure domains have lost all their reclaimable servers, others haven't. */
+function isBeingReclaimed(domains: readonly DomainFleet[]): boolean {
+  const lost = domains.filter(({reclaimable}) => reclaimable === 0);
+  return lost.length > 0 && lost.length < domains.length;
+}
+
 function getReclaimablePerDomain({bounds, domains, neededServers}: FleetView): number {
   if (bounds.reclaimablePriceShare === undefined) return 0;
   const wanted = Math.ceil((neededServers * (1 + SPARE_SHARE)) / Math.max(1, domains.length));
