buckthornctl explain: from a request's id, or for all failures, to the deciding cause, from logs alone

Cause: on-call engineers had to grep the logs of all machines and rebuild by hand what each gateway believed. Unreadable lines are counted.

--- a/src/bin/buckthornctl.ts
+++ b/src/bin/buckthornctl.ts
@@ -6,6 +6,7 @@
   createConfigurationCommands,
   createDomainCommands,
   createEventsCommand,
+  createExplainCommand,
   createInstancesCommand,
   createMoveCommands,
   createQuestionnaireCommand,
@@ -43,6 +44,7 @@
     instances: createInstancesCommand(context),
     stats: createStatsCommand(context),
     events: createEventsCommand(context),
+    explain: createExplainCommand(context),
   },
 }) as unknown as RunnableCommand;
 
--- /dev/null
+++ b/src/explain/index.ts
@@ -0,0 +1,3 @@
+export {explainRequest} from './explainRequest.js';
+export {parseLogLine, readLogs, type LoggedEvent, type ReadLogs} from './LoggedEvent.js';
+export {formatFailureGroup, summarizeFailures, type FailureGroup} from './summarizeFailures.js';
--- a/src/operator/index.ts
+++ b/src/operator/index.ts
@@ -23,6 +23,7 @@
 export {StreamSession, type SessionOptions} from './StreamSession.js';
 export {createQuestionnaireCommand} from './QuestionnaireCommand.js';
 export {createDomainCommands} from './DomainCommands.js';
+export {createExplainCommand} from './ExplainCommand.js';
 export {createEventsCommand, formatEvent, type LogEvent} from './EventsCommand.js';
 export {createInstancesCommand, createStatsCommand, formatMetrics} from './InspectCommands.js';
 export {createMoveCommands, getCurrentVersion, getMoveOrThrow} from './MoveCommands.js';
--- /dev/null
+++ b/tests/explain/explain.test.ts
@@ -0,0 +1,117 @@
+/** From an id to its cause, by logs alone. */
+import t from 'tap';
+import {
+  explainRequest,
+  formatFailureGroup,
+  parseLogLine,
+  readLogs,
+  summarizeFailures,
+} from '../../src/explain/index.js';
+
+interface LineFields {
+  readonly [name: string]: unknown;
+}
+
+/** Instants are milliseconds of one minute. */
+function line(atMs: number, instanceId: string, msg: string, fields: LineFields = {}): string {
+  const time = new Date(Date.UTC(2026, 0, 1, 12, 0, 0, atMs)).toISOString();
+  return JSON.stringify({name: 'x', pid: 1, level: 30, instanceId, ...fields, msg, time, v: 0});
+}
+
+const FIRST = [
+  line(0, 'g1', 'started'),
+  line(10, 'g1', 'configuration in force', {version: 7}),
+  line(20, 'g1', 'backend server', {server: 's1', change: 'added', service: 'app'}),
+  line(30, 'g1', 'backend server', {server: 's2', change: 'added', service: 'app'}),
+  line(500, 'g1', 'store lost', {topic: 'registrations'}),
+  line(600, 'g1', 'backend server', {server: 's1', change: 'draining', toldBy: 'g2'}),
+  line(900, 'g1', 'request', {
+    request: 'r1',
+    outcome: 'broken-off',
+    refusal: 'backend-failed',
+    attempts: 1,
+    server: 's1',
+    detail: 'read ECONNRESET 10.0.0.1:80',
+  }),
+].join('\n');
+const SECOND = [
+  line(880, 'g2', 'request', {request: 'r2', outcome: 'answered', server: 's1'}),
+  line(910, 'g2', 'request', {
+    request: 'r3',
+    outcome: 'broken-off',
+    refusal: 'backend-failed',
+    server: 's1',
+    detail: 'read ECONNRESET 10.0.0.9:81',
+  }),
+  line(950, 'g2', 'request refused', {request: 'r4', refusal: 'no-key'}),
+].join('\n');
+
+t.test('parseLogLine', t => {
+  t.match(parseLogLine(`  12.3 host ${line(5, 'g1', 'started')}`), {
+    gatewayId: 'g1',
+    event: 'started',
+    atMs: Date.UTC(2026, 0, 1, 12, 0, 0, 5),
+  });
+  for (const text of ['', 'hello', '{"msg":"x"}', line(5, 'g1', 'started').slice(0, -9)]) {
+    t.equal(parseLogLine(text), undefined);
+  }
+  t.end();
+});
+
+t.test('readLogs', t => {
+  const {events, unreadableLines} = readLogs([`${FIRST}\n{"cut`, SECOND]);
+  t.equal(unreadableLines, 1);
+  t.same(
+    events.slice(-4).map(({fields}) => fields.request),
+    ['r2', 'r1', 'r3', 'r4'],
+    'lines of all files, by time',
+  );
+  t.end();
+});
+
+t.test('explainRequest', t => {
+  const {events} = readLogs([SECOND, FIRST]);
+  t.test('tells what the gateway believed and knew of the server', t => {
+    t.same(explainRequest(events, 'r1'), [
+      '2026-01-01T12:00:00.900Z g1 request: outcome=broken-off refusal=backend-failed attempts=1 server=s1 detail=read ECONNRESET 10.0.0.1:80',
+      '  believed: configuration 7; 1 backend servers (app 1); store lost: registrations for 400 ms',
+      '  s1: added 880 ms before; draining 300 ms before, told by g2',
+      '  s1: 1 of 2 other requests within 2000 ms failed',
+    ]);
+    t.end();
+  });
+  t.test('a restart forgets what was believed before', t => {
+    const restarted = readLogs([
+      FIRST,
+      line(950, 'g1', 'started'),
+      line(960, 'g1', 'request refused', {request: 'r9', refusal: 'not-configured'}),
+    ]);
+    t.match(explainRequest(restarted.events, 'r9')[1], /configuration unknown/);
+    t.notMatch(explainRequest(restarted.events, 'r9')[1], /store lost/);
+    t.match(explainRequest(restarted.events, 'r9')[1], /0 backend servers \(none\)/);
+    t.end();
+  });
+  t.test('an id that no log names gives nothing', t => {
+    t.same(explainRequest(events, 'r0'), []);
+    t.end();
+  });
+  t.end();
+});
+
+t.test('summarizeFailures', t => {
+  const groups = summarizeFailures(readLogs([FIRST, SECOND]).events);
+  t.same(
+    groups.map(({cause, requests, gateways, servers}) => ({cause, requests, gateways, servers})),
+    [
+      {
+        cause: 'broken-off: backend-failed (read ECONNRESET *)',
+        requests: 2,
+        gateways: 2,
+        servers: 1,
+      },
+      {cause: 'refused before placing: no-key', requests: 1, gateways: 1, servers: 0},
+    ],
+  );
+  t.match(formatFailureGroup(groups[0]), /^2 broken-off.*such as r1$/);
+  t.end();
+});
