explain: typed fields of log lines in place of an open map

The fields that explanations go by are decoded once into a type; the rest of a line is kept as text.

--- a/src/explain/GatewayBeliefs.ts
+++ b/src/explain/GatewayBeliefs.ts
@@ -1,5 +1,5 @@
 /** What one gateway believed, rebuilt from its log. */
-import type {LoggedEvent} from './LoggedEvent.js';
+import type {LoggedEvent, LoggedFields} from './LoggedEvent.js';
 
 /** A change of a backend server as a gateway logged it. */
 export interface ServerChangeLine {
@@ -22,10 +22,9 @@
    */
   apply({atMs, event, fields}: LoggedEvent): void {
     if (event === 'started') this.clear();
-    else if (event === 'configuration in force') {
-      this.configurationVersion = Number(fields.version);
-    } else if (event === 'store lost') this.lostSinceMs.set(String(fields.topic), atMs);
-    else if (event === 'store regained') this.lostSinceMs.delete(String(fields.topic));
+    else if (event === 'configuration in force') this.configurationVersion = fields.version;
+    else if (event === 'store lost') this.lostSinceMs.set(fields.topic ?? '', atMs);
+    else if (event === 'store regained') this.lostSinceMs.delete(fields.topic ?? '');
     else if (event === 'evacuation') this.applyEvacuation(fields);
     else if (event === 'backend server') this.applyServer(atMs, fields);
   }
@@ -60,25 +59,20 @@
     this.openServers.clear();
   }
 
-  private applyEvacuation({failureDomain, isEvacuated}: LoggedEvent['fields']): void {
-    if (isEvacuated === true) this.evacuated.add(String(failureDomain));
-    else this.evacuated.delete(String(failureDomain));
+  private applyEvacuation({failureDomain = '', isEvacuated}: LoggedFields): void {
+    if (isEvacuated === true) this.evacuated.add(failureDomain);
+    else this.evacuated.delete(failureDomain);
   }
 
   private applyServer(
     atMs: number,
-    {server, change, service, toldBy}: LoggedEvent['fields'],
+    {server = '', change = '', service, toldBy}: LoggedFields,
   ): void {
-    const id = String(server);
-    const lines = this.changes.get(id) ?? [];
-    lines.push({
-      atMs,
-      change: String(change),
-      toldBy: toldBy === undefined ? undefined : String(toldBy),
-    });
-    this.changes.set(id, lines);
-    if (change === 'added') this.openServers.set(id, String(service));
-    else if (change !== 'changed') this.openServers.delete(id);
+    const lines = this.changes.get(server) ?? [];
+    lines.push({atMs, change, toldBy});
+    this.changes.set(server, lines);
+    if (change === 'added') this.openServers.set(server, service ?? '');
+    else if (change !== 'changed') this.openServers.delete(server);
   }
 
   private countByService(): string {
--- a/src/explain/explainRequest.ts
+++ b/src/explain/explainRequest.ts
@@ -30,9 +30,9 @@
   line: LoggedEvent,
   beliefs: GatewayBeliefs,
 ): readonly string[] {
-  const {atMs, gatewayId, event, fields} = line;
+  const {atMs, gatewayId, event, text} = line;
   return [
-    `${formatTime(atMs)} ${gatewayId} ${event}: ${formatFields(fields)}`,
+    `${formatTime(atMs)} ${gatewayId} ${event}: ${text}`,
     `  believed: ${beliefs.describe(atMs)}`,
     ...explainServer(events, line, beliefs),
   ];
@@ -43,8 +43,8 @@
   {atMs, fields}: LoggedEvent,
   beliefs: GatewayBeliefs,
 ): readonly string[] {
-  if (typeof fields.server !== 'string') return [];
   const {server} = fields;
+  if (server === undefined) return [];
   const changes = beliefs
     .getChanges(server)
     .map(
@@ -68,12 +68,3 @@
 function formatTime(atMs: number): string {
   return new Date(atMs).toISOString();
 }
-
-const STANDARD_FIELDS: ReadonlySet<string> = new Set(['name', 'hostname', 'pid', 'level', 'v']);
-
-function formatFields(fields: LoggedEvent['fields']): string {
-  return Object.entries(fields)
-    .filter(([name]) => !STANDARD_FIELDS.has(name) && name !== 'request')
-    .map(([name, value]) => `${name}=${String(value)}`)
-    .join(' ');
-}
--- a/src/explain/index.ts
+++ b/src/explain/index.ts
@@ -1,3 +1,9 @@
 export {explainRequest} from './explainRequest.js';
-export {parseLogLine, readLogs, type LoggedEvent, type ReadLogs} from './LoggedEvent.js';
+export {
+  parseLogLine,
+  readLogs,
+  type LoggedEvent,
+  type LoggedFields,
+  type ReadLogs,
+} from './LoggedEvent.js';
 export {formatFailureGroup, summarizeFailures, type FailureGroup} from './summarizeFailures.js';
--- a/src/explain/summarizeFailures.ts
+++ b/src/explain/summarizeFailures.ts
@@ -36,11 +36,11 @@
 /** Returns undefined for lines that tell of no failed request. */
 function getCause({event, fields}: LoggedEvent): string | undefined {
   const {outcome, refusal, detail} = fields;
-  if (event === 'request refused') return `refused before placing: ${String(refusal)}`;
-  if (event !== 'request' || outcome === 'answered') return undefined;
-  const reason = refusal === undefined ? '' : `: ${String(refusal)}`;
-  const text = detail === undefined ? '' : ` (${String(detail).replace(VARIABLE_PARTS, '*')})`;
-  return `${String(outcome)}${reason}${text}`;
+  if (event === 'request refused') return `refused before placing: ${refusal}`;
+  if (event !== 'request' || outcome === undefined || outcome === 'answered') return undefined;
+  const reason = refusal === undefined ? '' : `: ${refusal}`;
+  const text = detail === undefined ? '' : ` (${detail.replace(VARIABLE_PARTS, '*')})`;
+  return `${outcome}${reason}${text}`;
 }
 
 function toGroup(cause: string, lines: readonly LoggedEvent[]): FailureGroup {
@@ -52,7 +52,7 @@
     servers: new Set(servers).size,
     firstAtMs: lines[0].atMs,
     lastAtMs: lines[lines.length - 1].atMs,
-    exampleId: String(lines[0].fields.request),
+    exampleId: lines[0].fields.request ?? '',
   };
 }
 
