--- a/tests/platform/StoreStandIn.ts
+++ b/tests/platform/StoreStandIn.ts
@@ -7,6 +7,7 @@
 export type StandInMode = 'works' | 'refuses' | 'silent' | 'loses-answers';
 
 const LENGTH_BYTES = 4;
+const POLL_MS = 10;
 
 interface WriterState {
   epoch: number;
@@ -18,6 +19,7 @@
 export class StoreStandIn {
   mode: StandInMode = 'works';
   private readonly topics = new Map<string, Buffer[]>();
+  private readonly reads = new Map<string, number>();
   private readonly writers = new Map<string, WriterState>();
   private readonly server: Server = createServer((request, response) => {
     void this.answer(request, response);
@@ -58,7 +60,22 @@
     } else if (url.pathname.endsWith('newest')) {
       end(response, 200, this.getNewest(topic));
     } else {
-      this.read(topic, Number(url.searchParams.get('from')), response);
+      const from = Number(url.searchParams.get('from'));
+      await this.waitForRecords(topic, from, Number(url.searchParams.get('wait_ms') ?? 0));
+      this.reads.set(topic, (this.reads.get(topic) ?? 0) + 1);
+      this.read(topic, from, response);
+    }
+  }
+
+  /** Returns how often records of a topic have been read. */
+  getReads(topic: string): number {
+    return this.reads.get(topic) ?? 0;
+  }
+
+  private async waitForRecords(topic: string, from: number, waitMs: number): Promise<void> {
+    const endAtMs = Date.now() + waitMs;
+    while (this.getRecords(topic).length <= from && Date.now() < endAtMs) {
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
     }
   }
 
