--- a/bench/experiments/serving/VirtualEngine.ts
+++ b/bench/experiments/serving/VirtualEngine.ts
@@ -4,6 +4,7 @@
 import {hashBlocks} from '../../../src/utils/index.js';
 import type {EngineProfile} from '../../../standins/engine/EngineProfile.js';
 import {EngineWarmth} from '../../../standins/engine/EngineWarmth.js';
+import {getStepDurationMs, prefillChunk} from '../../../standins/engine/engineStep.js';
 import {PrefixCache} from '../../../standins/engine/PrefixCache.js';
 import type {EventQueue} from './EventQueue.js';
 
@@ -110,7 +111,7 @@
     this.admit();
     this.isStepping = this.running.length > 0;
     if (!this.isStepping) return;
-    const durationMs = this.getStepDurationMs(this.prefill());
+    const durationMs = this.prefillStep();
     this.queue.addEvent(durationMs, () => this.endStep());
   }
 
@@ -135,23 +136,15 @@
     }
   }
 
-  private prefill(): number {
-    let budgetTokens = this.profile.prefillChunkTokens;
-    for (const entry of this.running) {
-      const tokens = Math.min(entry.prefillTokensLeft, budgetTokens);
-      entry.prefillTokensLeft -= tokens;
-      budgetTokens -= tokens;
-      if (budgetTokens === 0) break;
-    }
-    return this.profile.prefillChunkTokens - budgetTokens;
-  }
-
-  private getStepDurationMs(prefillTokens: number): number {
-    const {prefillTokensPerSecond, decodeStepMs, decodeStepPerRequestMs, timeScale} = this.profile;
-    const decoding = this.running.filter(({isPrefilled}) => isPrefilled).length;
-    const prefillMs = (prefillTokens / prefillTokensPerSecond) * MS_PER_SECOND;
-    const decodeMs = decoding > 0 ? decodeStepMs + decodeStepPerRequestMs * (decoding - 1) : 0;
-    return ((prefillMs + decodeMs) * this.warmth.getSlowdownFactor()) / timeScale;
+  /** Reads the chunk of the step that begins; returns how long the step takes. */
+  private prefillStep(): number {
+    const prefillTokens = prefillChunk(this.running, this.profile);
+    return getStepDurationMs(
+      this.running,
+      prefillTokens,
+      this.profile,
+      this.warmth.getSlowdownFactor(),
+    );
   }
 
   private finishPrefill(entry: RunningJob): void {
--- a/standins/engine/EngineScheduler.ts
+++ b/standins/engine/EngineScheduler.ts
@@ -1,6 +1,7 @@
 /** Continuous batching: a step loop that prefills and decodes all running requests together. */
 import {AnswerText, splitIntoTokens} from './AnswerText.js';
 import type {EngineProfile} from './EngineProfile.js';
+import {getStepDurationMs, prefillChunk} from './engineStep.js';
 import {getBlockHashes, type BlockHash, type PrefixCache} from './PrefixCache.js';
 
 /** A request in the engine. */
@@ -41,7 +42,6 @@
   stepsUntilToken: number;
 }
 
-const MS_PER_SECOND = 1_000;
 const MAX_STEPS_BEHIND_MS = 200;
 
 /** Runs jobs in steps. */
@@ -129,8 +129,7 @@
       this.timer = undefined;
       return;
     }
-    const prefillTokens = this.prefill();
-    const durationMs = this.getStepDurationMs(prefillTokens);
+    const durationMs = this.prefillStep();
     this.stepEndsAtMs = Math.max(this.stepEndsAtMs, nowMs - MAX_STEPS_BEHIND_MS) + durationMs;
     const delayMs = Math.max(this.stepEndsAtMs - nowMs, 0);
     this.timer = setTimeout(() => this.endStep(), delayMs);
@@ -157,23 +156,10 @@
     }
   }
 
-  private prefill(): number {
-    let budgetTokens = this.profile.prefillChunkTokens;
-    for (const entry of this.running) {
-      const tokens = Math.min(entry.prefillTokensLeft, budgetTokens);
-      entry.prefillTokensLeft -= tokens;
-      budgetTokens -= tokens;
-      if (budgetTokens === 0) break;
-    }
-    return this.profile.prefillChunkTokens - budgetTokens;
-  }
-
-  private getStepDurationMs(prefillTokens: number): number {
-    const {prefillTokensPerSecond, decodeStepMs, decodeStepPerRequestMs, timeScale} = this.profile;
-    const decoding = this.running.filter(({isPrefilled}) => isPrefilled).length;
-    const prefillMs = (prefillTokens / prefillTokensPerSecond) * MS_PER_SECOND;
-    const decodeMs = decoding > 0 ? decodeStepMs + decodeStepPerRequestMs * (decoding - 1) : 0;
-    return ((prefillMs + decodeMs) * this.getSlowdownFactor()) / timeScale;
+  /** Reads the chunk of the step that begins; returns how long the step takes. */
+  private prefillStep(): number {
+    const prefillTokens = prefillChunk(this.running, this.profile);
+    return getStepDurationMs(this.running, prefillTokens, this.profile, this.getSlowdownFactor());
   }
 
   /** The prefill's last step yields the first token. */
