--- a/tests/gateway/SharedReadings.test.ts
+++ b/tests/gateway/SharedReadings.test.ts
@@ -5,18 +5,7 @@
 import {MemberTable, type GatewayMember, type GossipState} from '../../src/gossip/index.js';
 import {silentEvents} from '../../src/logging/index.js';
 import {createServer} from '../exchange/exchangeFixtures.js';
-
-function member(id: string): GatewayMember {
-  return {
-    id,
-    incarnation: 1,
-    gossipAddress: '',
-    trafficAddress: id,
-    failureDomain: id,
-    isReady: true,
-    isLeaving: false,
-  };
-}
+import {createGossipState, createMember} from './gatewayFixtures.js';
 
 class ReadingGateway {
   readonly catalog = new Catalog();
@@ -25,7 +14,7 @@
   news = 0;
 
   constructor(id: string) {
-    this.member = member(id);
+    this.member = createMember(id);
     this.readings = new SharedReadings({
       catalog: this.catalog,
       members: new MemberTable(id, {silentAfterMs: 900, goneAfterMs: 8_000}),
@@ -43,18 +32,10 @@
   }
 
   tell(nowMs: number): GossipState {
-    return {
-      sender: this.member,
-      members: [],
-      admitted: new Map(),
-      serverLoads: new Map(),
-      usage: [],
-      dutyClaim: {token: 0, holderId: ''},
-      operatorOffset: this.readings.getKnownOffset('operator'),
-      operatorAgeMs: this.catalog.getOperatorAgeMs(nowMs),
-      registrations: this.readings.describeRegistrations(nowMs),
-      wallMs: 0,
-    };
+    return createGossipState(this.member, this.readings.describeRegistrations(nowMs), {
+      offset: this.readings.getKnownOffset('operator'),
+      ageMs: this.catalog.getOperatorAgeMs(nowMs),
+    });
   }
 
   getOpenIds(): readonly string[] {
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -3,6 +3,7 @@
 import {chooseCallerAddresses} from '../../src/gateway/index.js';
 import {StartGate} from '../../src/gateway/StartGate.js';
 import type {GatewayMember} from '../../src/gossip/index.js';
+import {createMember} from './gatewayFixtures.js';
 
 const REGIONS = new Map([
   ['a', 'north'],
@@ -11,15 +12,7 @@
 ]);
 
 function member(id: string, failureDomain: string): GatewayMember {
-  return {
-    id,
-    incarnation: 1,
-    gossipAddress: '',
-    trafficAddress: id,
-    failureDomain,
-    isReady: true,
-    isLeaving: false,
-  };
+  return createMember(id, {failureDomain});
 }
 
 function choose(members: readonly GatewayMember[], domain: string | undefined): readonly string[] {
--- a/tests/gateway/gatewayFixtures.ts
+++ b/tests/gateway/gatewayFixtures.ts
@@ -1,5 +1,6 @@
-/** Settings of a gateway for tests. */
+/** Settings and members for tests of gateways. */
 import type {GatewaySettings} from '../../src/gateway/index.js';
+import type {GatewayMember, GossipState, RegistrationsReading} from '../../src/gossip/index.js';
 
 /**
  * Returns settings of a gateway.
@@ -30,3 +31,46 @@
     ...fields,
   };
 }
+
+/**
+ * Returns a ready gateway in a failure domain of its own.
+ * @param id - Its id, which stands for its failure domain and its traffic address too.
+ * @param fields - What differs from that.
+ */
+export function createMember(id: string, fields: Partial<GatewayMember> = {}): GatewayMember {
+  return {
+    id,
+    incarnation: 1,
+    gossipAddress: '',
+    trafficAddress: id,
+    failureDomain: id,
+    isReady: true,
+    isLeaving: false,
+    ...fields,
+  };
+}
+
+/**
+ * Returns the state that a gateway without requests tells.
+ * @param sender - The gateway.
+ * @param registrations - What it has read of the registrations.
+ * @param operator - Next offset and age of the operators' records.
+ */
+export function createGossipState(
+  sender: GatewayMember,
+  registrations: RegistrationsReading,
+  operator: {readonly offset: number; readonly ageMs: number},
+): GossipState {
+  return {
+    sender,
+    members: [],
+    admitted: new Map(),
+    serverLoads: new Map(),
+    usage: [],
+    dutyClaim: {token: 0, holderId: ''},
+    operatorOffset: operator.offset,
+    operatorAgeMs: operator.ageMs,
+    registrations,
+    wallMs: 0,
+  };
+}
--- a/tests/platform/StoreFeed.test.ts
+++ b/tests/platform/StoreFeed.test.ts
@@ -5,8 +5,9 @@
 import {StoreFeed} from '../../platform/StoreFeed.js';
 import {Catalog} from '../../src/catalog/index.js';
 import {SharedReadings} from '../../src/gateway/index.js';
-import {MemberTable, type GatewayMember} from '../../src/gossip/index.js';
+import {MemberTable} from '../../src/gossip/index.js';
 import {silentEvents as events} from '../../src/logging/index.js';
+import {createGossipState, createMember} from '../gateway/gatewayFixtures.js';
 import {StoreStandIn} from './StoreStandIn.js';
 
 const OPERATOR = 'keyed.op';
@@ -15,18 +16,6 @@
 const WAIT_MS = 10_000;
 const getNowMs = () => performance.now();
 
-function member(id: string): GatewayMember {
-  return {
-    id,
-    incarnation: 1,
-    gossipAddress: '',
-    trafficAddress: id,
-    failureDomain: id,
-    isReady: true,
-    isLeaving: false,
-  };
-}
-
 function register(store: StoreStandIn, id: string, state: 'ready' | 'draining' = 'ready'): void {
   const value = {
     service: 'app',
@@ -64,7 +53,12 @@
   for (const id of serverIds) register(store, id);
   const catalog = new Catalog();
   const members = new MemberTable('g1', {silentAfterMs: 900, goneAfterMs: 8_000});
-  const readings = new SharedReadings({catalog, members, events, describeSelf: () => member('g1')});
+  const readings = new SharedReadings({
+    catalog,
+    members,
+    events,
+    describeSelf: () => createMember('g1'),
+  });
   let news = 0;
   const feed = new StoreFeed({
     store: new StoreClient({address, events, onCall: () => undefined}),
@@ -130,32 +124,20 @@
 
   t.test('a gateway that is told by the first reader hardly reads', async t => {
     const {store, catalog, members, readings} = await startFeed(t, ['s1']);
-    const reader = ['g2', 'g3', 'g4', 'g5', 'g6'].map(member);
+    const others = ['g2', 'g3', 'g4', 'g5', 'g6'].map(id => createMember(id));
     const tell = () => {
       const nowMs = getNowMs();
-      for (const other of reader) members.applyHeard(other, nowMs);
-      readings.apply(
-        {
-          sender: reader[0],
-          members: [],
-          admitted: new Map(),
-          serverLoads: new Map(),
-          usage: [],
-          dutyClaim: {token: 0, holderId: ''},
-          operatorOffset: readings.getKnownOffset('operator'),
-          operatorAgeMs: 0,
-          registrations: {
-            offset: readings.getKnownOffset('registrations'),
-            ageMs: 0,
-            digest: catalog.servers.getDigest(),
-            changed: [],
-            draining: [],
-            removed: [],
-          },
-          wallMs: Date.now(),
-        },
-        nowMs,
-      );
+      for (const other of others) members.applyHeard(other, nowMs);
+      const reading = {
+        offset: readings.getKnownOffset('registrations'),
+        ageMs: 0,
+        digest: catalog.servers.getDigest(),
+        changed: [],
+        draining: [],
+        removed: [],
+      };
+      const operator = {offset: readings.getKnownOffset('operator'), ageMs: 0};
+      readings.apply(createGossipState(others[0], reading, operator), nowMs);
     };
     const timer = setInterval(tell, 250);
     t.teardown(() => clearInterval(timer));
