Log attempts at cold servers, and gossip traffic and the age of its state

Callers of the large deployments saw cold servers flooded (FAILBACK) and requests at leaving servers (DRAIN).

No decision changes. GatewayMetrics and logging tests: 7 passed.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -100,6 +100,7 @@
       catalog,
       loads: this.loads,
       usageLedger: this.usageLedger,
+      events,
       getGatewayCount: nowMs => this.members.getKnownCount(nowMs) + 1,
       getNowMs,
       getWallMs: () => clock.getWallMs(),
@@ -198,6 +199,7 @@
       backendServers: catalog.servers.getServers().length,
       dutyToken: this.duties.claim.token,
       isDutyHolder: this.duties.claim.holderId === settings.id,
+      gossip: this.gossip.traffic,
       droppedLogLines,
       leftOutLogLines,
     };
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -7,6 +7,7 @@
   GossipSocket,
   type GatewayMember,
   type GossipState,
+  type GossipTraffic,
   type MemberTable,
 } from '../gossip/index.js';
 import type {EventLogger} from '../logging/index.js';
@@ -38,6 +39,8 @@
 const FULL_STATE_INTERVAL = 8;
 /** Usage windows in a datagram without the full state: the current one and the previous one. */
 const RECENT_WINDOWS = 2;
+/** Broadcasts between two log lines about the gossip traffic. */
+const TRAFFIC_LOG_INTERVAL = 20;
 
 /** Exchanges state with the other gateways, by datagrams at a fixed interval. */
 export class GatewayGossip {
@@ -47,6 +50,8 @@
   private seeds: readonly string[];
   private broadcastCount = 0;
   private lastSentMemberIds = '';
+  private loggedTraffic: GossipTraffic;
+  private loggedAtMs: number;
 
   constructor(options: GatewayGossipOptions) {
     const {settings, events} = options;
@@ -58,6 +63,13 @@
       events,
       onState: state => this.applyState(state),
     });
+    this.loggedTraffic = this.socket.traffic;
+    this.loggedAtMs = options.getNowMs();
+  }
+
+  /** Datagrams and bytes since the start. */
+  get traffic(): GossipTraffic {
+    return this.socket.traffic;
   }
 
   /** Opens the socket and broadcasts this gateway's state, now and at each interval. */
@@ -89,6 +101,26 @@
     const ownAddress = `${settings.ip}:${settings.gossipPort}`;
     const seeds = this.seeds.filter(seed => seed !== ownAddress && !memberAddresses.includes(seed));
     this.socket.send(this.buildState(nowMs), [...memberAddresses, ...seeds]);
+    if (this.broadcastCount % TRAFFIC_LOG_INTERVAL === 0) this.logTraffic(nowMs);
+  }
+
+  /** Logs the traffic since the previous line, and how recent and complete the gossiped state is. */
+  private logTraffic(nowMs: number): void {
+    const {members, catalog, events} = this.options;
+    const {traffic} = this.socket;
+    events.log('gossip', {
+      intervalMs: Math.round(nowMs - this.loggedAtMs),
+      sentDatagrams: traffic.sentDatagrams - this.loggedTraffic.sentDatagrams,
+      sentBytes: traffic.sentBytes - this.loggedTraffic.sentBytes,
+      receivedDatagrams: traffic.receivedDatagrams - this.loggedTraffic.receivedDatagrams,
+      receivedBytes: traffic.receivedBytes - this.loggedTraffic.receivedBytes,
+      heard: members.getLiveMembers(nowMs).length,
+      known: members.getKnownCount(nowMs),
+      registrationsAgeMs: Math.round(catalog.getRegistrationsAgeMs(nowMs)),
+      configurationAgeMs: Math.round(catalog.getOperatorRecordsAgeMs(nowMs)),
+    });
+    this.loggedTraffic = traffic;
+    this.loggedAtMs = nowMs;
   }
 
   private buildState(nowMs: number): GossipState {
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -1,6 +1,7 @@
 /** Counters, gauges and latency histograms of a gateway, in the Prometheus text exposition format. */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RefusalKind, RunOutcome} from '../exchange/index.js';
+import type {GossipTraffic} from '../gossip/index.js';
 
 /** Gauge values, read each time the metrics are scraped. */
 export interface GatewayGauges {
@@ -15,8 +16,12 @@
   readonly isDutyHolder: boolean;
   readonly droppedLogLines: number;
   readonly leftOutLogLines: number;
+  readonly gossip: GossipTraffic;
 }
 
+/** Gauges with a single value, which are exported without labels. */
+type PlainGauge = Exclude<keyof GatewayGauges, 'gossip'>;
+
 /** Label value for a request without a route, workspace or refusal. */
 const NO_VALUE = 'none';
 const MS_PER_SECOND = 1_000;
@@ -27,7 +32,7 @@
 const SECONDS_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
 /** Metric name and help text of each gauge. */
-const GAUGE_HELP: Readonly<Record<keyof GatewayGauges, readonly [name: string, help: string]>> = {
+const GAUGE_HELP: Readonly<Record<PlainGauge, readonly [name: string, help: string]>> = {
   openRequests: ['buckthorn_open_requests', 'Requests under way.'],
   configurationVersion: [
     'buckthorn_configuration_version',
@@ -132,7 +137,7 @@
    */
   setGauges(getGauges: () => GatewayGauges): void {
     for (const [key, [name, help]] of Object.entries(GAUGE_HELP)) {
-      const field = key as keyof GatewayGauges;
+      const field = key as PlainGauge;
       const gauge: Gauge = new Gauge({
         name,
         help,
@@ -140,6 +145,34 @@
         collect: () => gauge.set(Number(getGauges()[field])),
       });
     }
+    this.addGossipCounters(() => getGauges().gossip);
+  }
+
+  private addGossipCounters(getTraffic: () => GossipTraffic): void {
+    const datagrams: Counter = new Counter({
+      name: 'buckthorn_gossip_datagrams_total',
+      help: 'Datagrams exchanged with other gateways.',
+      labelNames: ['direction'],
+      registers: [this.registry],
+      collect: () => {
+        const {sentDatagrams, receivedDatagrams} = getTraffic();
+        datagrams.reset();
+        datagrams.inc({direction: 'sent'}, sentDatagrams);
+        datagrams.inc({direction: 'received'}, receivedDatagrams);
+      },
+    });
+    const bytes: Counter = new Counter({
+      name: 'buckthorn_gossip_bytes_total',
+      help: 'Payload bytes of the datagrams exchanged with other gateways.',
+      labelNames: ['direction'],
+      registers: [this.registry],
+      collect: () => {
+        const {sentBytes, receivedBytes} = getTraffic();
+        bytes.reset();
+        bytes.inc({direction: 'sent'}, sentBytes);
+        bytes.inc({direction: 'received'}, receivedBytes);
+      },
+    });
   }
 
   /** Returns all metrics in the text exposition format. */
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -12,6 +12,7 @@
 } from '../controllers/placement/index.js';
 import {RetryBudget} from '../controllers/retry/index.js';
 import type {AdmittedRequest, BackendHead, RefusalKind, RunServices} from '../exchange/index.js';
+import type {EventLogger} from '../logging/index.js';
 import type {GatewaySettings} from './GatewaySettings.js';
 
 /** Constructor options of `GatewayRunServices`. */
@@ -20,6 +21,7 @@
   readonly catalog: Catalog;
   readonly loads: ServerLoads;
   readonly usageLedger: UsageLedger;
+  readonly events: EventLogger;
   /** Returns the number of gateways that may be sending requests, including this one. */
   readonly getGatewayCount: (nowMs: number) => number;
   /** Returns the monotonic time in milliseconds. */
@@ -103,6 +105,12 @@
     if (server.coldUntilMs <= nowMs) return;
     const limit = this.getColdLimit(this.getService(admitted.service), nowMs);
     if (limit) this.coldGate.addRequest(server.entry.id, limit, nowMs);
+    this.options.events.log('attempt at cold server', {
+      request: admitted.request.id,
+      server: server.entry.id,
+      coldMs: Math.round(server.coldUntilMs - nowMs),
+      gateways: limit?.gateways,
+    });
   }
 
   onHead(server: KnownServer, head: BackendHead, nowMs: number): void {
--- a/src/gossip/GossipSocket.ts
+++ b/src/gossip/GossipSocket.ts
@@ -13,20 +13,40 @@
   readonly onState: (state: GossipState) => void;
 }
 
+/** Datagrams and payload bytes since the socket was opened. */
+export interface GossipTraffic {
+  readonly sentDatagrams: number;
+  readonly sentBytes: number;
+  readonly receivedDatagrams: number;
+  readonly receivedBytes: number;
+}
+
 /** A gateway's UDP socket for gossip. Send errors are logged and not retried. */
 export class GossipSocket {
   private readonly socket: Socket = createSocket('udp4');
   private readonly options: GossipSocketOptions;
+  private totals: GossipTraffic = {
+    sentDatagrams: 0,
+    sentBytes: 0,
+    receivedDatagrams: 0,
+    receivedBytes: 0,
+  };
 
   constructor(options: GossipSocketOptions) {
     this.options = options;
   }
 
+  /** Traffic since the socket was opened. */
+  get traffic(): GossipTraffic {
+    return this.totals;
+  }
+
   /** Binds the socket and starts to receive. */
   async open(): Promise<void> {
     const {ip, port, events, onState} = this.options;
     this.socket.on('error', error => events.log('gossip socket failed', {error: error.message}));
     this.socket.on('message', bytes => {
+      this.countReceived(bytes.length);
       const state = decodeGossip(bytes);
       if (state) onState(state);
       else events.log('unreadable gossip datagram', {bytes: bytes.length});
@@ -47,6 +67,19 @@
         if (error) this.options.events.log('gossip not sent', {error: error.message, address});
       });
     }
+    this.totals = {
+      ...this.totals,
+      sentDatagrams: this.totals.sentDatagrams + addresses.length,
+      sentBytes: this.totals.sentBytes + addresses.length * bytes.length,
+    };
+  }
+
+  private countReceived(bytes: number): void {
+    this.totals = {
+      ...this.totals,
+      receivedDatagrams: this.totals.receivedDatagrams + 1,
+      receivedBytes: this.totals.receivedBytes + bytes,
+    };
   }
 
   /** Closes the socket; it cannot be opened again. */
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -1,4 +1,4 @@
-export {GossipSocket, type GossipSocketOptions} from './GossipSocket.js';
+export {GossipSocket, type GossipSocketOptions, type GossipTraffic} from './GossipSocket.js';
 export type {
   DutyClaim,
   GatewayMember,
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -182,6 +182,30 @@
     fields: ['path', 'status'],
     maxPerSecond: ERRORS_PER_SECOND,
   },
+  'attempt at cold server': {
+    level: 'info',
+    meaning:
+      'An attempt was sent to a cold backend server, with the number of gateways among which its rate limit is divided.',
+    fields: ['request', 'server', 'coldMs', 'gateways'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
+  gossip: {
+    level: 'info',
+    meaning:
+      'Gossip traffic since the previous line, and how recent and complete the gossiped state is.',
+    fields: [
+      'intervalMs',
+      'sentDatagrams',
+      'sentBytes',
+      'receivedDatagrams',
+      'receivedBytes',
+      'heard',
+      'known',
+      'registrationsAgeMs',
+      'configurationAgeMs',
+    ],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
   'gossip socket failed': {
     level: 'warn',
     meaning: 'The UDP socket for gossip reported an error.',
--- a/tests/gateway/GatewayMetrics.test.ts
+++ b/tests/gateway/GatewayMetrics.test.ts
@@ -17,6 +17,7 @@
     isDutyHolder: false,
     droppedLogLines: 0,
     leftOutLogLines: 0,
+    gossip: {sentDatagrams: 1, sentBytes: 2, receivedDatagrams: 3, receivedBytes: 4},
   }));
   const text = await metrics.getText();
   const exported = [...text.matchAll(/^# HELP (\S+)/gm)].map(([, name]) => name);
