--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -12,7 +12,7 @@
   type RunOutcome,
   type ServingRequest,
 } from '../exchange/index.js';
-import {MemberTable, type GatewayMember} from '../gossip/index.js';
+import {GossipSocket, MemberTable, type GatewayMember} from '../gossip/index.js';
 import type {EventLogger} from '../logging/index.js';
 import {chooseCallerAddresses} from './chooseCallerAddresses.js';
 import {compareSettings} from './compareSettings.js';
@@ -140,6 +140,8 @@
       logReadCoordinator: this.logReadCoordinator,
       clock,
       events,
+      createChannel: onState =>
+        new GossipSocket({ip: settings.ip, port: settings.gossipPort, events, onState}),
       describeSelf,
       getNowMs,
     });
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -3,12 +3,12 @@
 import type {QuotaLedger} from '../controllers/quotas/index.js';
 import type {UsageLedger} from '../controllers/duties/index.js';
 import type {ServerLoads} from '../controllers/placement/index.js';
-import {
-  GossipSocket,
-  type GatewayMember,
-  type GossipState,
-  type GossipTraffic,
-  type MemberTable,
+import type {
+  GatewayMember,
+  GossipChannel,
+  GossipState,
+  GossipTraffic,
+  MemberTable,
 } from '../gossip/index.js';
 import type {EventLogger} from '../logging/index.js';
 import type {DutyRunner} from './DutyRunner.js';
@@ -24,10 +24,12 @@
   readonly loads: ServerLoads;
   readonly quotaLedger: QuotaLedger;
   readonly usageLedger: UsageLedger;
-  readonly duties: DutyRunner;
+  readonly duties: Pick<DutyRunner, 'claim' | 'applyClaim'>;
   readonly logReadCoordinator: LogReadCoordinator;
   readonly clock: PeerClock;
   readonly events: EventLogger;
+  /** Creates the channel to the other gateways; `onState` receives their states. */
+  readonly createChannel: (onState: (state: GossipState) => void) => GossipChannel;
   /** Returns this gateway's own member record. */
   readonly describeSelf: () => GatewayMember;
   /** Returns the monotonic time in milliseconds. */
@@ -45,7 +47,7 @@
 /** Exchanges state with the other gateways, by datagrams at a fixed interval. */
 export class GatewayGossip {
   private readonly options: GatewayGossipOptions;
-  private readonly socket: GossipSocket;
+  private readonly channel: GossipChannel;
   private timer: NodeJS.Timeout | undefined;
   private seeds: readonly string[];
   private broadcastCount = 0;
@@ -54,35 +56,29 @@
   private loggedAtMs: number;
 
   constructor(options: GatewayGossipOptions) {
-    const {settings, events} = options;
     this.options = options;
-    this.seeds = settings.gossipSeeds;
-    this.socket = new GossipSocket({
-      ip: settings.ip,
-      port: settings.gossipPort,
-      events,
-      onState: state => this.applyState(state),
-    });
-    this.loggedTraffic = this.socket.traffic;
+    this.seeds = options.settings.gossipSeeds;
+    this.channel = options.createChannel(state => this.applyState(state));
+    this.loggedTraffic = this.channel.traffic;
     this.loggedAtMs = options.getNowMs();
   }
 
   /** Datagrams and bytes since the start. */
   get traffic(): GossipTraffic {
-    return this.socket.traffic;
+    return this.channel.traffic;
   }
 
-  /** Opens the socket and broadcasts this gateway's state, now and at each interval. */
+  /** Opens the channel and broadcasts this gateway's state, now and at each interval. */
   async start(): Promise<void> {
-    await this.socket.open();
+    await this.channel.open();
     this.broadcast();
     this.timer = setInterval(() => this.broadcast(), BROADCAST_INTERVAL_MS);
   }
 
-  /** Stops broadcasting and closes the socket. */
+  /** Stops broadcasting and closes the channel. */
   close(): void {
     clearInterval(this.timer);
-    this.socket.close();
+    this.channel.close();
   }
 
   /**
@@ -100,14 +96,14 @@
     const memberAddresses = members.getMembers(nowMs).map(({gossipAddress}) => gossipAddress);
     const ownAddress = `${settings.ip}:${settings.gossipPort}`;
     const seeds = this.seeds.filter(seed => seed !== ownAddress && !memberAddresses.includes(seed));
-    this.socket.send(this.buildState(nowMs), [...memberAddresses, ...seeds]);
+    this.channel.send(this.buildState(nowMs), [...memberAddresses, ...seeds]);
     if (this.broadcastCount % TRAFFIC_LOG_INTERVAL === 0) this.logTraffic(nowMs);
   }
 
   /** Logs the traffic since the previous line, and how recent and complete the gossiped state is. */
   private logTraffic(nowMs: number): void {
     const {members, catalog, events} = this.options;
-    const {traffic} = this.socket;
+    const {traffic} = this.channel;
     events.log('gossip', {
       intervalMs: Math.round(nowMs - this.loggedAtMs),
       sentDatagrams: traffic.sentDatagrams - this.loggedTraffic.sentDatagrams,
--- a/src/gossip/GossipSocket.ts
+++ b/src/gossip/GossipSocket.ts
@@ -4,6 +4,22 @@
 import {decodeGossip, encodeGossip} from './gossipCodec.js';
 import type {GossipState} from './GossipState.js';
 
+/** Carries gossip states between gateways. A state may be lost, repeated or overtaken by a later one. */
+export interface GossipChannel {
+  /** Traffic since the channel was opened. */
+  readonly traffic: GossipTraffic;
+  /** Starts to receive states. */
+  open(): Promise<void>;
+  /**
+   * Sends a state as one datagram per address.
+   * @param state - Encoded once for all addresses.
+   * @param addresses - Recipients, each an IP address and port.
+   */
+  send(state: GossipState, addresses: readonly string[]): void;
+  /** Closes the channel; it cannot be opened again. */
+  close(): void;
+}
+
 /** Constructor options of `GossipSocket`. */
 export interface GossipSocketOptions {
   readonly ip: string;
@@ -22,7 +38,7 @@
 }
 
 /** A gateway's UDP socket for gossip. Send errors are logged and not retried. */
-export class GossipSocket {
+export class GossipSocket implements GossipChannel {
   private readonly socket: Socket = createSocket('udp4');
   private readonly options: GossipSocketOptions;
   private totals: GossipTraffic = {
@@ -36,7 +52,6 @@
     this.options = options;
   }
 
-  /** Traffic since the socket was opened. */
   get traffic(): GossipTraffic {
     return this.totals;
   }
@@ -54,11 +69,6 @@
     await new Promise<void>(resolve => this.socket.bind(port, ip, resolve));
   }
 
-  /**
-   * Sends a state as one datagram per address.
-   * @param state - Encoded once for all addresses.
-   * @param addresses - Recipients, each an IP address and port.
-   */
   send(state: GossipState, addresses: readonly string[]): void {
     const bytes = encodeGossip(state);
     for (const address of addresses) {
@@ -82,7 +92,6 @@
     };
   }
 
-  /** Closes the socket; it cannot be opened again. */
   close(): void {
     this.socket.close();
   }
--- a/src/gossip/index.ts
+++ b/src/gossip/index.ts
@@ -1,4 +1,9 @@
-export {GossipSocket, type GossipSocketOptions, type GossipTraffic} from './GossipSocket.js';
+export {
+  GossipSocket,
+  type GossipChannel,
+  type GossipSocketOptions,
+  type GossipTraffic,
+} from './GossipSocket.js';
 export type {
   DutyClaim,
   GatewayMember,
