Give a cold server's limit to a few gateways instead of a part to each

Each gateway's token bucket for a cold server holds at least one request, however small its share: with more gateways than the limit, all of them may send in the same second, and they do, since a new server is the one with the least load. Full links aren't needed: the test plays gateways that know everything at once.

The limit is now divided among as many gateways as get 3 requests a second each, chosen by rendezvous hashing of the server's id over all gateways that may be running; the others treat the server as cold. A gateway doesn't use cold servers in the 2 s in which it finds the fleet, since it would take the shares of all others for its own.

--- a/src/controllers/placement/index.ts
+++ b/src/controllers/placement/index.ts
@@ -1,4 +1,5 @@
 export {ColdServerLimiter, type ColdLimit} from './ColdServerLimiter.js';
+export {ColdServerShares} from './ColdServerShares.js';
 export {ServerHealth, type HealthOutcome} from './ServerHealth.js';
 export {ServerLoads, type ServerLoad} from './ServerLoads.js';
 export {
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -60,6 +60,8 @@
 const MAX_CONFIGURATION_AGE_SHARE = 0.8;
 /** Age of the registrations above which a gateway reports itself as not ready. */
 const MAX_REGISTRATIONS_AGE_MS = 20_000;
+/** Time after the start in which the other gateways are found through the seeds. */
+const DISCOVERY_MS = 2_000;
 const REFUSED_REQUEST: OpenRequest = {abandon: () => undefined};
 
 /** A gateway without its listening sockets for callers, which an adapter opens. */
@@ -101,7 +103,8 @@
       loads: this.loads,
       usageLedger: this.usageLedger,
       events,
-      getGatewayCount: nowMs => this.members.getKnownCount(nowMs) + 1,
+      isFleetKnown: nowMs => this.isFleetKnown(nowMs),
+      getGatewayIds: nowMs => [settings.id, ...this.members.getKnownIds(nowMs)],
       getNowMs,
       getWallMs: () => clock.getWallMs(),
       random,
@@ -260,6 +263,13 @@
     };
   }
 
+  /** Returns whether the other gateways are likely to be known; a gateway without other seeds has none to find. */
+  private isFleetKnown(nowMs: number): boolean {
+    const {ip, gossipPort, gossipSeeds} = this.options.settings;
+    const isOnlySeed = gossipSeeds.every(seed => seed === `${ip}:${gossipPort}`);
+    return isOnlySeed || nowMs - this.startedAtMs >= DISCOVERY_MS;
+  }
+
   private describeSelf(): GatewayMember {
     const {settings} = this.options;
     return {
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -3,6 +3,7 @@
 import type {UsageLedger} from '../controllers/duties/index.js';
 import {
   ColdServerLimiter,
+  ColdServerShares,
   ServerHealth,
   choosePlacement,
   type ColdLimit,
@@ -22,8 +23,10 @@
   readonly loads: ServerLoads;
   readonly usageLedger: UsageLedger;
   readonly events: EventLogger;
-  /** Returns the number of gateways that may be sending requests, including this one. */
-  readonly getGatewayCount: (nowMs: number) => number;
+  /** Returns the ids of the gateways that may be sending requests, including this one. */
+  readonly getGatewayIds: (nowMs: number) => readonly string[];
+  /** Returns whether this gateway has had time to learn of the other gateways since its start. */
+  readonly isFleetKnown: (nowMs: number) => boolean;
   /** Returns the monotonic time in milliseconds. */
   readonly getNowMs: () => number;
   /** Returns the Unix time in milliseconds. */
@@ -50,10 +53,12 @@
   private readonly options: GatewayRunServicesOptions;
   private readonly health = new ServerHealth();
   private readonly coldGate = new ColdServerLimiter();
+  private readonly coldShares: ColdServerShares;
   private readonly retryBudgets = new Map<string, RetryBudget>();
 
   constructor(options: GatewayRunServicesOptions) {
     this.options = options;
+    this.coldShares = new ColdServerShares(options.settings.id);
   }
 
   choose(
@@ -85,7 +90,7 @@
 
   getMaxConnections(service: string): number {
     const total = this.getService(service)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
-    return Math.max(1, Math.floor(total / this.options.getGatewayCount(this.options.getNowMs())));
+    return Math.max(1, Math.floor(total / this.getGatewayCount(this.options.getNowMs())));
   }
 
   getRetryAfterMs(refusal: RefusalKind): number {
@@ -103,7 +108,7 @@
     if (attempt === 1) this.getRetryBudget(admitted.service).recordFirstAttempt(nowMs);
     this.options.loads.addRequest(server.entry.id, promptTokens);
     if (server.coldUntilMs <= nowMs) return;
-    const limit = this.getColdLimit(this.getService(admitted.service), nowMs);
+    const limit = this.getColdLimit(server, this.getService(admitted.service), nowMs);
     if (limit) this.coldGate.addRequest(server.entry.id, limit, nowMs);
     this.options.events.log('attempt at cold server', {
       request: admitted.request.id,
@@ -160,16 +165,25 @@
     nowMs: number,
   ): boolean {
     if (server.coldUntilMs <= nowMs) return true;
-    const limit = this.getColdLimit(service, nowMs);
-    return !limit || this.coldGate.hasCapacity(server.entry.id, limit, nowMs);
+    if (!service || service.coldRequestsPerSecond <= 0) return true;
+    if (!this.options.isFleetKnown(nowMs)) return false;
+    const limit = this.getColdLimit(server, service, nowMs);
+    return limit !== undefined && this.coldGate.hasCapacity(server.entry.id, limit, nowMs);
   }
 
-  private getColdLimit(service: Service | undefined, nowMs: number): ColdLimit | undefined {
+  /** Returns this gateway's part of a cold server's limit; undefined if it has none or the service has no limit. */
+  private getColdLimit(
+    {entry}: KnownServer,
+    service: Service | undefined,
+    nowMs: number,
+  ): ColdLimit | undefined {
     if (!service || service.coldRequestsPerSecond <= 0) return undefined;
-    return {
-      requestsPerSecond: service.coldRequestsPerSecond,
-      gateways: this.options.getGatewayCount(nowMs),
-    };
+    const gatewayIds = this.options.getGatewayIds(nowMs);
+    return this.coldShares.getLimit(entry.id, service.coldRequestsPerSecond, gatewayIds);
+  }
+
+  private getGatewayCount(nowMs: number): number {
+    return this.options.getGatewayIds(nowMs).length;
   }
 
   private getService(name: string): Service | undefined {
@@ -179,8 +193,8 @@
   private getRetryBudget(service: string): RetryBudget {
     const existing = this.retryBudgets.get(service);
     if (existing) return existing;
-    const {settings, getGatewayCount, getNowMs} = this.options;
-    const slack = (settings.retrySlack * USABLE_SLACK_SHARE) / getGatewayCount(getNowMs());
+    const {settings, getNowMs} = this.options;
+    const slack = (settings.retrySlack * USABLE_SLACK_SHARE) / this.getGatewayCount(getNowMs());
     const budget = new RetryBudget({
       windowMs: settings.retryWindowMs,
       sharePercent: settings.retryShare * PERCENT,
--- a/src/gossip/MemberTable.ts
+++ b/src/gossip/MemberTable.ts
@@ -80,8 +80,17 @@
    * @param nowMs - Current monotonic time in milliseconds.
    */
   getKnownCount(nowMs: number): number {
-    this.removeStopped(nowMs);
-    return [...this.members.values()].filter(({member}) => !member.isLeaving).length;
+    return this.getKnownIds(nowMs).length;
+  }
+
+  /**
+   * Returns the ids of the other gateways that may be running, live or not, without leaving ones.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  getKnownIds(nowMs: number): readonly string[] {
+    return this.getMembers(nowMs)
+      .filter(({isLeaving}) => !isLeaving)
+      .map(({id}) => id);
   }
 
   /**
--- a/tests/controllers/placement/coldServerShares.test.ts
+++ b/tests/controllers/placement/coldServerShares.test.ts
@@ -35,7 +35,12 @@
 };
 
 /** Returns the services of one gateway that knows the whole fleet and a single, cold server. */
-function createGateway(id: string, fleet: readonly string[], seed: number): GatewayRunServices {
+function createGateway(
+  id: string,
+  fleet: readonly string[],
+  seed: number,
+  isFleetKnown = true,
+): GatewayRunServices {
   const catalog = new Catalog();
   catalog.applyConfiguration({
     version: 1,
@@ -51,7 +56,8 @@
     loads: new ServerLoads(),
     usageLedger: new UsageLedger(5),
     events: silentEvents,
-    getGatewayCount: () => fleet.length,
+    getGatewayIds: () => fleet,
+    isFleetKnown: () => isFleetKnown,
     getNowMs: () => 0,
     getWallMs: () => 0,
     random: createSeededRandom(seed),
@@ -98,3 +104,9 @@
   for (const gatewayCount of [1, 9, 30, 91, 300]) doTest(gatewayCount);
   t.end();
 });
+
+t.test('a gateway that does not know the fleet yet leaves cold servers to the others', t => {
+  const gateway = createGateway('g1', ['g1'], 1, false);
+  t.same(gateway.choose(ADMITTED, new Set(), 0), {kind: 'none', reason: 'cold'});
+  t.end();
+});
