Exchange gossip in groups, with sums of the others, instead of with every gateway

What callers saw: on the deployments with 88 and 91 gateways most requests were late or failed with processors idle, requests reached servers that had said they were leaving (DRAIN), a quarter of the look-ups failed.

Cause: each gateway sent its whole state to all others every 250 ms, 360 datagrams a second in each direction, and so filled the links of 7 Mbit/s: what a gateway sends grew with the fleet. Everything else waited behind it, departures and callers' bytes too.

Change: gateways form groups of twelve on average at most, within a failure domain, and exchange their states there; heads of groups form the groups of the next level. Load, admissions, usage and live members go up as the sums of a group and down as the sum of all others. Reads of the logs are passed on at once, so that a departure doesn't wait for the next interval at each step. Groups are planned for all members that haven't failed and by a hash of their ids: planning them for the members heard so far, or by rank, kept gateways with different views apart for good (both tried, gossipFleet.test.ts). Departures are recorded wherever they arrive, as their sender doesn't reach all gateways; a server that turns cold counts as changed. Quota reports carry the set of gateways that they sum up and their age, since totals of different sets can't be compared. Twelve gateways or fewer are one group and exchange what they did before. Older builds understand all but the load of newer ones.

--- a/src/catalog/ServerCatalog.ts
+++ b/src/catalog/ServerCatalog.ts
@@ -94,10 +94,12 @@
     else if (this.departures.get(entry.id)?.reason === 'removed') this.departures.delete(entry.id);
     const change = getChange(isRestarted ? undefined : known, {...entry, isDraining});
     if (change !== 'same' || known?.expiredAtMs !== undefined) this.digest = undefined;
+    const isNewlyCold = entry.coldMs > 0 && !(known && !isRestarted && known.coldUntilMs > nowMs);
+    const isChanged = change !== 'same' || isNewlyCold || known === undefined;
     this.servers.set(entry.id, {
       entry: {...entry, isDraining},
       firstSeenAtMs: isRestarted ? nowMs : (known?.firstSeenAtMs ?? nowMs),
-      changedAtMs: change === 'same' ? (known?.changedAtMs ?? nowMs) : nowMs,
+      changedAtMs: isChanged ? nowMs : known.changedAtMs,
       coldUntilMs: nowMs + entry.coldMs,
       expiredAtMs: undefined,
     });
@@ -198,11 +200,14 @@
   applyDeparture(start: ServerStart, reason: DepartureReason, nowMs: number): ServerChange {
     const known = this.servers.get(start.id);
     if (!known || known.entry.startedAtMs !== start.startedAtMs) return 'same';
+    // Recorded here too, so that it is passed on to gateways that its sender doesn't reach.
     if (reason === 'removed') {
       this.deleteServer(start.id);
+      this.recordDeparture(start, reason, nowMs);
       return 'removed';
     }
     if (known.entry.isDraining) return 'same';
+    this.recordDeparture(start, reason, nowMs);
     const entry = {...known.entry, isDraining: true};
     this.digest = undefined;
     this.servers.set(start.id, {...known, entry, changedAtMs: nowMs});
@@ -210,14 +215,23 @@
   }
 
   /**
-   * Returns the servers that are cold or whose registrations changed recently, without draining ones.
+   * Returns the servers whose registrations changed or that turned cold recently, without draining ones.
    * @param withinMs - Largest age of a change.
    * @param nowMs - Current monotonic time in milliseconds.
    */
   getRecentlyChanged(withinMs: number, nowMs: number): readonly KnownServer[] {
     return this.getServers().filter(
-      ({entry, changedAtMs, coldUntilMs}) =>
-        !entry.isDraining && (nowMs - changedAtMs <= withinMs || coldUntilMs > nowMs),
+      ({entry, changedAtMs}) => !entry.isDraining && nowMs - changedAtMs <= withinMs,
+    );
+  }
+
+  /**
+   * Returns the servers that are cold, without draining ones.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  getColdServers(nowMs: number): readonly KnownServer[] {
+    return this.getServers().filter(
+      ({entry, coldUntilMs}) => !entry.isDraining && coldUntilMs > nowMs,
     );
   }
 
@@ -243,10 +257,13 @@
    * Records the time until which a backend server is cold, as stated in its response.
    * @param id - Id of the server; an unknown one has no effect.
    * @param coldUntilMs - Monotonic time in milliseconds.
+   * @param nowMs - Current monotonic time in milliseconds.
    */
-  markCold(id: string, coldUntilMs: number): void {
+  markCold(id: string, coldUntilMs: number, nowMs: number): void {
     const known = this.servers.get(id);
-    if (known) this.servers.set(id, {...known, coldUntilMs});
+    if (!known) return;
+    const changedAtMs = known.coldUntilMs > nowMs ? known.changedAtMs : nowMs;
+    this.servers.set(id, {...known, coldUntilMs, changedAtMs});
   }
 
   /** Returns all known backend servers, including draining ones. */
--- a/src/controllers/fleetSize/index.ts
+++ b/src/controllers/fleetSize/index.ts
@@ -1,3 +1,4 @@
+export {PromptRates} from './PromptRates.js';
 export {
   decideFleetSize,
   type DomainFleet,
--- a/src/controllers/quotas/QuotaLedger.ts
+++ b/src/controllers/quotas/QuotaLedger.ts
@@ -1,8 +1,11 @@
 /** Enforces the quota of each workspace over all gateways. */
 import type {WorkspaceQuota} from '../../catalog/index.js';
+import {getTextKey} from '../../utils/index.js';
 
 /** Token bucket of one workspace. Amounts are in the unit of its quota: requests or tokens. */
 interface Bucket {
+  /** Undefined while the workspace is known from reports only, which carry its key. */
+  workspace: string | undefined;
   /** Amount that may still be admitted; negative if several gateways admitted the same amount at once. */
   level: number;
   /** Whether the bucket got its initial fill. */
@@ -10,21 +13,40 @@
   updatedAtMs: number;
   /** Total amount that this gateway has admitted since its start. */
   admitted: number;
-  /** Usage of the other gateways by gateway id. */
+  /** Usage of the other gateways by source: a gateway, or the representative of several. */
   readonly peers: Map<string, PeerUsage>;
 }
 
-/** Usage of a workspace's quota by another gateway. */
+/** Usage of a workspace's quota by the gateways of one source. */
 interface PeerUsage {
-  /** Identifies one process start of the gateway. */
-  incarnation: number;
-  /** Total amount that it reported as admitted since its start. */
+  /** Identifies the starts of the gateways. */
+  composition: bigint;
+  /** Total amount that they reported as admitted since their starts. */
   admitted: number;
   /** Smoothed rate between its reports. */
   admittedPerSecond: number;
   reportedAtMs: number;
 }
 
+/** Admissions of a workspace that one source reports. */
+export interface AdmissionReport {
+  /** Key of the workspace's name. */
+  readonly workspaceKey: number;
+  /** Total amount that the gateways of the source have admitted since their starts. */
+  readonly admitted: number;
+  /**
+   * Amount that was already admitted when the source became known, if this is its first report of the workspace;
+   * undefined if that isn't known.
+   */
+  readonly baseline: number | undefined;
+  /** Identifies the starts of these gateways. */
+  readonly composition: bigint;
+  /** Number of these gateways. */
+  readonly gateways: number;
+  /** Mean age of their states when the report was received. */
+  readonly ageMs: number;
+}
+
 /** How many of the gateways this gateway can reach. */
 export interface PeerReachability {
   /** Gateways whose reports are received, this one included. */
@@ -41,7 +63,7 @@
 /** Weight of the newest rate in a peer's smoothed rate. */
 const RATE_WEIGHT = 0.5;
 /** Longest time after a peer's report for which its usage is extrapolated. */
-const MAX_EXTRAPOLATION_MS = 1_000;
+const MAX_EXTRAPOLATION_MS = 2_000;
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 4_000;
 
@@ -67,7 +89,8 @@
  * others is limited to the fraction of the quota that belongs to the gateways it reaches.
  */
 export class QuotaLedger {
-  private readonly buckets = new Map<string, Bucket>();
+  /** By the key of the workspace's name. */
+  private readonly buckets = new Map<number, Bucket>();
   private readonly options: QuotaLedgerOptions;
 
   constructor(options: QuotaLedgerOptions) {
@@ -99,50 +122,52 @@
 
   /** Refunds the cost of an admitted request that no backend server ran. */
   refund(workspace: string, cost: number): void {
-    const bucket = this.buckets.get(workspace);
+    const bucket = this.buckets.get(getTextKey(workspace));
     if (!bucket) return;
     bucket.level += cost;
     bucket.admitted -= cost;
   }
 
   /**
-   * Applies the report of another gateway. Its first report only sets the baseline for later ones; the first report
-   * after a restart of that gateway deducts its whole total.
-   * @param incarnation - Identifies one process start of the other gateway.
-   * @param admitted - Total amount that it has admitted since that start.
+   * Applies the report of another gateway, or of the representative of several. The first report of a source only sets
+   * the baseline for later ones, unless it states one. After a restart of a single gateway its whole total is deducted; after another change
+   * of the gateways that a source represents, the totals can't be compared, and its last rate is deducted instead.
+   * @param sourceId - Identifies the source; no gateway may be part of two sources.
    * @param nowMs - Monotonic time in milliseconds at which the report was received.
    */
-  applyPeerReport(
-    gatewayId: string,
-    incarnation: number,
-    workspace: string,
-    admitted: number,
-    nowMs: number,
-  ): void {
-    const bucket = this.getBucket(workspace, nowMs);
-    const peer = bucket.peers.get(gatewayId);
-    if (!peer || peer.incarnation !== incarnation) {
-      bucket.peers.set(gatewayId, {
-        incarnation,
-        admitted,
-        admittedPerSecond: 0,
-        reportedAtMs: nowMs,
-      });
-      bucket.level -= peer ? admitted : 0;
+  applyPeerReport(sourceId: string, report: AdmissionReport, nowMs: number): void {
+    const {workspaceKey, admitted, composition, gateways} = report;
+    const bucket = this.getBucket(workspaceKey, nowMs);
+    const reportedAtMs = nowMs - report.ageMs;
+    const peer = bucket.peers.get(sourceId);
+    if (!peer) {
+      bucket.peers.set(sourceId, {composition, admitted, admittedPerSecond: 0, reportedAtMs});
+      bucket.level -= admitted - (report.baseline ?? admitted);
       return;
     }
-    const added = admitted - peer.admitted;
-    const elapsedMs = Math.max(1, nowMs - peer.reportedAtMs);
-    bucket.level -= added;
-    peer.admittedPerSecond +=
-      RATE_WEIGHT * ((Math.max(0, added) * MS_PER_SECOND) / elapsedMs - peer.admittedPerSecond);
+    const elapsedMs = Math.max(1, reportedAtMs - peer.reportedAtMs);
+    if (peer.composition !== composition) {
+      const isRestart = gateways === 1;
+      bucket.level -= isRestart ? admitted : (peer.admittedPerSecond * elapsedMs) / MS_PER_SECOND;
+      if (isRestart) peer.admittedPerSecond = 0;
+    } else {
+      const added = admitted - peer.admitted;
+      bucket.level -= added;
+      peer.admittedPerSecond +=
+        RATE_WEIGHT * ((Math.max(0, added) * MS_PER_SECOND) / elapsedMs - peer.admittedPerSecond);
+    }
+    peer.composition = composition;
     peer.admitted = admitted;
-    peer.reportedAtMs = nowMs;
+    peer.reportedAtMs = reportedAtMs;
   }
 
   /** Returns the total amount that this gateway has admitted since its start, by workspace; it's reported to peers. */
   getAdmittedTotals(): ReadonlyMap<string, number> {
-    return new Map([...this.buckets].map(([workspace, {admitted}]) => [workspace, admitted]));
+    const totals = new Map<string, number>();
+    for (const {workspace, admitted} of this.buckets.values()) {
+      if (workspace !== undefined) totals.set(workspace, admitted);
+    }
+    return totals;
   }
 
   private refill(
@@ -152,7 +177,8 @@
     nowMs: number,
   ): Bucket {
     const capacity = this.getCapacity(quota);
-    const bucket = this.getBucket(workspace, nowMs);
+    const bucket = this.getBucket(getTextKey(workspace), nowMs);
+    bucket.workspace = workspace;
     if (!bucket.isFilled && this.options.startsFull) bucket.level += capacity;
     bucket.isFilled = true;
     const elapsedMs = Math.max(0, nowMs - bucket.updatedAtMs);
@@ -172,17 +198,18 @@
     return (ratePerSecond * toleratedFactor) / MS_PER_SECOND;
   }
 
-  private getBucket(workspace: string, nowMs: number): Bucket {
-    const found = this.buckets.get(workspace);
+  private getBucket(workspaceKey: number, nowMs: number): Bucket {
+    const found = this.buckets.get(workspaceKey);
     if (found) return found;
     const newBucket = {
+      workspace: undefined,
       level: 0,
       isFilled: false,
       updatedAtMs: nowMs,
       admitted: 0,
       peers: new Map(),
     };
-    this.buckets.set(workspace, newBucket);
+    this.buckets.set(workspaceKey, newBucket);
     return newBucket;
   }
 }
--- a/src/controllers/quotas/index.ts
+++ b/src/controllers/quotas/index.ts
@@ -1,5 +1,6 @@
 export {
   QuotaLedger,
+  type AdmissionReport,
   type QuotaDecision,
   type QuotaLedgerOptions,
   type PeerReachability,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -2,6 +2,7 @@
 import type {Catalog, Route, Workspace} from '../catalog/index.js';
 import {QuotaLedger} from '../controllers/quotas/index.js';
 import {UsageLedger} from '../controllers/duties/index.js';
+import {PromptRates} from '../controllers/fleetSize/index.js';
 import {ServerLoads} from '../controllers/placement/index.js';
 import {
   ExchangeRun,
@@ -72,6 +73,7 @@
   /** Coordinates reads of the deployment's logs with the other gateways. */
   readonly logReadCoordinator: LogReadCoordinator;
   private readonly loads = new ServerLoads();
+  private readonly promptRates = new PromptRates();
   private readonly quotaLedger: QuotaLedger;
   private readonly usageLedger: UsageLedger;
   private readonly services: GatewayRunServices;
@@ -101,6 +103,7 @@
       settings,
       catalog,
       loads: this.loads,
+      promptRates: this.promptRates,
       usageLedger: this.usageLedger,
       events,
       isFleetKnown: nowMs => this.isFleetKnown(nowMs),
@@ -137,6 +140,7 @@
       catalog,
       members: this.members,
       loads: this.loads,
+      promptRates: this.promptRates,
       quotaLedger: this.quotaLedger,
       usageLedger: this.usageLedger,
       duties: this.duties,
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -1,7 +1,9 @@
-/** Broadcasts this gateway's state to the other gateways and applies the states received from them. */
+/** Exchanges state with other gateways in datagrams, and applies what they send. */
 import type {Catalog} from '../catalog/index.js';
+import type {GossipGroup} from '../controllers/gossip/index.js';
 import type {QuotaLedger} from '../controllers/quotas/index.js';
 import type {UsageLedger} from '../controllers/duties/index.js';
+import type {PromptRates} from '../controllers/fleetSize/index.js';
 import type {ServerLoads} from '../controllers/placement/index.js';
 import type {
   GatewayMember,
@@ -9,10 +11,12 @@
   GossipState,
   GossipTraffic,
   MemberTable,
+  StateSummary,
 } from '../gossip/index.js';
 import type {EventLogger} from '../logging/index.js';
 import type {DutyRunner} from './DutyRunner.js';
 import type {GatewaySettings} from './GatewaySettings.js';
+import {GroupExchange} from './GroupExchange.js';
 import type {PeerClock} from './PeerClock.js';
 import type {LogReadCoordinator} from './LogReadCoordinator.js';
 
@@ -22,6 +26,7 @@
   readonly catalog: Catalog;
   readonly members: MemberTable;
   readonly loads: ServerLoads;
+  readonly promptRates: PromptRates;
   readonly quotaLedger: QuotaLedger;
   readonly usageLedger: UsageLedger;
   readonly duties: Pick<DutyRunner, 'claim' | 'applyClaim'>;
@@ -37,21 +42,47 @@
 }
 
 const BROADCAST_INTERVAL_MS = 250;
-/** Every n-th datagram carries the full state; the others omit what seldom changes. */
+/** Every n-th broadcast carries what the others leave out: all workspaces, cold servers and usage windows. */
 const FULL_STATE_INTERVAL = 8;
-/** Usage windows in a datagram without the full state: the current one and the previous one. */
-const RECENT_WINDOWS = 2;
+/** Every n-th broadcast carries the usage windows that still change. */
+const USAGE_INTERVAL = 4;
+/** Every n-th broadcast carries the state of the gateways outside the group. */
+const REST_INTERVAL = 2;
+/** Every n-th broadcast carries some of all member records in turn; each one carries some of the new ones in turn. */
+const MEMBERS_INTERVAL = 4;
+const MEMBERS_IN_TURN = 1;
+const NEW_MEMBERS_IN_TURN = 4;
+/** Time for which a member counts as new. */
+const NEW_MEMBER_MS = 3_000;
+/** Member records in the answer to a gateway of another group, which may know few others yet. */
+const MEMBERS_IN_REPLY = 12;
+/** Shortest interval between two replies to one gateway. */
+const REPLY_INTERVAL_MS = 250;
+/** Unresponsive members that get a datagram in each broadcast, in case they are reachable again. */
+const UNRESPONSIVE_RECIPIENTS = 2;
+/** Seeds that aren't members get every n-th broadcast; every one as long as no other gateway is known. */
+const SEED_INTERVAL = 4;
+/** Shortest interval between two announcements; the next broadcast makes up for an omitted one. */
+const ANNOUNCEMENT_INTERVAL_MS = 40;
+/** Reads of the logs that are newer by less aren't announced. */
+const MIN_AGE_GAIN_MS = 300;
 /** Broadcasts between two log lines about the gossip traffic. */
 const TRAFFIC_LOG_INTERVAL = 20;
 
-/** Exchanges state with the other gateways, by datagrams at a fixed interval. */
+/** Exchanges state with the gateways of its groups at a fixed interval, and news about the logs at once. */
 export class GatewayGossip {
   private readonly options: GatewayGossipOptions;
   private readonly channel: GossipChannel;
+  private readonly exchange: GroupExchange;
   private timer: NodeJS.Timeout | undefined;
   private seeds: readonly string[];
   private broadcastCount = 0;
-  private lastSentMemberIds = '';
+  private memberCursor = 0;
+  private newMemberCursor = 0;
+  private unresponsiveCursor = 0;
+  private announcedAtMs = -Infinity;
+  private sentAdmitted: ReadonlyMap<string, number> = new Map();
+  private readonly repliedAtMs = new Map<string, number>();
   private loggedTraffic: GossipTraffic;
   private loggedAtMs: number;
 
@@ -59,8 +90,10 @@
     this.options = options;
     this.seeds = options.settings.gossipSeeds;
     this.channel = options.createChannel(state => this.applyState(state));
+    this.exchange = new GroupExchange(options);
     this.loggedTraffic = this.channel.traffic;
     this.loggedAtMs = options.getNowMs();
+    options.logReadCoordinator.setReadListener(() => this.announce(options.getNowMs(), undefined));
   }
 
   /** Datagrams and bytes since the start. */
@@ -82,21 +115,29 @@
   }
 
   /**
-   * Replaces the seeds, which receive the state in addition to the known members.
+   * Replaces the seeds, through which the other gateways are found.
    * @param addresses - Each an IP address and port.
    */
   setSeeds(addresses: readonly string[]): void {
     this.seeds = addresses;
   }
 
-  /** Sends this gateway's state to all known members and seeds. */
+  /** Sends this gateway's state to its groups, and an announcement to gateways that may not know this one. */
   broadcast(): void {
-    const {settings, members, getNowMs} = this.options;
-    const nowMs = getNowMs();
-    const memberAddresses = members.getMembers(nowMs).map(({gossipAddress}) => gossipAddress);
-    const ownAddress = `${settings.ip}:${settings.gossipPort}`;
-    const seeds = this.seeds.filter(seed => seed !== ownAddress && !memberAddresses.includes(seed));
-    this.channel.send(this.buildState(nowMs), [...memberAddresses, ...seeds]);
+    const nowMs = this.options.getNowMs();
+    this.broadcastCount += 1;
+    const groups = this.exchange.getGroups(nowMs);
+    const members = this.getMembersToSend(nowMs);
+    const admitted = this.getAdmittedToSend();
+    for (const group of groups) {
+      const state = this.buildState(group, members, admitted, nowMs);
+      this.channel.send(state, getAddresses(group.fellows));
+    }
+    const others = [...this.getSeedRecipients(nowMs), ...this.getUnresponsiveRecipients(nowMs)];
+    if (others.length > 0) {
+      const state = {...this.buildAnnouncement(members, nowMs), requestsMembers: true};
+      this.channel.send(state, others);
+    }
     if (this.broadcastCount % TRAFFIC_LOG_INTERVAL === 0) this.logTraffic(nowMs);
   }
 
@@ -110,6 +151,7 @@
       sentBytes: traffic.sentBytes - this.loggedTraffic.sentBytes,
       receivedDatagrams: traffic.receivedDatagrams - this.loggedTraffic.receivedDatagrams,
       receivedBytes: traffic.receivedBytes - this.loggedTraffic.receivedBytes,
+      groups: this.exchange.getGroups(nowMs).length,
       heard: members.getLiveMembers(nowMs).length,
       known: members.getKnownCount(nowMs),
       registrationsAgeMs: Math.round(catalog.getRegistrationsAgeMs(nowMs)),
@@ -119,48 +161,175 @@
     this.loggedAtMs = nowMs;
   }
 
-  private buildState(nowMs: number): GossipState {
-    const {catalog, members, quotaLedger, loads, usageLedger, duties, logReadCoordinator, clock} =
-      this.options;
-    const liveMembers = members.getLiveMembers(nowMs).filter(({isLeaving}) => !isLeaving);
-    const isFullState = this.isFullStateDue(liveMembers);
+  private buildState(
+    group: GossipGroup<GatewayMember>,
+    members: readonly GatewayMember[],
+    admitted: ReadonlyMap<string, number>,
+    nowMs: number,
+  ): GossipState {
+    const {loads, settings, promptRates} = this.options;
+    const isHead = group.headId === settings.id;
+    const rest =
+      isHead && this.isDue(REST_INTERVAL) ? this.exchange.getRest(group.level, nowMs) : undefined;
+    const base = {
+      ...this.buildAnnouncement(members, nowMs),
+      level: group.level,
+      isAnnouncement: false,
+      rest: rest && this.limitUsage(rest, FULL_STATE_INTERVAL),
+    };
+    if (group.level > 0) {
+      return {
+        ...base,
+        summary: this.limitUsage(this.exchange.getSummary(group.level, nowMs), USAGE_INTERVAL),
+      };
+    }
+    return {
+      ...base,
+      admitted,
+      hasAllWorkspaces: this.isDue(FULL_STATE_INTERVAL),
+      serverLoads: loads.getOwnLoadsByKey(),
+      promptRates: promptRates.getRates(nowMs),
+      usage: this.getUsageToSend(),
+    };
+  }
+
+  private buildAnnouncement(members: readonly GatewayMember[], nowMs: number): GossipState {
+    const {catalog, duties, logReadCoordinator, clock} = this.options;
     return {
       sender: this.options.describeSelf(),
-      members: isFullState ? liveMembers : [],
-      admitted: quotaLedger.getAdmittedTotals(),
-      serverLoads: loads.getOwnLoads(),
-      usage: isFullState ? usageLedger.getOwnUsage() : usageLedger.getOwnUsage(RECENT_WINDOWS),
+      members,
+      level: 0,
+      isAnnouncement: true,
+      requestsMembers: false,
+      admitted: new Map(),
+      hasAllWorkspaces: false,
+      serverLoads: new Map(),
+      promptRates: new Map(),
+      usage: [],
+      summary: undefined,
+      rest: undefined,
       dutyClaim: duties.claim,
       operatorOffset: logReadCoordinator.getKnownOffset('operator'),
       operatorAgeMs: catalog.getOperatorRecordsAgeMs(nowMs),
-      registrations: logReadCoordinator.getRegistrationsUpdate(nowMs),
+      registrations: logReadCoordinator.getRegistrationsUpdate(
+        this.isDue(FULL_STATE_INTERVAL),
+        nowMs,
+      ),
       wallMs: clock.getOwnWallMs(),
     };
   }
 
-  /** Returns whether the next datagram carries the full state: at every n-th one and after a change of the members. */
-  private isFullStateDue(liveMembers: readonly GatewayMember[]): boolean {
-    const memberIds = liveMembers.map(({id, incarnation}) => `${id}/${incarnation}`).join();
-    const hasChanged = memberIds !== this.lastSentMemberIds;
-    this.lastSentMemberIds = memberIds;
-    this.broadcastCount += 1;
-    return hasChanged || this.broadcastCount % FULL_STATE_INTERVAL === 0;
+  private isDue(interval: number): boolean {
+    return this.broadcastCount % interval === 0;
+  }
+
+  private limitUsage(summary: StateSummary, interval: number): StateSummary {
+    return this.isDue(interval) ? summary : {...summary, usage: []};
+  }
+
+  private getUsageToSend(): GossipState['usage'] {
+    const {usageLedger, clock} = this.options;
+    if (this.isDue(FULL_STATE_INTERVAL)) return usageLedger.getOwnUsage();
+    return this.isDue(USAGE_INTERVAL) ? usageLedger.getOpenUsage(clock.getWallMs()) : [];
+  }
+
+  /** Returns the admissions of the workspaces that had any since the last broadcast, or of all of them. */
+  private getAdmittedToSend(): ReadonlyMap<string, number> {
+    const admitted = this.options.quotaLedger.getAdmittedTotals();
+    const previous = this.sentAdmitted;
+    this.sentAdmitted = admitted;
+    if (this.isDue(FULL_STATE_INTERVAL)) return admitted;
+    return new Map(
+      [...admitted].filter(([workspace, amount]) => amount !== previous.get(workspace)),
+    );
+  }
+
+  /** Returns some of the new members and some of all live ones in turn, so that every gateway learns of every other one. */
+  private getMembersToSend(nowMs: number): readonly GatewayMember[] {
+    const {members} = this.options;
+    const newMembers = members.getNewMembers(nowMs - NEW_MEMBER_MS);
+    const chosen = takeInTurn(newMembers, this.newMemberCursor, NEW_MEMBERS_IN_TURN);
+    this.newMemberCursor += NEW_MEMBERS_IN_TURN;
+    if (!this.isDue(MEMBERS_INTERVAL)) return chosen;
+    return [...new Set([...chosen, ...this.getMembersInTurn(MEMBERS_IN_TURN, nowMs)])];
+  }
+
+  private getMembersInTurn(count: number, nowMs: number): readonly GatewayMember[] {
+    const live = this.options.members.getLiveMembers(nowMs).filter(({isLeaving}) => !isLeaving);
+    const chosen = takeInTurn(live, this.memberCursor, count);
+    this.memberCursor += count;
+    return chosen;
+  }
+
+  private getSeedRecipients(nowMs: number): readonly string[] {
+    const {settings, members} = this.options;
+    const known = members.getMembers(nowMs).map(({gossipAddress}) => gossipAddress);
+    if (known.length > 0 && !this.isDue(SEED_INTERVAL)) return [];
+    const ownAddress = `${settings.ip}:${settings.gossipPort}`;
+    return this.seeds.filter(seed => seed !== ownAddress && !known.includes(seed));
+  }
+
+  private getUnresponsiveRecipients(nowMs: number): readonly string[] {
+    const unresponsive = this.options.members.getUnresponsiveMembers(nowMs);
+    const chosen = takeInTurn(unresponsive, this.unresponsiveCursor, UNRESPONSIVE_RECIPIENTS);
+    this.unresponsiveCursor += UNRESPONSIVE_RECIPIENTS;
+    return getAddresses(chosen);
   }
 
   private applyState(state: GossipState): void {
-    const {quotaLedger, clock, duties, loads, members, logReadCoordinator, usageLedger, getNowMs} =
-      this.options;
+    const {clock, duties, members, logReadCoordinator, catalog, getNowMs} = this.options;
     const nowMs = getNowMs();
     const {sender} = state;
     if (!members.applySender(sender, nowMs)) return;
     for (const member of state.members) members.applyReported(member, nowMs);
-    for (const [workspace, total] of state.admitted) {
-      quotaLedger.applyPeerReport(sender.id, sender.incarnation, workspace, total, nowMs);
-    }
-    loads.applyPeerReport(sender.id, state.serverLoads, nowMs);
-    usageLedger.mergePeerUsage(sender.id, sender.incarnation, state.usage);
+    const relation = this.exchange.apply(state, nowMs);
     duties.applyClaim(state.dutyClaim);
-    logReadCoordinator.apply(state, nowMs);
     clock.applyPeerReport(sender.id, state.wallMs);
+    const before = {
+      digest: catalog.servers.getDigest(),
+      registrationsAgeMs: catalog.getRegistrationsAgeMs(nowMs),
+      operatorAgeMs: catalog.getOperatorRecordsAgeMs(nowMs),
+    };
+    logReadCoordinator.apply(state, nowMs);
+    const isNews =
+      catalog.servers.getDigest() !== before.digest ||
+      before.registrationsAgeMs - catalog.getRegistrationsAgeMs(nowMs) >= MIN_AGE_GAIN_MS ||
+      before.operatorAgeMs - catalog.getOperatorRecordsAgeMs(nowMs) >= MIN_AGE_GAIN_MS;
+    if (isNews) this.announce(nowMs, sender.id);
+    const isMisplaced = relation === 'stranger' && !state.isAnnouncement;
+    if (state.requestsMembers || isMisplaced) this.reply(sender, nowMs);
   }
+
+  /**
+   * Sends what is known of the logs at once, to the groups other than the one that it comes from.
+   * @param sourceId - Gateway that sent the news; undefined if this gateway has read a log itself.
+   */
+  private announce(nowMs: number, sourceId: string | undefined): void {
+    if (nowMs - this.announcedAtMs < ANNOUNCEMENT_INTERVAL_MS) return;
+    const recipients = this.exchange
+      .getGroups(nowMs)
+      .filter(({fellows}) => !fellows.some(({id}) => id === sourceId))
+      .flatMap(({fellows}) => getAddresses(fellows));
+    if (recipients.length === 0) return;
+    this.announcedAtMs = nowMs;
+    this.channel.send(this.buildAnnouncement([], nowMs), recipients);
+  }
+
+  /** Tells a gateway that takes this one for a fellow, or just started, which gateways there are. */
+  private reply({id, gossipAddress}: GatewayMember, nowMs: number): void {
+    if (nowMs - (this.repliedAtMs.get(id) ?? -Infinity) < REPLY_INTERVAL_MS) return;
+    this.repliedAtMs.set(id, nowMs);
+    const members = this.getMembersInTurn(MEMBERS_IN_REPLY, nowMs);
+    this.channel.send(this.buildAnnouncement(members, nowMs), [gossipAddress]);
+  }
+}
+
+function getAddresses(members: readonly GatewayMember[]): readonly string[] {
+  return members.map(({gossipAddress}) => gossipAddress);
+}
+
+/** Returns `count` items from a cursor on, starting again at the beginning; all of them if there are no more. */
+function takeInTurn<Item>(items: readonly Item[], cursor: number, count: number): readonly Item[] {
+  if (items.length <= count) return items;
+  return Array.from({length: count}, (_, index) => items[(cursor + index) % items.length]);
 }
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -11,6 +11,7 @@
   type PlacementDecision,
   type ServerLoads,
 } from '../controllers/placement/index.js';
+import type {PromptRates} from '../controllers/fleetSize/index.js';
 import {RetryBudget} from '../controllers/retry/index.js';
 import type {AdmittedRequest, BackendHead, RefusalKind, RunServices} from '../exchange/index.js';
 import type {EventLogger} from '../logging/index.js';
@@ -21,6 +22,7 @@
   readonly settings: GatewaySettings;
   readonly catalog: Catalog;
   readonly loads: ServerLoads;
+  readonly promptRates: PromptRates;
   readonly usageLedger: UsageLedger;
   readonly events: EventLogger;
   /** Returns the ids of the gateways that may be sending requests, including this one. */
@@ -105,7 +107,10 @@
     attempt: number,
     nowMs: number,
   ): void {
-    if (attempt === 1) this.getRetryBudget(admitted.service).recordFirstAttempt(nowMs);
+    if (attempt === 1) {
+      this.getRetryBudget(admitted.service).recordFirstAttempt(nowMs);
+      this.options.promptRates.addPrompt(admitted.service, promptTokens, nowMs);
+    }
     this.options.loads.addRequest(server.entry.id, promptTokens);
     if (server.coldUntilMs <= nowMs) return;
     const limit = this.getColdLimit(server, this.getService(admitted.service), nowMs);
@@ -121,7 +126,7 @@
   onHead(server: KnownServer, head: BackendHead, nowMs: number): void {
     if (head.isMisdirected) this.options.catalog.servers.removeServer(server.entry.id, nowMs);
     else if (head.coldMs !== undefined && head.coldMs > 0) {
-      this.options.catalog.servers.markCold(server.entry.id, nowMs + head.coldMs);
+      this.options.catalog.servers.markCold(server.entry.id, nowMs + head.coldMs, nowMs);
     }
   }
 
--- a/src/gateway/LogReadCoordinator.ts
+++ b/src/gateway/LogReadCoordinator.ts
@@ -50,6 +50,7 @@
   /** Highest offset of the operators' records that a peer has reported. */
   private reportedOperatorOffset = 0;
   private onOperatorUpdate: () => void = () => undefined;
+  private onRead: () => void = () => undefined;
 
   constructor(options: LogReadCoordinatorOptions) {
     this.options = options;
@@ -63,6 +64,14 @@
     this.onOperatorUpdate = listener;
   }
 
+  /**
+   * Sets the listener for reads of this gateway itself.
+   * @param listener - Called after each read that brought a log up to date.
+   */
+  setReadListener(listener: () => void): void {
+    this.onRead = listener;
+  }
+
   /**
    * Records that the adapter has read a log.
    * @param log - Log that was read.
@@ -70,6 +79,7 @@
    */
   recordRead(log: SharedLog, nextOffset: number): void {
     this.knownOffsets[log] = Math.max(this.knownOffsets[log], nextOffset);
+    this.onRead();
   }
 
   /**
@@ -103,11 +113,14 @@
 
   /**
    * Returns the update on the registrations that is sent to the peers.
+   * @param includesCold - Whether it contains all cold servers, for peers that missed that they turned cold.
    * @param nowMs - Current monotonic time in milliseconds.
    */
-  getRegistrationsUpdate(nowMs: number): RegistrationsUpdate {
+  getRegistrationsUpdate(includesCold: boolean, nowMs: number): RegistrationsUpdate {
     const {catalog} = this.options;
-    const changed = catalog.servers.getRecentlyChanged(CHANGE_REPORT_MS, nowMs);
+    const recent = catalog.servers.getRecentlyChanged(CHANGE_REPORT_MS, nowMs);
+    const cold = includesCold ? catalog.servers.getColdServers(nowMs) : [];
+    const changed = [...new Set([...recent, ...cold])];
     return {
       offset: this.knownOffsets.registrations,
       ageMs: catalog.getRegistrationsAgeMs(nowMs),
--- a/src/gateway/UsageDuty.ts
+++ b/src/gateway/UsageDuty.ts
@@ -14,8 +14,8 @@
   readonly reportDueMs: number;
 }
 
-/** Delay after the end of a window for the other gateways' counts to arrive. */
-const COLLECTION_DELAY_MS = 2_500;
+/** Delay after the end of a window for the other gateways' counts to arrive, over up to three groups. */
+const COLLECTION_DELAY_MS = 3_500;
 /** Number of the newest reports kept in the duty log for the next duty holder. */
 const MAX_STORED_REPORTS = 5;
 
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -1,6 +1,7 @@
 /** State that gateways exchange by gossip, in its decoded form. */
 import type {ServerEntry, ServerStart} from '../catalog/index.js';
 import type {ServerLoad} from '../controllers/placement/index.js';
+import type {StateSummary} from './StateSummary.js';
 
 /** A gateway's own description of itself, which the other gateways keep as its member record. */
 export interface GatewayMember {
@@ -55,13 +56,28 @@
 /** State that a gateway sends in a datagram. */
 export interface GossipState {
   readonly sender: GatewayMember;
-  /** Live members that the sender knows; empty unless the datagram carries the full state. */
+  /** Some of the live members that the sender knows; another datagram contains others. */
   readonly members: readonly GatewayMember[];
-  /** Requests or tokens admitted since the sender's start, by workspace. */
+  /** Level of the group in which the sender sends the datagram. */
+  readonly level: number;
+  /** Whether the datagram carries no load, admissions and usage. */
+  readonly isAnnouncement: boolean;
+  /** Whether the sender asks for an answer with members, since it may know too few. */
+  readonly requestsMembers: boolean;
+  /** Requests or tokens admitted by the sender since its start, by workspace. */
   readonly admitted: ReadonlyMap<string, number>;
-  /** The sender's own load on each backend server, by server id. */
-  readonly serverLoads: ReadonlyMap<string, ServerLoad>;
+  /** Whether `admitted` contains all workspaces; otherwise only those with recent requests. */
+  readonly hasAllWorkspaces: boolean;
+  /** The sender's own load on each backend server, by the key of the server's id. */
+  readonly serverLoads: ReadonlyMap<number, ServerLoad>;
+  /** Prompt tokens per second that the sender sends, by service. */
+  readonly promptRates: ReadonlyMap<string, number>;
+  /** The sender's own usage; empty if it is left out. */
   readonly usage: readonly UsageCount[];
+  /** State of all gateways that the sender represents, itself included; undefined at level 0. */
+  readonly summary: StateSummary | undefined;
+  /** State of all gateways outside the group; undefined if the sender isn't its head, or if it is left out. */
+  readonly rest: StateSummary | undefined;
   readonly dutyClaim: DutyClaim;
   /** Next offset that the sender will read in the operators' records; 0 before its first read. */
   readonly operatorOffset: number;
--- a/src/gossip/gossipCodec.ts
+++ b/src/gossip/gossipCodec.ts
@@ -2,19 +2,36 @@
 import {create, fromBinary, toBinary, type MessageInitShape} from '@bufbuild/protobuf';
 import {
   GossipSchema,
+  MemberStatus as MemberStatusMessage,
   type Gossip,
   type Member,
   type MemberSchema,
+  type PromptRate,
+  type PromptRateSchema,
   type Registration,
   type RegistrationSchema,
+  type Summary,
+  type SummarySchema,
+  type UsageWindow,
+  type UsageWindowSchema,
+  type ServerLoads as ServerLoadsMessage,
+  type ServerLoadsSchema,
   type ServerStart as ServerStartMessage,
   type ServerStartSchema,
 } from '../peer/generated/buckthorn/gossip/v1/gossip_pb.js';
 import type {ServerEntry, ServerStart} from '../catalog/index.js';
-import type {GatewayMember, GossipState} from './GossipState.js';
+import type {ServerLoad} from '../controllers/placement/index.js';
+import {getTextKey} from '../utils/index.js';
+import type {GatewayMember, GossipState, UsageCount} from './GossipState.js';
+import type {MemberStatus, StateSummary} from './StateSummary.js';
 
 /** Largest age that the uint32 field can hold; sent if nothing has been read yet. */
 const MAX_AGE_MS = 0xffff_ffff;
+const STATUS_MESSAGES: Readonly<Record<MemberStatus['status'], MemberStatusMessage>> = {
+  ready: MemberStatusMessage.READY,
+  'not-ready': MemberStatusMessage.NOT_READY,
+  leaving: MemberStatusMessage.LEAVING,
+};
 
 /**
  * Encodes a state as a protobuf message.
@@ -25,16 +42,15 @@
     sender: toMemberMessage(state.sender),
     members: state.members.map(toMemberMessage),
     workspaceUses: [...state.admitted].map(([workspace, admitted]) => ({workspace, admitted})),
-    serverLoads: [...state.serverLoads].map(([serverId, load]) => ({
-      serverId,
-      openRequests: load.openRequests,
-      pendingPromptTokens: Math.round(load.pendingPromptTokens),
-    })),
-    usageWindows: state.usage.map(({window, workspace, requests}) => ({
-      number: BigInt(window),
-      workspace,
-      requests,
-    })),
+    loads: toLoads(state.serverLoads),
+    promptRates: toPromptRates(state.promptRates),
+    usageWindows: state.usage.map(toUsageWindow),
+    groupLevel: state.level,
+    isAnnouncement: state.isAnnouncement,
+    requestsMembers: state.requestsMembers,
+    hasAllWorkspaces: state.hasAllWorkspaces,
+    summary: state.summary && toSummary(state.summary),
+    rest: state.rest && toSummary(state.rest),
     dutyToken: BigInt(state.dutyClaim.token),
     dutyHolderId: state.dutyClaim.holderId,
     operatorOffset: BigInt(state.operatorOffset),
@@ -61,12 +77,17 @@
     sender: fromMemberMessage(message.sender),
     members: message.members.map(fromMemberMessage),
     admitted: new Map(message.workspaceUses.map(({workspace, admitted}) => [workspace, admitted])),
-    serverLoads: new Map(message.serverLoads.map(({serverId, ...load}) => [serverId, load])),
-    usage: message.usageWindows.map(({number, workspace, requests}) => ({
-      window: Number(number),
-      workspace,
-      requests,
-    })),
+    serverLoads: message.loads
+      ? fromLoads(message.loads)
+      : new Map(message.serverLoads.map(({serverId, ...load}) => [getTextKey(serverId), load])),
+    promptRates: fromPromptRates(message.promptRates),
+    usage: message.usageWindows.map(fromUsageWindow),
+    level: message.groupLevel,
+    isAnnouncement: message.isAnnouncement,
+    requestsMembers: message.requestsMembers,
+    hasAllWorkspaces: message.hasAllWorkspaces,
+    summary: message.summary && fromSummary(message.summary),
+    rest: message.rest && fromSummary(message.rest),
     dutyClaim: {token: Number(message.dutyToken), holderId: message.dutyHolderId},
     operatorOffset: Number(message.operatorOffset),
     operatorAgeMs: message.operatorAgeMs,
@@ -82,6 +103,84 @@
   };
 }
 
+function toSummary(summary: StateSummary): MessageInitShape<typeof SummarySchema> {
+  return {
+    gateways: summary.gateways,
+    composition: summary.composition,
+    ageMs: toAge(summary.ageMs),
+    workspaceKeys: [...summary.admitted.keys()],
+    admitted: [...summary.admitted.values()].map(amount => BigInt(Math.max(0, Math.round(amount)))),
+    loads: toLoads(summary.serverLoads),
+    promptRates: toPromptRates(summary.promptRates),
+    usageWindows: summary.usage.map(toUsageWindow),
+    memberKeys: summary.members.map(({key}) => key),
+    memberStatuses: summary.members.map(({status}) => STATUS_MESSAGES[status]),
+  };
+}
+
+function fromSummary(message: Summary): StateSummary {
+  const {memberKeys, memberStatuses} = message;
+  return {
+    gateways: message.gateways,
+    composition: message.composition,
+    ageMs: message.ageMs,
+    admitted: new Map(
+      message.workspaceKeys.map((key, index) => [key, Number(message.admitted[index] ?? 0n)]),
+    ),
+    serverLoads: message.loads ? fromLoads(message.loads) : new Map(),
+    promptRates: fromPromptRates(message.promptRates),
+    usage: message.usageWindows.map(fromUsageWindow),
+    members: memberKeys.map((key, index) => ({key, status: fromStatus(memberStatuses[index])})),
+  };
+}
+
+function toLoads(
+  loads: ReadonlyMap<number, ServerLoad>,
+): MessageInitShape<typeof ServerLoadsSchema> {
+  const values = [...loads.values()];
+  return {
+    serverKeys: [...loads.keys()],
+    openRequests: values.map(({openRequests}) => openRequests),
+    pendingPromptTokens: values.map(({pendingPromptTokens}) => Math.round(pendingPromptTokens)),
+  };
+}
+
+function fromLoads(message: ServerLoadsMessage): ReadonlyMap<number, ServerLoad> {
+  const {serverKeys, openRequests, pendingPromptTokens} = message;
+  return new Map(
+    serverKeys.map((key, index) => {
+      const load = {
+        openRequests: openRequests[index] ?? 0,
+        pendingPromptTokens: pendingPromptTokens[index] ?? 0,
+      };
+      return [key, load];
+    }),
+  );
+}
+
+function toPromptRates(
+  rates: ReadonlyMap<string, number>,
+): MessageInitShape<typeof PromptRateSchema>[] {
+  return [...rates].map(([service, rate]) => ({service, tokensPerSecond: Math.round(rate)}));
+}
+
+function fromPromptRates(rates: readonly PromptRate[]): ReadonlyMap<string, number> {
+  return new Map(rates.map(({service, tokensPerSecond}) => [service, tokensPerSecond]));
+}
+
+function fromStatus(status: MemberStatusMessage | undefined): MemberStatus['status'] {
+  if (status === MemberStatusMessage.LEAVING) return 'leaving';
+  return status === MemberStatusMessage.READY ? 'ready' : 'not-ready';
+}
+
+function toUsageWindow(count: UsageCount): MessageInitShape<typeof UsageWindowSchema> {
+  return {...count, number: BigInt(count.window)};
+}
+
+function fromUsageWindow({number, workspace, requests}: UsageWindow): UsageCount {
+  return {window: Number(number), workspace, requests};
+}
+
 function toAge(ageMs: number): number {
   return Math.min(MAX_AGE_MS, Math.max(0, Math.round(ageMs)));
 }
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -199,6 +199,7 @@
       'sentBytes',
       'receivedDatagrams',
       'receivedBytes',
+      'groups',
       'heard',
       'known',
       'registrationsAgeMs',
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -6,6 +6,7 @@
   type PromptMessage,
 } from './promptBlocks.js';
 export {hashText, rankByRendezvous} from './rendezvous.js';
+export {getTextKey} from './textKey.js';
 export {waitForStopSignal} from './stopSignal.js';
 export {createSeededRandom} from './seededRandom.js';
 export {parseJson} from './parseJson.js';
--- a/tests/controllers/placement/coldServerShares.test.ts
+++ b/tests/controllers/placement/coldServerShares.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import {Catalog, type Service} from '../../../src/catalog/index.js';
 import {UsageLedger} from '../../../src/controllers/duties/index.js';
+import {PromptRates} from '../../../src/controllers/fleetSize/index.js';
 import {ServerLoads} from '../../../src/controllers/placement/index.js';
 import type {AdmittedRequest} from '../../../src/exchange/index.js';
 import {GatewayRunServices} from '../../../src/gateway/GatewayRunServices.js';
@@ -54,6 +55,7 @@
     settings: createSettings({id}),
     catalog,
     loads: new ServerLoads(),
+    promptRates: new PromptRates(),
     usageLedger: new UsageLedger(5),
     events: silentEvents,
     getGatewayIds: () => fleet,
--- a/tests/gateway/gossipTraffic.test.ts
+++ b/tests/gateway/gossipTraffic.test.ts
@@ -49,6 +49,7 @@
     const serverId = `i-server${Math.floor(this.random() * SERVERS)}`;
     const reach = {reportingGateways: 1, knownGateways: 1};
     gateway.loads.addRequest(serverId, 6_000);
+    gateway.promptRates.addPrompt('model-service', 6_000, nowMs);
     gateway.quotaLedger.admit(workspace, QUOTA, 6_000, reach, nowMs);
     gateway.usageLedger.addRequest(workspace, nowMs);
     this.open.push({gateway, serverId, endAtMs: nowMs + OPEN_MS});
