Count the queue of a model engine whose slots are all in use

Callers of the large deployments got 503 from engines that were full while others had free slots: placement added 2 ms for each open request whatever the number of slots, so the server with the prompt's cached segments won although its 16 slots were taken. A request beyond the slots now counts 100 ms, about the time until one of them is free. Engines with 128 slots see no difference. Test: 'avoids a server without a free slot although it has cached the shared segments' fails before, passes now (placement, 16 passed).

--- a/src/controllers/placement/choosePlacement.ts
+++ b/src/controllers/placement/choosePlacement.ts
@@ -53,6 +53,8 @@
 const FAILURE_PENALTY_MS = 4_000;
 /** Assumed queueing delay for each request beyond the slots of a plain server. */
 const PLAIN_QUEUEING_MS = 80;
+/** Assumed queueing delay for each request beyond the slots of a model engine. */
+const ENGINE_QUEUEING_MS = 100;
 /** Upper bound of the random part of a score, which keeps gateways with the same view from choosing the same server. */
 const JITTER_MS = 4;
 
@@ -116,14 +118,16 @@
   preferredIds: readonly string[],
 ): Candidate {
   const {openRequests, pendingPromptTokens} = view.getLoad(server.entry.id);
+  const queuedRequests = Math.max(0, openRequests + 1 - server.entry.slots);
   if (promptParts.length === 0) {
-    const queuedRequests = Math.max(0, openRequests + 1 - server.entry.slots);
     const expectedWaitMs = queuedRequests * PLAIN_QUEUEING_MS + openRequests * RUNNING_REQUEST_MS;
     return {server, uncachedTokens: 0, expectedWaitMs};
   }
   const uncachedTokens = getUncachedTokens(promptParts, preferredIds.indexOf(server.entry.id));
   const expectedWaitMs =
-    pendingPromptTokens / PROMPT_TOKENS_PER_MS + openRequests * RUNNING_REQUEST_MS;
+    pendingPromptTokens / PROMPT_TOKENS_PER_MS +
+    openRequests * RUNNING_REQUEST_MS +
+    queuedRequests * ENGINE_QUEUEING_MS;
   return {server, uncachedTokens, expectedWaitMs};
 }
 
--- a/tests/controllers/placement/placement.test.ts
+++ b/tests/controllers/placement/placement.test.ts
@@ -69,6 +69,15 @@
     t.end();
   });
 
+  t.test('avoids a server without a free slot although it has cached the shared segments', t => {
+    const preferred = chooseId(createView(), createPrompt('a'));
+    const view = createView({
+      getLoad: id => ({openRequests: id === preferred ? 8 : 7, pendingPromptTokens: 0}),
+    });
+    t.not(chooseId(view, createPrompt('a')), preferred);
+    t.end();
+  });
+
   t.test('sends plain requests to the server with the fewest open requests', t => {
     const view = createView({
       getLoad: id => ({openRequests: id === 's3' ? 1 : 5, pendingPromptTokens: 0}),
