Size the fleet by its load instead of by the number of failure domains

The duty holder ordered 1.25 servers for each failure domain and half as many in reserve, a figure that fits the small deployments: here it returned 63 servers with 16 slots each for 15, before any caller had come. It also ordered before all servers had registered: with one of 13 known, 'keep 2' returned eleven.

Now the need follows from the open requests per slot and from the prompt tokens per second that all gateways send (gossiped as a sum), with the peak of the last 15 s. Until load has been observed for 10 s the servers that were provided count as the need, and nothing is ordered before no more of them register for 4 s.

--- /dev/null
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -0,0 +1,83 @@
+/** Estimates from the load of a service how many backend servers it needs. */
+
+/** Load of a service over all gateways. */
+export interface ServiceLoad {
+  /** Requests that are open at its servers, queued ones included. */
+  readonly openRequests: number;
+  /** Prompt tokens per second that its servers are expected to prefill. */
+  readonly promptTokensPerSecond: number;
+}
+
+/** Load and servers of one service. */
+export interface NeedView {
+  readonly load: ServiceLoad;
+  /** Requests that a server runs at once. */
+  readonly slotsPerServer: number;
+  /** Servers that accept requests. */
+  readonly availableServers: number;
+}
+
+/** Prompt tokens that a model engine prefills in a second. */
+const PREFILL_TOKENS_PER_SECOND = 100_000;
+/** Share of its prefill rate that a server is meant to use; above, prompts queue behind each other. */
+const PREFILL_UTILIZATION = 0.55;
+/** Share of its slots that a server is meant to use; above, bursts are rejected. */
+const SLOT_UTILIZATION = 0.6;
+/** Time for which the highest need is kept, since ordered servers take seconds to boot and to warm up. */
+const PEAK_RETENTION_MS = 15_000;
+/** Load that is observed for less time is no reason to return servers. */
+const OBSERVATION_MS = 10_000;
+/** Time without new servers after which those provided at first are taken to be complete. */
+const REGISTRATION_MS = 4_000;
+/** Spares that the fleet keeps on top of the needed servers; the servers provided at first include them. */
+export const SPARE_SHARE = 0.5;
+
+/** Tracks the need of one service. */
+export class NeededServers {
+  private providedServers = 0;
+  private providedAtMs: number | undefined;
+  private loadedSinceMs: number | undefined;
+  private samples: {readonly atMs: number; readonly needed: number}[] = [];
+
+  /**
+   * Returns the number of servers that the service needs to carry its load, without spares. Until the load has been
+   * observed for some time, these are the servers that were provided.
+   * @param view - Current load and servers.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  update(view: NeedView, nowMs: number): number {
+    const {load, availableServers} = view;
+    if (load.openRequests > 0) this.loadedSinceMs ??= nowMs;
+    this.samples = this.samples.filter(({atMs}) => nowMs - atMs <= PEAK_RETENTION_MS);
+    this.samples.push({atMs: nowMs, needed: estimateNeeded(view)});
+    const peak = Math.max(...this.samples.map(({needed}) => needed));
+    if (this.isObserved(nowMs)) return peak;
+    if (this.providedAtMs === undefined || availableServers > this.providedServers) {
+      this.providedServers = availableServers;
+      this.providedAtMs = nowMs;
+    }
+    return Math.max(peak, this.providedServers / (1 + SPARE_SHARE));
+  }
+
+  /**
+   * Returns whether the need is known: there is load, or all servers that were provided at first have registered.
+   * Orders before that would return servers that are only about to register.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  isKnown(nowMs: number): boolean {
+    if (this.loadedSinceMs !== undefined) return true;
+    return this.providedAtMs !== undefined && nowMs - this.providedAtMs >= REGISTRATION_MS;
+  }
+
+  private isObserved(nowMs: number): boolean {
+    return this.loadedSinceMs !== undefined && nowMs - this.loadedSinceMs >= OBSERVATION_MS;
+  }
+}
+
+function estimateNeeded({load, slotsPerServer}: NeedView): number {
+  const {openRequests, promptTokensPerSecond} = load;
+  return Math.max(
+    openRequests / (Math.max(1, slotsPerServer) * SLOT_UTILIZATION),
+    promptTokensPerSecond / (PREFILL_TOKENS_PER_SECOND * PREFILL_UTILIZATION),
+  );
+}
--- a/src/controllers/fleetSize/decideFleetSize.ts
+++ b/src/controllers/fleetSize/decideFleetSize.ts
@@ -1,5 +1,6 @@
 /** Decides how many on-demand and reclaimable backend servers of a service are ordered in each failure domain. */
 import type {ReplicaBounds} from '../../catalog/index.js';
+import {SPARE_SHARE} from './NeededServers.js';
 
 /** Available backend servers of a service in one failure domain. */
 export interface DomainFleet {
@@ -14,7 +15,7 @@
 export interface FleetView {
   readonly bounds: ReplicaBounds;
   readonly domains: readonly DomainFleet[];
-  /** Servers that the load needs over all failure domains. */
+  /** Servers that the load needs over all failure domains; may be a fraction. */
   readonly neededServers: number;
 }
 
@@ -25,8 +26,6 @@
   readonly reclaimable: number;
 }
 
-/** Spare reclaimable servers as a fraction of the needed ones; a reclaim takes all of a failure domain. */
-const SPARE_SHARE = 0.5;
 /**
  * On-demand servers that are ordered during a reclaim in addition to the missing ones, since the next failure domain is
  * often reclaimed soon after the first.
@@ -46,7 +45,7 @@
   const reclaimablePerDomain = getReclaimablePerDomain(view);
   const reclaimable = domains.reduce((sum, domain) => sum + domain.reclaimable, 0);
   const reserve = isBeingReclaimed(domains) ? RECLAIM_RESERVE_SERVERS : 0;
-  let missing = Math.max(0, neededServers + reserve - reclaimable);
+  let missing = Math.max(0, Math.ceil(neededServers + reserve - reclaimable));
   const byPrice = [...domains].sort((a, b) => getPrice(bounds, a) - getPrice(bounds, b));
   const onDemand = new Map<string, number>();
   for (let round = 0; round < bounds.maxPerDomain && missing > 0; round += 1) {
--- a/src/gateway/DutyRunner.ts
+++ b/src/gateway/DutyRunner.ts
@@ -4,6 +4,7 @@
  */
 import type {Catalog} from '../catalog/index.js';
 import {getActiveFromMs, shouldClaimDuty, type UsageLedger} from '../controllers/duties/index.js';
+import type {ServiceLoad} from '../controllers/fleetSize/index.js';
 import type {DutyClaim, MemberTable} from '../gossip/index.js';
 import type {EventLogger} from '../logging/index.js';
 import {FleetDuty} from './FleetDuty.js';
@@ -20,6 +21,8 @@
   readonly calls: DutyCalls;
   readonly log: DutyLog;
   readonly events: EventLogger;
+  /** Returns the load of a service over all gateways. */
+  readonly getServiceLoad: (service: string, nowMs: number) => ServiceLoad;
   /** Returns whether this gateway is ready to serve; otherwise it neither claims nor performs duties. */
   readonly isReady: () => boolean;
   /** Returns the monotonic time in milliseconds. */
@@ -122,6 +125,7 @@
 
   private async claimDuties(): Promise<void> {
     const {settings, log, events, getNowMs, getWallMs, usageLedger, calls, catalog} = this.options;
+    const getLoad = this.options.getServiceLoad;
     const claimed = await log.claim(settings.id);
     const history = await log.read();
     if (history) this.applyClaim(history.claim);
@@ -145,7 +149,7 @@
         history.reports,
         getWallMs(),
       ),
-      fleet: new FleetDuty({catalog, calls, events, failureDomains}),
+      fleet: new FleetDuty({catalog, calls, events, failureDomains, getLoad}),
     };
     events.log('duties claimed', {token: claim.token});
   }
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -1,6 +1,11 @@
 /** The duty of keeping the fleet at its required size: orders and returns backend servers. */
 import type {Catalog, KnownServer, Service} from '../catalog/index.js';
-import {decideFleetSize, type DomainOrder} from '../controllers/fleetSize/index.js';
+import {
+  NeededServers,
+  decideFleetSize,
+  type DomainOrder,
+  type ServiceLoad,
+} from '../controllers/fleetSize/index.js';
 import type {DutyClaim} from '../gossip/index.js';
 import type {EventLogger} from '../logging/index.js';
 import type {DutyCalls, DutyResult, ServerOrder} from './ports.js';
@@ -12,6 +17,8 @@
   readonly events: EventLogger;
   /** All failure domains of the deployment. */
   readonly failureDomains: readonly string[];
+  /** Returns the load of a service over all gateways. */
+  readonly getLoad: (service: string, nowMs: number) => ServiceLoad;
 }
 
 /** The latest order of one service, failure domain and server type. */
@@ -21,8 +28,6 @@
   readonly isAccepted: boolean;
 }
 
-/** Servers needed to carry the load, as a multiple of the number of failure domains. */
-const NEEDED_SERVERS_PER_DOMAIN = 1.25;
 /** Delay before an accepted order that had no effect is repeated. */
 const ACCEPTED_RETRY_MS = 5_000;
 /** Delay before a rejected order is repeated. */
@@ -35,6 +40,7 @@
   private readonly options: FleetDutyOptions;
   private readonly lastOrders = new Map<string, LastOrder>();
   private readonly surplusSinceMs = new Map<string, number>();
+  private readonly needs = new Map<string, NeededServers>();
 
   constructor(options: FleetDutyOptions) {
     this.options = options;
@@ -67,7 +73,8 @@
       onDemand: countServers(servers, failureDomain, false),
       reclaimable: countServers(servers, failureDomain, true),
     }));
-    const neededServers = Math.ceil(domains.length * NEEDED_SERVERS_PER_DOMAIN);
+    const neededServers = this.getNeededServers(service, servers, nowMs);
+    if (neededServers === undefined) return 'done';
     for (const order of decideFleetSize({bounds, domains, neededServers})) {
       const result = await this.orderForDomain(service.name, order, servers, claim, nowMs);
       if (result === 'superseded') return result;
@@ -75,6 +82,23 @@
     return 'done';
   }
 
+  /** Returns how many servers a service needs; undefined as long as that isn't known. */
+  private getNeededServers(
+    {name, engine}: Service,
+    servers: readonly KnownServer[],
+    nowMs: number,
+  ): number | undefined {
+    const need = this.needs.get(name) ?? new NeededServers();
+    this.needs.set(name, need);
+    const view = {
+      load: this.options.getLoad(name, nowMs),
+      slotsPerServer: engine?.slots ?? servers[0]?.entry.slots ?? 1,
+      availableServers: servers.length,
+    };
+    const neededServers = need.update(view, nowMs);
+    return need.isKnown(nowMs) ? neededServers : undefined;
+  }
+
   private async orderForDomain(
     service: string,
     order: DomainOrder,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -2,7 +2,7 @@
 import type {Catalog, Route, Workspace} from '../catalog/index.js';
 import {QuotaLedger} from '../controllers/quotas/index.js';
 import {UsageLedger} from '../controllers/duties/index.js';
-import {PromptRates} from '../controllers/fleetSize/index.js';
+import {PromptRates, type ServiceLoad} from '../controllers/fleetSize/index.js';
 import {ServerLoads} from '../controllers/placement/index.js';
 import {
   ExchangeRun,
@@ -131,6 +131,7 @@
       calls: options.dutyCalls,
       log: options.dutyLog,
       events,
+      getServiceLoad: (service, nowMs) => this.getServiceLoad(service, nowMs),
       isReady: () => this.isReady(),
       getNowMs,
       getWallMs: () => clock.getWallMs(),
@@ -403,6 +404,17 @@
     return this.options.settings.revocationMs * MAX_CONFIGURATION_AGE_SHARE;
   }
 
+  private getServiceLoad(service: string, nowMs: number): ServiceLoad {
+    const serverLoads = this.options.catalog.servers
+      .getServers()
+      .filter(({entry}) => entry.service === service)
+      .map(({entry}) => this.loads.getLoad(entry.id, nowMs));
+    return {
+      openRequests: serverLoads.reduce((sum, {openRequests}) => sum + openRequests, 0),
+      promptTokensPerSecond: this.gossip.getPromptRate(service, nowMs),
+    };
+  }
+
   private runDuties(): void {
     this.duties.tick(this.startedAtMs).catch((error: unknown) => {
       this.options.events.log('duties failed', {error: String(error)});
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -101,6 +101,15 @@
     return this.channel.traffic;
   }
 
+  /**
+   * Returns the prompt tokens per second that all gateways send to a service.
+   * @param service - Name of the service.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  getPromptRate(service: string, nowMs: number): number {
+    return this.exchange.getTotal(nowMs).promptRates.get(service) ?? 0;
+  }
+
   /** Opens the channel and broadcasts this gateway's state, now and at each interval. */
   async start(): Promise<void> {
     await this.channel.open();
--- a/src/gateway/GroupExchange.ts
+++ b/src/gateway/GroupExchange.ts
@@ -142,6 +142,15 @@
     return {...mergeSummaries(toAged(outer, nowMs)), usage};
   }
 
+  /**
+   * Returns the state of all gateways, without usage.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  getTotal(nowMs: number): StateSummary {
+    const reports = this.rest ? [...this.reports.values(), this.rest] : [...this.reports.values()];
+    return mergeSummaries([this.getOwnSummary(nowMs), ...toAged(reports, nowMs)]);
+  }
+
   private getReports(isIncluded: (report: Report) => boolean): readonly Report[] {
     return [...this.reports.values()].filter(isIncluded);
   }
--- a/tests/gateway/DutyRunner.test.ts
+++ b/tests/gateway/DutyRunner.test.ts
@@ -69,6 +69,7 @@
     events,
     isReady: () => true,
     getNowMs: () => clock.nowMs,
+    getServiceLoad: () => ({openRequests: 0, promptTokensPerSecond: 0}),
     getWallMs: () => 1_000_000 + clock.nowMs,
   });
   const tickAt = async (nowMs: number) => {
