Divide a cold server's limit among shares of 1.5 requests a second

With shares of 3 a second a limit of 18 was left to 6 of 7 gateways, and one of 11 to 3: callers of the others couldn't use servers that replaced reclaimed ones. 1.5 keeps the sum of what gateways may send at once and the rate within the limit of a second (7 + 9.9 of 21.5 for 11 a second), with room for four gateways that see another fleet. npm test -- coldServerShares: 6 of 6 pass.

--- a/src/controllers/placement/ColdServerShares.ts
+++ b/src/controllers/placement/ColdServerShares.ts
@@ -6,7 +6,7 @@
  * Requests per second that a gateway's share is worth at least. With smaller shares, the single requests that gateways
  * may send at once would add up to more than the server's limit.
  */
-const MIN_REQUESTS_PER_SECOND = 3;
+const MIN_REQUESTS_PER_SECOND = 1.5;
 
 /** Determines for each cold server which gateways may send requests to it; all gateways compute the same ones. */
 export class ColdServerShares {
