Keep what the loss of one failure domain needs, and return servers only after a longer lull

The spare is now what the loss of one domain takes, servers are returned after 30 s of observation and 45 s below the need, and only servers seen before the first order count as provided. Reclaimable servers are ordered while others still register, since only orders for fewer servers can do harm then. The prompt rate may use 0.4 of a server's.

--- a/src/controllers/fleetSize/NeededServers.ts
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -15,22 +15,22 @@
   readonly slotsPerServer: number;
   /** Servers that accept requests. */
   readonly availableServers: number;
+  /** Failure domains among which the servers are divided. */
+  readonly failureDomains: number;
 }
 
 /** Prompt tokens that a model engine prefills in a second. */
 const PREFILL_TOKENS_PER_SECOND = 100_000;
-/** Share of its prefill rate that a server is meant to use; above, prompts queue behind each other. */
-const PREFILL_UTILIZATION = 0.55;
+/** Share of its prefill rate that a server is meant to use on average, so that bursts don't queue for long. */
+const PREFILL_UTILIZATION = 0.4;
 /** Share of its slots that a server is meant to use; above, bursts are rejected. */
 const SLOT_UTILIZATION = 0.6;
-/** Time for which the highest need is kept, since ordered servers take seconds to boot and to warm up. */
-const PEAK_RETENTION_MS = 15_000;
+/** Time for which the highest need is kept: a server returned in a lull takes seconds to boot and to warm up again. */
+const PEAK_RETENTION_MS = 45_000;
 /** Load that is observed for less time is no reason to return servers. */
-const OBSERVATION_MS = 10_000;
+const OBSERVATION_MS = 30_000;
 /** Time without new servers after which those provided at first are taken to be complete. */
-const REGISTRATION_MS = 4_000;
-/** Spares that the fleet keeps on top of the needed servers; the servers provided at first include them. */
-export const SPARE_SHARE = 0.5;
+const REGISTRATION_MS = 2_500;
 
 /** Tracks the need of one service. */
 export class NeededServers {
@@ -41,22 +41,23 @@
 
   /**
    * Returns the number of servers that the service needs to carry its load, without spares. Until the load has been
-   * observed for some time, these are the servers that were provided.
+   * observed for some time, these are the servers that were provided, less the spares for the loss of one domain.
    * @param view - Current load and servers.
    * @param nowMs - Current monotonic time in milliseconds.
    */
   update(view: NeedView, nowMs: number): number {
-    const {load, availableServers} = view;
+    const {load, availableServers, failureDomains} = view;
     if (load.openRequests > 0) this.loadedSinceMs ??= nowMs;
     this.samples = this.samples.filter(({atMs}) => nowMs - atMs <= PEAK_RETENTION_MS);
     this.samples.push({atMs: nowMs, needed: estimateNeeded(view)});
     const peak = Math.max(...this.samples.map(({needed}) => needed));
     if (this.isObserved(nowMs)) return peak;
-    if (this.providedAtMs === undefined || availableServers > this.providedServers) {
+    const hasMore = availableServers > this.providedServers && !this.isKnown(nowMs);
+    if (this.providedAtMs === undefined || hasMore) {
       this.providedServers = availableServers;
       this.providedAtMs = nowMs;
     }
-    return Math.max(peak, this.providedServers / (1 + SPARE_SHARE));
+    return Math.max(peak, this.providedServers * getUsableShare(failureDomains));
   }
 
   /**
@@ -74,6 +75,11 @@
   }
 }
 
+/** Returns the share of evenly divided servers that is left after the loss of one failure domain. */
+export function getUsableShare(failureDomains: number): number {
+  return failureDomains <= 1 ? 1 : (failureDomains - 1) / failureDomains;
+}
+
 function estimateNeeded({load, slotsPerServer}: NeedView): number {
   const {openRequests, promptTokensPerSecond} = load;
   return Math.max(
--- a/src/controllers/fleetSize/PromptRates.ts
+++ b/src/controllers/fleetSize/PromptRates.ts
@@ -6,7 +6,7 @@
 }
 
 /** Time constant of the moving average. */
-const TIME_CONSTANT_MS = 3_000;
+const TIME_CONSTANT_MS = 6_000;
 const MS_PER_SECOND = 1_000;
 
 /** Exponentially weighted moving averages of the prompt tokens per second, by service. */
--- a/src/controllers/fleetSize/decideFleetSize.ts
+++ b/src/controllers/fleetSize/decideFleetSize.ts
@@ -1,6 +1,6 @@
 /** Decides how many on-demand and reclaimable backend servers of a service are ordered in each failure domain. */
 import type {ReplicaBounds} from '../../catalog/index.js';
-import {SPARE_SHARE} from './NeededServers.js';
+import {getUsableShare} from './NeededServers.js';
 
 /** Available backend servers of a service in one failure domain. */
 export interface DomainFleet {
@@ -75,7 +75,8 @@
 
 function getReclaimablePerDomain({bounds, domains, neededServers}: FleetView): number {
   if (bounds.reclaimablePriceShare === undefined) return 0;
-  const wanted = Math.ceil((neededServers * (1 + SPARE_SHARE)) / Math.max(1, domains.length));
+  const withSpares = neededServers / getUsableShare(domains.length);
+  const wanted = Math.ceil(withSpares / Math.max(1, domains.length));
   return Math.min(bounds.maxPerDomain, Math.max(1, wanted));
 }
 
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -32,6 +32,12 @@
 const ACCEPTED_RETRY_MS = 5_000;
 /** Delay before a rejected order is repeated. */
 const REJECTED_RETRY_MS = 1_000;
+/** Servers that one failure domain needs. */
+interface DomainNeed extends DomainOrder {
+  /** False while some of the provided servers may not have registered yet: an order could return those. */
+  readonly mayReturnServers: boolean;
+}
+
 /** Surplus servers are returned only after the surplus has lasted this long. */
 const SCALE_DOWN_DELAY_MS = 800;
 
@@ -73,35 +79,35 @@
       onDemand: countServers(servers, failureDomain, false),
       reclaimable: countServers(servers, failureDomain, true),
     }));
-    const neededServers = this.getNeededServers(service, servers, nowMs);
-    if (neededServers === undefined) return 'done';
+    const {neededServers, isKnown} = this.updateNeed(service, servers, nowMs);
     for (const order of decideFleetSize({bounds, domains, neededServers})) {
-      const result = await this.orderForDomain(service.name, order, servers, claim, nowMs);
+      const need: DomainNeed = {...order, mayReturnServers: isKnown};
+      const result = await this.orderForDomain(service.name, need, servers, claim, nowMs);
       if (result === 'superseded') return result;
     }
     return 'done';
   }
 
-  /** Returns how many servers a service needs; undefined as long as that isn't known. */
-  private getNeededServers(
+  /** Returns how many servers a service needs, and whether that is more than a lower bound. */
+  private updateNeed(
     {name, engine}: Service,
     servers: readonly KnownServer[],
     nowMs: number,
-  ): number | undefined {
+  ): {readonly neededServers: number; readonly isKnown: boolean} {
     const need = this.needs.get(name) ?? new NeededServers();
     this.needs.set(name, need);
     const view = {
       load: this.options.getLoad(name, nowMs),
       slotsPerServer: engine?.slots ?? servers[0]?.entry.slots ?? 1,
       availableServers: servers.length,
+      failureDomains: this.options.failureDomains.length,
     };
-    const neededServers = need.update(view, nowMs);
-    return need.isKnown(nowMs) ? neededServers : undefined;
+    return {neededServers: need.update(view, nowMs), isKnown: need.isKnown(nowMs)};
   }
 
   private async orderForDomain(
     service: string,
-    order: DomainOrder,
+    order: DomainNeed,
     servers: readonly KnownServer[],
     claim: DutyClaim,
     nowMs: number,
@@ -111,6 +117,8 @@
       const desiredCount = isReclaimable ? order.reclaimable : order.onDemand;
       const present = countServers(servers, failureDomain, isReclaimable);
       const serverOrder = {service, failureDomain, count: desiredCount, isReclaimable};
+      const isAddition = isReclaimable && desiredCount > present;
+      if (!order.mayReturnServers && !isAddition) continue;
       if (!this.isDue(serverOrder, present, nowMs)) continue;
       const result = await this.sendOrder(serverOrder, present, claim, nowMs);
       if (result === 'superseded') return result;
