End an attempt whose server sends bytes without end

A server in trouble may send bytes that are no answer until the caller closes. A plain response was buffered whole, and so was an event without an end, which was also copied again with each chunk: a few such servers take a gateway of 250 MB down until the requests' deadlines.

A body over 4 MiB or an event over 256 KiB now ends the attempt and closes its connection; a request that the server said it did not run stays not run. Heads and header fields were limited already, which BackendConnections.test.ts now shows for a head, a field, a status line, garbage, informational responses, a chunk size and trailers without end.

Tests: the three 'without end' tests of ExchangeRun fail before (the attempt is never cancelled), pass now.

--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -77,6 +77,7 @@
   readonly framer: EventFramer;
   /** Body received so far of a response that isn't streamed; it's delivered only when it is complete. */
   readonly chunks: Buffer[];
+  bufferedBytes: number;
   send: BackendAttempt | undefined;
   head: BackendHead | undefined;
   isPrefillDone: boolean;
@@ -84,6 +85,9 @@
 
 const SUCCESS_CLASS = 2;
 const STATUS_CLASS_SIZE = 100;
+/** Largest body of a response that isn't streamed, and largest event of a stream; more is no response of a server. */
+const MAX_BODY_BYTES = 4_194_304;
+const MAX_EVENT_BYTES = 262_144;
 /** No attempt is started with less time than this to the deadline. */
 const MIN_ATTEMPT_MS = 5;
 
@@ -186,7 +190,7 @@
     const {head} = attempt;
     if (!head) return;
     if (!this.isStreamed(head)) {
-      attempt.chunks.push(chunk);
+      this.bufferChunk(attempt, chunk);
       return;
     }
     for (const {bytes, eventId} of attempt.framer.add(chunk)) {
@@ -196,6 +200,27 @@
       this.options.sink.write(bytes);
       if (eventId !== undefined) this.lastEventId = eventId;
     }
+    if (attempt.framer.getIncompleteEvent().length > MAX_EVENT_BYTES) this.failOversized(attempt);
+  }
+
+  private bufferChunk(attempt: Attempt, chunk: Buffer): void {
+    attempt.chunks.push(chunk);
+    attempt.bufferedBytes += chunk.length;
+    if (attempt.bufferedBytes > MAX_BODY_BYTES) this.failOversized(attempt);
+  }
+
+  /** Ends an attempt whose server sends bytes without end. */
+  private failOversized(attempt: Attempt): void {
+    attempt.send?.cancel();
+    attempt.chunks.length = 0;
+    if (attempt.head?.isNotRun) {
+      return this.failAttempt(attempt, {kind: 'not-run', status: attempt.head.status});
+    }
+    this.handleFailure(attempt, {
+      kind: 'garbled',
+      isSent: true,
+      message: 'the response is larger than any response may be',
+    });
   }
 
   /** A resumed stream may begin with events that were already forwarded to the caller. */
@@ -362,6 +387,7 @@
     sentAtMs,
     framer: new EventFramer(),
     chunks: [],
+    bufferedBytes: 0,
     send: undefined,
     head: undefined,
     isPrefillDone: false,
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -1,10 +1,22 @@
 /** Tests of `ExchangeRun`: what callers and backend servers receive when attempts succeed or fail. */
 import t from 'tap';
-import {NOT_RUN, RunHarness, SUCCESS} from './exchangeFixtures.js';
+import {NOT_RUN, RunHarness, SUCCESS, type SentAttempt} from './exchangeFixtures.js';
 
 const BROKEN = {kind: 'broken', isSent: true, message: 'reset'} as const;
 const UNREACHABLE = {kind: 'unreachable', isSent: false, message: 'refused'} as const;
 
+/** More than a gateway with the least memory could buffer. */
+const ENDLESS_CHUNKS = 4_000;
+const CHUNK_BYTES = 65_536;
+
+/** Sends chunks until the attempt is cancelled. */
+function sendWithoutEnd(attempt: SentAttempt, text: string): void {
+  const chunk = Buffer.from(text.repeat(CHUNK_BYTES / text.length));
+  for (let count = 0; count < ENDLESS_CHUNKS && !attempt.isCancelled; count += 1) {
+    attempt.handler.onData(chunk);
+  }
+}
+
 function createEvent(id: number): Buffer {
   return Buffer.from(`id: ${id}\ndata: x\n\n`);
 }
@@ -38,6 +50,47 @@
     t.end();
   });
 
+  t.test('closes the connection of a server that sends a body without end', t => {
+    const harness = new RunHarness({}, ['s1', 's2']);
+    harness.run.start();
+    harness.sentAttempts[0].handler.onHead(SUCCESS);
+    sendWithoutEnd(harness.sentAttempts[0], 'x');
+    t.ok(harness.sentAttempts[0].isCancelled);
+    harness.sentAttempts[1].handler.onHead(SUCCESS);
+    harness.sentAttempts[1].handler.onData(Buffer.from('whole'));
+    harness.sentAttempts[1].handler.onEnd();
+    t.equal(harness.text, 'whole');
+    t.equal(harness.openCount, 0);
+    t.end();
+  });
+
+  t.test('closes the connection of a server that sends an event without end', t => {
+    const harness = new RunHarness({kind: 'stream'}, ['s1']);
+    harness.run.start();
+    const [attempt] = harness.sentAttempts;
+    attempt.handler.onHead(SUCCESS);
+    attempt.handler.onData(createEvent(1));
+    sendWithoutEnd(attempt, 'data: x');
+    t.ok(attempt.isCancelled);
+    t.equal(harness.text, createEvent(1).toString());
+    t.ok(harness.isResponseAborted);
+    t.equal(harness.openCount, 0);
+    t.end();
+  });
+
+  t.test(
+    'a server that did not run a request has not run it, even if its response has no end',
+    t => {
+      const harness = new RunHarness({kind: 'at-most-once'}, ['s1']);
+      harness.run.start();
+      harness.sentAttempts[0].handler.onHead(NOT_RUN);
+      sendWithoutEnd(harness.sentAttempts[0], 'x');
+      t.ok(harness.sentAttempts[0].isCancelled);
+      t.match(harness.refusals, [{isNotRun: true}]);
+      t.end();
+    },
+  );
+
   t.test('never retries an at-most-once request that may have run', t => {
     const harness = new RunHarness({kind: 'at-most-once'}, ['s1', 's2']);
     harness.run.start();
--- a/tests/platform/BackendConnections.test.ts
+++ b/tests/platform/BackendConnections.test.ts
@@ -2,7 +2,7 @@
 import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
 import t from 'tap';
 import {BackendConnections} from '../../platform/BackendConnections.js';
-import type {BackendFailure, BackendHead} from '../../src/exchange/index.js';
+import type {BackendAttempt, BackendFailure, BackendHead} from '../../src/exchange/index.js';
 import {silentEvents} from '../../src/logging/index.js';
 import {REQUEST, createServer as createEntry} from '../exchange/exchangeFixtures.js';
 
@@ -23,37 +23,52 @@
   return server;
 }
 
+interface StartedExchange {
+  readonly attempt: BackendAttempt;
+  readonly result: Promise<ExchangeResult>;
+}
+
 function send(connections: BackendConnections, port: number, id = 'q1'): Promise<ExchangeResult> {
+  return startExchange(connections, port, id).result;
+}
+
+function startExchange(connections: BackendConnections, port: number, id: string): StartedExchange {
   const known = createEntry('s1');
   const server = {...known, entry: {...known.entry, address: `127.0.0.1:${port}`}};
   const heads: BackendHead[] = [];
   let body = '';
-  return new Promise(resolve => {
-    connections.send(
-      {
-        request: {...REQUEST, id, body: Buffer.from('question'), method: 'POST'},
-        server,
-        workspace: 'w',
-        deadlineMs: 900,
-        priority: 2,
-        isStream: true,
-        resumeAfterEventId: undefined,
-        maxConnections: 4,
-      },
-      {
-        onHead: head => heads.push(head),
-        onData: chunk => (body += chunk.toString()),
-        onEnd: () => resolve({heads, body, failure: undefined}),
-        onFailure: failure => resolve({heads, body, failure}),
-      },
-    );
+  let finish: (failure: BackendFailure | undefined) => void = () => undefined;
+  const result = new Promise<ExchangeResult>(resolve => {
+    finish = failure => resolve({heads, body, failure});
   });
+  const attempt = connections.send(
+    {
+      request: {...REQUEST, id, body: Buffer.from('question'), method: 'POST'},
+      server,
+      workspace: 'w',
+      deadlineMs: 900,
+      priority: 2,
+      isStream: true,
+      resumeAfterEventId: undefined,
+      maxConnections: 4,
+    },
+    {
+      onHead: head => heads.push(head),
+      onData: chunk => (body += chunk.toString()),
+      onEnd: () => finish(undefined),
+      onFailure: finish,
+    },
+  );
+  return {attempt, result};
 }
 
 function getPort(server: Server): number {
   return (server.address() as AddressInfo).port;
 }
 
+/** Time after which a run cancels an attempt whose response doesn't end. */
+const CANCEL_AFTER_MS = 300;
+const MAX_GROWTH_BYTES = 50_000_000;
 const SIGNED = 'x-buckthorngw-replica-stamp: s\r\n';
 
 t.test('BackendConnections', t => {
@@ -122,6 +137,38 @@
     result => t.match(result.heads, [{isNotRun: true, isSigned: false}]),
   );
 
+  const doEndlessTest = (name: string, start: string, repeated: string, isEnded: boolean) => {
+    t.test(`a server that sends ${name} without end gets its connection closed`, async t => {
+      let closed: () => void = () => undefined;
+      const hasClosed = new Promise<void>(resolve => (closed = resolve));
+      const server = await listen(socket => {
+        socket.once('close', closed);
+        socket.write(start);
+        const write = (): void => {
+          while (!socket.destroyed && socket.write(repeated.repeat(64)));
+        };
+        socket.on('drain', write);
+        write();
+      });
+      t.teardown(() => server.close());
+      const connections = new BackendConnections(silentEvents);
+      const before = process.memoryUsage().rss;
+      const {result, attempt} = startExchange(connections, getPort(server), 'q1');
+      if (isEnded) t.match((await result).failure, {isSent: true});
+      else setTimeout(() => attempt.cancel(), CANCEL_AFTER_MS);
+      await hasClosed;
+      t.ok(process.memoryUsage().rss - before < MAX_GROWTH_BYTES);
+    });
+  };
+  const head = `HTTP/1.1 200 OK\r\n${SIGNED}`;
+  doEndlessTest('a head', head, 'x-more: yes\r\n', true);
+  doEndlessTest('a single header field', `${head}x-more: `, 'yesyesyes', true);
+  doEndlessTest('a status line', 'HTTP/1.1 200 ', 'OK', false);
+  doEndlessTest('bytes that are no response', '', 'hello', true);
+  doEndlessTest('informational responses', '', 'HTTP/1.1 103 Early\r\n\r\n', false);
+  doEndlessTest('a chunk size', `${head}transfer-encoding: chunked\r\n\r\n`, '0', false);
+  doEndlessTest('trailers', `${head}transfer-encoding: chunked\r\n\r\n0\r\n`, 'a: b\r\n', false);
+
   t.test('sends the server id, the workspace and the remaining time', async t => {
     let received = '';
     const server = await listen((socket, text) => {
