Divide the fixed part of the retry budget by the gateways known now

Each gateway took its part of the retry slack by the number of gateways known at the service's first request; one that had just started knew few or none and kept the whole slack for good, so after a restart of many gateways the parts add up to a multiple of it. The part now follows the gateways that may be running, and is 0 while the fleet isn't known.

--- a/src/controllers/retry/RetryBudget.ts
+++ b/src/controllers/retry/RetryBudget.ts
@@ -45,9 +45,13 @@
     this.getSlice(nowMs).firstAttempts += 1;
   }
 
-  /** Returns whether the budget allows a retry. The retry itself must be recorded with `recordRetry`. */
-  canRetry(nowMs: number): boolean {
-    const {sharePercent, minRetries} = this.options;
+  /**
+   * Returns whether the budget allows a retry. The retry itself must be recorded with `recordRetry`.
+   * @param nowMs - Current time.
+   * @param minRetries - Takes the place of the option, where it depends on how many processes share a minimum.
+   */
+  canRetry(nowMs: number, minRetries = this.options.minRetries): boolean {
+    const {sharePercent} = this.options;
     this.dropOldSlices(nowMs);
     const firstAttempts = this.slices.reduce((sum, slice) => sum + slice.firstAttempts, 0);
     const retries = this.slices.reduce((sum, slice) => sum + slice.retries, 0);
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -85,7 +85,7 @@
 
   consumeRetry(service: string, nowMs: number): boolean {
     const budget = this.getRetryBudget(service);
-    if (!budget.canRetry(nowMs)) return false;
+    if (!budget.canRetry(nowMs, this.getMinRetries(nowMs))) return false;
     budget.recordRetry(nowMs);
     return true;
   }
@@ -195,15 +195,21 @@
     return this.options.catalog.routeTable?.configuration.services.get(name);
   }
 
+  /** Returns this gateway's part of the retries that are allowed whatever the number of first attempts. */
+  private getMinRetries(nowMs: number): number {
+    const {settings, isFleetKnown} = this.options;
+    if (!isFleetKnown(nowMs)) return 0;
+    return Math.floor((settings.retrySlack * USABLE_SLACK_SHARE) / this.getGatewayCount(nowMs));
+  }
+
   private getRetryBudget(service: string): RetryBudget {
     const existing = this.retryBudgets.get(service);
     if (existing) return existing;
-    const {settings, getNowMs} = this.options;
-    const slack = (settings.retrySlack * USABLE_SLACK_SHARE) / this.getGatewayCount(getNowMs());
+    const {settings} = this.options;
     const budget = new RetryBudget({
       windowMs: settings.retryWindowMs,
       sharePercent: settings.retryShare * PERCENT,
-      minRetries: Math.floor(slack),
+      minRetries: 0,
     });
     this.retryBudgets.set(service, budget);
     return budget;
