Spread the reads of the lower ranks when all first readers fail

Same class: all gateways below the third reader read the store at the same age of their state, 88 calls at once in a fleet of 91. Each rank now waits 20 ms longer than the one before, up to 600 ms; the first one's read is passed on in less.

--- a/src/controllers/reading/decideRead.ts
+++ b/src/controllers/reading/decideRead.ts
@@ -37,9 +37,12 @@
   readonly readsReportedRecords: boolean;
 }
 
-/** The third reader waits this much longer than the second, and all lower ranks as much longer than the third. */
+/** The third reader waits this much longer than the second, and the fourth as much longer than the third. */
 const RANK_DELAY_MS = 150;
 const MAX_DELAYED_RANKS = 2;
+/** Each lower rank waits this much longer, up to a limit, so that a large fleet doesn't read all at once. */
+const LOWER_RANK_DELAY_MS = 20;
+const MAX_LOWER_RANKS_DELAY_MS = 600;
 const RANKING_KEY = 'readers';
 
 /**
@@ -71,6 +74,10 @@
   if (readsReportedRecords && reportedOffset > knownOffset) return 0;
   const intervalLeftMs = Math.max(0, intervalMs - sinceReadMs);
   if (rank === 0) return intervalLeftMs;
-  const maxAgeMs = maxRelayedAgeMs + RANK_DELAY_MS * Math.min(rank - 1, MAX_DELAYED_RANKS);
+  const lowerRanks = Math.max(0, rank - 1 - MAX_DELAYED_RANKS);
+  const maxAgeMs =
+    maxRelayedAgeMs +
+    RANK_DELAY_MS * Math.min(rank - 1, MAX_DELAYED_RANKS) +
+    Math.min(LOWER_RANK_DELAY_MS * lowerRanks, MAX_LOWER_RANKS_DELAY_MS);
   return Math.max(intervalLeftMs, maxAgeMs - ageMs);
 }
