Choose members and recipients of gossip in a class of their own

GatewayGossip had grown to 344 lines with three cursors; GossipRecipients takes members in turn and knows the seeds. No behaviour changes: gossipTraffic, gossipFleet and the gossip tests pass.

--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -16,6 +16,7 @@
 import type {EventLogger} from '../logging/index.js';
 import type {DutyRunner} from './DutyRunner.js';
 import type {GatewaySettings} from './GatewaySettings.js';
+import {GossipRecipients} from './GossipRecipients.js';
 import {GroupExchange} from './GroupExchange.js';
 import type {PeerClock} from './PeerClock.js';
 import type {LogReadCoordinator} from './LogReadCoordinator.js';
@@ -48,18 +49,12 @@
 const USAGE_INTERVAL = 4;
 /** Every n-th broadcast carries the state of the gateways outside the group. */
 const REST_INTERVAL = 2;
-/** Every n-th broadcast carries some of all member records in turn; each one carries some of the new ones in turn. */
+/** Every n-th broadcast carries one of all member records in turn, besides the new ones. */
 const MEMBERS_INTERVAL = 4;
-const MEMBERS_IN_TURN = 1;
-const NEW_MEMBERS_IN_TURN = 4;
-/** Time for which a member counts as new. */
-const NEW_MEMBER_MS = 3_000;
 /** Member records in the answer to a gateway of another group, which may know few others yet. */
 const MEMBERS_IN_REPLY = 12;
 /** Shortest interval between two replies to one gateway. */
 const REPLY_INTERVAL_MS = 250;
-/** Unresponsive members that get a datagram in each broadcast, in case they are reachable again. */
-const UNRESPONSIVE_RECIPIENTS = 2;
 /** Seeds that aren't members get every n-th broadcast; every one as long as no other gateway is known. */
 const SEED_INTERVAL = 4;
 /** Shortest interval between two announcements; the next broadcast makes up for an omitted one. */
@@ -75,11 +70,8 @@
   private readonly channel: GossipChannel;
   private readonly exchange: GroupExchange;
   private timer: NodeJS.Timeout | undefined;
-  private seeds: readonly string[];
+  private readonly recipients: GossipRecipients;
   private broadcastCount = 0;
-  private memberCursor = 0;
-  private newMemberCursor = 0;
-  private unresponsiveCursor = 0;
   private announcedAtMs = -Infinity;
   private sentAdmitted: ReadonlyMap<string, number> = new Map();
   private readonly repliedAtMs = new Map<string, number>();
@@ -88,7 +80,12 @@
 
   constructor(options: GatewayGossipOptions) {
     this.options = options;
-    this.seeds = options.settings.gossipSeeds;
+    const {ip, gossipPort, gossipSeeds} = options.settings;
+    this.recipients = new GossipRecipients({
+      members: options.members,
+      ownAddress: `${ip}:${gossipPort}`,
+      seeds: gossipSeeds,
+    });
     this.channel = options.createChannel(state => this.applyState(state));
     this.exchange = new GroupExchange(options);
     this.loggedTraffic = this.channel.traffic;
@@ -128,7 +125,7 @@
    * @param addresses - Each an IP address and port.
    */
   setSeeds(addresses: readonly string[]): void {
-    this.seeds = addresses;
+    this.recipients.setSeeds(addresses);
   }
 
   /** Sends this gateway's state to its groups, and an announcement to gateways that may not know this one. */
@@ -142,7 +139,7 @@
       const state = this.buildState(group, members, admitted, nowMs);
       this.channel.send(state, getAddresses(group.fellows));
     }
-    const others = [...this.getSeedRecipients(nowMs), ...this.getUnresponsiveRecipients(nowMs)];
+    const others = this.getOtherRecipients(nowMs);
     if (others.length > 0) {
       const state = {...this.buildAnnouncement(members, nowMs), requestsMembers: true};
       this.channel.send(state, others);
@@ -228,12 +225,12 @@
     };
   }
 
-  private isDue(interval: number): boolean {
-    return this.broadcastCount % interval === 0;
+  private isDue(everyBroadcasts: number): boolean {
+    return this.broadcastCount % everyBroadcasts === 0;
   }
 
-  private limitUsage(summary: StateSummary, interval: number): StateSummary {
-    return this.isDue(interval) ? summary : {...summary, usage: []};
+  private limitUsage(summary: StateSummary, everyBroadcasts: number): StateSummary {
+    return this.isDue(everyBroadcasts) ? summary : {...summary, usage: []};
   }
 
   private getUsageToSend(): GossipState['usage'] {
@@ -253,36 +250,19 @@
     );
   }
 
-  /** Returns some of the new members and some of all live ones in turn, so that every gateway learns of every other one. */
+  /** Returns new members, and one of all live ones in turn, so that every gateway learns of every other one. */
   private getMembersToSend(nowMs: number): readonly GatewayMember[] {
-    const {members} = this.options;
-    const newMembers = members.getNewMembers(nowMs - NEW_MEMBER_MS);
-    const chosen = takeInTurn(newMembers, this.newMemberCursor, NEW_MEMBERS_IN_TURN);
-    this.newMemberCursor += NEW_MEMBERS_IN_TURN;
-    if (!this.isDue(MEMBERS_INTERVAL)) return chosen;
-    return [...new Set([...chosen, ...this.getMembersInTurn(MEMBERS_IN_TURN, nowMs)])];
-  }
-
-  private getMembersInTurn(count: number, nowMs: number): readonly GatewayMember[] {
-    const live = this.options.members.getLiveMembers(nowMs).filter(({isLeaving}) => !isLeaving);
-    const chosen = takeInTurn(live, this.memberCursor, count);
-    this.memberCursor += count;
-    return chosen;
+    const newMembers = this.recipients.getNewMembers(nowMs);
+    if (!this.isDue(MEMBERS_INTERVAL)) return newMembers;
+    return [...new Set([...newMembers, ...this.recipients.getLiveMembers(1, nowMs)])];
   }
 
-  private getSeedRecipients(nowMs: number): readonly string[] {
-    const {settings, members} = this.options;
-    const known = members.getMembers(nowMs).map(({gossipAddress}) => gossipAddress);
-    if (known.length > 0 && !this.isDue(SEED_INTERVAL)) return [];
-    const ownAddress = `${settings.ip}:${settings.gossipPort}`;
-    return this.seeds.filter(seed => seed !== ownAddress && !known.includes(seed));
-  }
-
-  private getUnresponsiveRecipients(nowMs: number): readonly string[] {
-    const unresponsive = this.options.members.getUnresponsiveMembers(nowMs);
-    const chosen = takeInTurn(unresponsive, this.unresponsiveCursor, UNRESPONSIVE_RECIPIENTS);
-    this.unresponsiveCursor += UNRESPONSIVE_RECIPIENTS;
-    return getAddresses(chosen);
+  /** Returns the addresses of gateways that may not know this one. */
+  private getOtherRecipients(nowMs: number): readonly string[] {
+    const isAlone = this.options.members.getMembers(nowMs).length === 0;
+    const seeds =
+      isAlone || this.isDue(SEED_INTERVAL) ? this.recipients.getUnknownSeeds(nowMs) : [];
+    return [...seeds, ...this.recipients.getUnresponsiveAddresses(nowMs)];
   }
 
   private applyState(state: GossipState): void {
@@ -328,7 +308,7 @@
   private reply({id, gossipAddress}: GatewayMember, nowMs: number): void {
     if (nowMs - (this.repliedAtMs.get(id) ?? -Infinity) < REPLY_INTERVAL_MS) return;
     this.repliedAtMs.set(id, nowMs);
-    const members = this.getMembersInTurn(MEMBERS_IN_REPLY, nowMs);
+    const members = this.recipients.getLiveMembers(MEMBERS_IN_REPLY, nowMs);
     this.channel.send(this.buildAnnouncement(members, nowMs), [gossipAddress]);
   }
 }
@@ -336,9 +316,3 @@
 function getAddresses(members: readonly GatewayMember[]): readonly string[] {
   return members.map(({gossipAddress}) => gossipAddress);
 }
-
-/** Returns `count` items from a cursor on, starting again at the beginning; all of them if there are no more. */
-function takeInTurn<Item>(items: readonly Item[], cursor: number, count: number): readonly Item[] {
-  if (items.length <= count) return items;
-  return Array.from({length: count}, (_, index) => items[(cursor + index) % items.length]);
-}
