Log lost attempts with their prompt parts

The logs had the server and the request of a lost attempt, but not what the request contained nor whether its response had begun, so they could not tell a part of prompts as the cause from load or from retries.

The event 'attempt lost' has both.

--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -80,7 +80,8 @@
   bufferedBytes: number;
   send: BackendAttempt | undefined;
   head: BackendHead | undefined;
-  isPrefillDone: boolean;
+  /** Time of its first event or of the head of its response; undefined before. */
+  firstEventAtMs: number | undefined;
 }
 
 const SUCCESS_CLASS = 2;
@@ -262,7 +263,10 @@
   }
 
   private handleFailure(attempt: Attempt, failure: BackendFailure): void {
-    if (failure.isSent && attempt.head?.isNotRun !== true) this.hasRun = true;
+    if (failure.isSent && attempt.head?.isNotRun !== true) {
+      this.hasRun = true;
+      this.reportLost(attempt, failure.message);
+    }
     this.failAttempt(attempt, {
       kind: failure.isSent ? 'broken' : 'unreachable',
       status: undefined,
@@ -270,6 +274,17 @@
     });
   }
 
+  private reportLost({server, sentAtMs, firstEventAtMs}: Attempt, message: string): void {
+    const {admitted, services, getNowMs} = this.options;
+    const nowMs = getNowMs();
+    const sinceFirstEventMs = firstEventAtMs === undefined ? undefined : nowMs - firstEventAtMs;
+    services.onLost(
+      admitted,
+      {server, sinceSentMs: nowMs - sentAtMs, sinceFirstEventMs, message},
+      nowMs,
+    );
+  }
+
   private failAttempt(attempt: Attempt, end: AttemptFailure): void {
     const {admitted, services, getNowMs} = this.options;
     const nowMs = getNowMs();
@@ -335,16 +350,17 @@
     const {services, getNowMs} = this.options;
     if (reason !== 'ended') attempt.send?.cancel();
     if (reason === 'timeout') services.onAttemptEnd(attempt.server, 'failed', getNowMs());
-    if (!attempt.isPrefillDone) services.onPrefillEnd(attempt.server, attempt.promptTokens);
+    if (attempt.firstEventAtMs === undefined)
+      services.onPrefillEnd(attempt.server, attempt.promptTokens);
     services.onClosed(attempt.server);
   }
 
   private markPrefillDone(attempt: Attempt): void {
     this.hasRun = true;
-    if (attempt.isPrefillDone) return;
-    attempt.isPrefillDone = true;
+    if (attempt.firstEventAtMs !== undefined) return;
     const {admitted, services, getNowMs} = this.options;
     const nowMs = getNowMs();
+    attempt.firstEventAtMs = nowMs;
     this.firstEventMs ??= nowMs - admitted.request.receivedAtMs;
     services.onPrefillEnd(attempt.server, attempt.promptTokens);
     services.onRunning(admitted, attempt.sentAtMs, nowMs, this.attempts);
@@ -390,7 +406,7 @@
     bufferedBytes: 0,
     send: undefined,
     head: undefined,
-    isPrefillDone: false,
+    firstEventAtMs: undefined,
   };
 }
 
--- a/src/exchange/RunServices.ts
+++ b/src/exchange/RunServices.ts
@@ -4,6 +4,17 @@
 import type {AdmittedRequest} from './ExchangeRun.js';
 import type {BackendHead, RefusalKind} from './ExchangeTypes.js';
 
+/** An attempt whose connection ended before its response was complete. */
+export interface LostAttempt {
+  readonly server: KnownServer;
+  /** Time since it was sent. */
+  readonly sinceSentMs: number;
+  /** Time since its first event or the head of its response; undefined if it had none. */
+  readonly sinceFirstEventMs: number | undefined;
+  /** Error message of the transport. */
+  readonly message: string;
+}
+
 /** Decisions for a run, and callbacks for its observations. All times are monotonic time in milliseconds. */
 export interface RunServices {
   /** Chooses the backend server of the next attempt, other than those in `attemptedServerIds`. */
@@ -34,6 +45,8 @@
   onRunning(admitted: AdmittedRequest, sentAtMs: number, nowMs: number, attempt: number): void;
   /** Called with the outcome of an attempt for the health of its server; not called if the caller disconnected. */
   onAttemptEnd(server: KnownServer, outcome: HealthOutcome, nowMs: number): void;
+  /** Called when an attempt may have run and its connection ended before its response was complete. */
+  onLost(admitted: AdmittedRequest, attempt: LostAttempt, nowMs: number): void;
   /** Called once per attempt, when it no longer counts as open. */
   onClosed(server: KnownServer): void;
 }
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -13,7 +13,13 @@
 } from '../controllers/placement/index.js';
 import type {PromptRates} from '../controllers/fleetSize/index.js';
 import {RetryBudget} from '../controllers/retry/index.js';
-import type {AdmittedRequest, BackendHead, RefusalKind, RunServices} from '../exchange/index.js';
+import type {
+  AdmittedRequest,
+  BackendHead,
+  LostAttempt,
+  RefusalKind,
+  RunServices,
+} from '../exchange/index.js';
 import type {EventLogger} from '../logging/index.js';
 import type {GatewaySettings} from './GatewaySettings.js';
 
@@ -147,6 +153,20 @@
     this.health.addOutcome(server.entry.id, outcome, nowMs);
   }
 
+  onLost(admitted: AdmittedRequest, attempt: LostAttempt): void {
+    const {server, sinceSentMs, sinceFirstEventMs, message} = attempt;
+    this.options.events.log('attempt lost', {
+      request: admitted.request.id,
+      server: server.entry.id,
+      service: admitted.service,
+      sinceSentMs: Math.round(sinceSentMs),
+      sinceFirstEventMs:
+        sinceFirstEventMs === undefined ? undefined : Math.round(sinceFirstEventMs),
+      promptParts: admitted.request.promptParts.map(({id}) => id).join(),
+      message,
+    });
+  }
+
   onClosed(server: KnownServer): void {
     this.options.loads.removeRequest(server.entry.id);
   }
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -78,6 +78,21 @@
     fields: ['request', 'path', 'workspace', 'refusal', 'version', 'configurationAgeMs'],
     maxPerSecond: REQUEST_EVENTS_PER_SECOND,
   },
+  'attempt lost': {
+    level: 'info',
+    meaning:
+      'The connection of an attempt that may have run ended before its response was complete. Prompt parts that are lost with several backend servers, and with no other request between, point to the cause.',
+    fields: [
+      'request',
+      'server',
+      'service',
+      'sinceSentMs',
+      'sinceFirstEventMs',
+      'promptParts',
+      'message',
+    ],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
   'configuration in force': {
     level: 'info',
     meaning: 'A newer configuration has come into force.',
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -154,6 +154,7 @@
       onPrefillEnd: () => undefined,
       onRunning: () => (this.runningCount += 1),
       onAttemptEnd: () => undefined,
+      onLost: () => undefined,
       onClosed: server => add(server.entry.id, -1),
     };
   }
