Quarantine prompt parts and requests that crash backend servers

Cause: nothing on the platform's path connected the crash of a server with what it was running. Each gateway took it for a fault of that server and sent the next such request to the next one. At 91 gateways each sees a crash or two, so the evidence has to be pooled.

Change: a gateway that loses attempts on a server finds out whether anything still listens there. If not, it reports the crash with what the requests contained whose responses were about to begin (prompt parts but the last, and the whole request). CrashEvidence merges the reports of all gateways and what has been answered since; decideQuarantines judges: three crashes without any response, or five since the last one, quarantine a suspect for 30 s; a quarantined suspect explains its crashes, which releases what was only in its company. The outage of a failure domain and the end of a server that had announced it count against nobody. Reports travel with gossip, as announcements at once, and are kept by every gateway, so they survive the one that saw the crash; times are those of the observations, so that retelling can't renew them. Refused callers get a 503 that says not run, and when the quarantine ends. After it one gateway lets one request run: a response releases the suspect, a crash makes the next quarantine four times as long (10 min at most), which costs one server each time.

--- a/src/catalog/ServerCatalog.ts
+++ b/src/catalog/ServerCatalog.ts
@@ -279,6 +279,17 @@
     return this.servers.get(id);
   }
 
+  /**
+   * Returns whether a start of a server is registered and hasn't announced its departure.
+   * @param start - A start that was registered before.
+   */
+  isExpectedToServe({id, startedAtMs}: ServerStart): boolean {
+    const known = this.servers.get(id);
+    return (
+      known !== undefined && known.entry.startedAtMs === startedAtMs && !known.entry.isDraining
+    );
+  }
+
   /**
    * Returns the backend servers of a service to which new requests may be sent.
    * @param service - Name of the service.
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -137,6 +137,10 @@
     const nowMs = getNowMs();
     const remainingMs = admitted.deadlineAtMs - nowMs;
     if (remainingMs < MIN_ATTEMPT_MS) return this.fail('timeout', undefined);
+    const quarantine = services.checkQuarantine(admitted, nowMs);
+    if (quarantine.kind === 'refused') {
+      return this.fail('quarantined', undefined, quarantine.retryAfterMs);
+    }
     const decision = services.choose(admitted, this.attemptedServerIds, nowMs);
     if (decision.kind === 'none') return this.fail('no-server', decision.reason);
     const {server, uncachedTokens} = decision;
@@ -248,7 +252,7 @@
   }
 
   private deliver(attempt: Attempt, head: BackendHead): void {
-    const {sink, services, getNowMs} = this.options;
+    const {admitted, sink, services, getNowMs} = this.options;
     this.startResponse(head);
     if (this.isStreamed(head)) sink.write(attempt.framer.getIncompleteEvent());
     for (const chunk of attempt.chunks) sink.write(chunk);
@@ -258,6 +262,7 @@
       isServerError(head.status) ? 'failed' : 'good',
       getNowMs(),
     );
+    services.onAnswered(admitted);
     this.closeAttempt('ended');
     this.finish('answered', undefined, undefined);
   }
@@ -317,7 +322,8 @@
     this.options.sink.start(head.status, head.headers);
   }
 
-  private fail(refusal: RefusalKind, detail: string | undefined): void {
+  /** @param retryAfterMs - Undefined for the usual delay of the refusal. */
+  private fail(refusal: RefusalKind, detail: string | undefined, retryAfterMs?: number): void {
     const {sink, services, admitted} = this.options;
     if (this.isResponseStarted) {
       sink.abortResponse();
@@ -327,7 +333,9 @@
     sink.refuse({
       kind: refusal,
       isNotRun,
-      retryAfterMs: isNotRun ? services.getRetryAfterMs(refusal, admitted) : undefined,
+      retryAfterMs: isNotRun
+        ? (retryAfterMs ?? services.getRetryAfterMs(refusal, admitted))
+        : undefined,
     });
     this.finish('refused', refusal, detail);
   }
--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -40,6 +40,7 @@
   | 'over-allotment'
   | 'no-server'
   | 'overloaded'
+  | 'quarantined'
   | 'backend-refused'
   | 'backend-failed'
   | 'timeout';
@@ -117,6 +118,8 @@
 export interface BackendTransport {
   /** Sends an attempt and reports its response to the handler. */
   send(call: BackendCall, handler: BackendResponseHandler): BackendAttempt;
+  /** Returns whether nothing listens at a server's address any more; false if that can't be found out. */
+  hasStopped(server: KnownServer): Promise<boolean>;
 }
 
 /** Handle of an attempt in progress. */
--- a/src/exchange/RunServices.ts
+++ b/src/exchange/RunServices.ts
@@ -1,6 +1,7 @@
 /** Interface of a run to the shared state of its gateway: placement, retry budget, and statistics. */
 import type {KnownServer} from '../catalog/index.js';
 import type {HealthOutcome, PlacementDecision} from '../controllers/placement/index.js';
+import type {QuarantineCheck} from '../controllers/quarantine/index.js';
 import type {AdmittedRequest} from './ExchangeRun.js';
 import type {BackendHead, RefusalKind} from './ExchangeTypes.js';
 
@@ -17,6 +18,8 @@
 
 /** Decisions for a run, and callbacks for its observations. All times are monotonic time in milliseconds. */
 export interface RunServices {
+  /** Returns whether a request may be sent, or contains what has crashed servers. */
+  checkQuarantine(admitted: AdmittedRequest, nowMs: number): QuarantineCheck;
   /** Chooses the backend server of the next attempt, other than those in `attemptedServerIds`. */
   choose(
     admitted: AdmittedRequest,
@@ -47,6 +50,8 @@
   onAttemptEnd(server: KnownServer, outcome: HealthOutcome, nowMs: number): void;
   /** Called when an attempt may have run and its connection ended before its response was complete. */
   onLost(admitted: AdmittedRequest, attempt: LostAttempt, nowMs: number): void;
+  /** Called when the complete response of an attempt has been received. */
+  onAnswered(admitted: AdmittedRequest): void;
   /** Called once per attempt, when it no longer counts as open. */
   onClosed(server: KnownServer): void;
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -13,7 +13,13 @@
   type RunOutcome,
   type ServingRequest,
 } from '../exchange/index.js';
-import {GossipSocket, MemberTable, type GatewayMember} from '../gossip/index.js';
+import {
+  GossipSocket,
+  MemberTable,
+  type GatewayMember,
+  type GossipChannel,
+  type GossipState,
+} from '../gossip/index.js';
 import type {EventLogger} from '../logging/index.js';
 import {chooseCallerAddresses} from './chooseCallerAddresses.js';
 import {compareSettings} from './compareSettings.js';
@@ -25,6 +31,7 @@
 import {PeerClock} from './PeerClock.js';
 import type {DutyCalls, DutyLog} from './ports.js';
 import {LogReadCoordinator} from './LogReadCoordinator.js';
+import {RequestQuarantine} from './RequestQuarantine.js';
 import {StartGate} from './StartGate.js';
 
 /** Constructor options of `Gateway`: its settings, clocks and adapters. */
@@ -36,6 +43,8 @@
   readonly dutyLog: DutyLog;
   readonly events: EventLogger;
   readonly metrics: GatewayMetrics;
+  /** Creates the channel to the other gateways; undefined for a UDP socket. */
+  readonly createChannel?: (onState: (state: GossipState) => void) => GossipChannel;
   /** Returns the monotonic time in milliseconds. */
   readonly getNowMs: () => number;
   /** Returns the Unix time in milliseconds. */
@@ -76,6 +85,7 @@
   private readonly promptRates = new PromptRates();
   private readonly quotaLedger: QuotaLedger;
   private readonly usageLedger: UsageLedger;
+  private readonly quarantine: RequestQuarantine;
   private readonly services: GatewayRunServices;
   private readonly duties: DutyRunner;
   private dutyTimer: NodeJS.Timeout | undefined;
@@ -99,15 +109,28 @@
       toleratedShare: settings.quotaToleratedShare,
     });
     this.usageLedger = new UsageLedger(settings.usageWindowSeconds);
+    const isFleetKnown = (nowMs: number) => this.isFleetKnown(nowMs);
+    const getGatewayIds = (nowMs: number) => [settings.id, ...this.members.getKnownIds(nowMs)];
+    this.quarantine = new RequestQuarantine({
+      ownId: settings.id,
+      events,
+      hasStopped: server => options.transport.hasStopped(server),
+      isExpectedToServe: server => catalog.servers.isExpectedToServe(server.entry),
+      getGatewayIds,
+      isFleetKnown,
+      getNowMs,
+      getWallMs: () => clock.getWallMs(),
+    });
     this.services = new GatewayRunServices({
       settings,
       catalog,
       loads: this.loads,
       promptRates: this.promptRates,
       usageLedger: this.usageLedger,
+      quarantine: this.quarantine,
       events,
-      isFleetKnown: nowMs => this.isFleetKnown(nowMs),
-      getGatewayIds: nowMs => [settings.id, ...this.members.getKnownIds(nowMs)],
+      isFleetKnown,
+      getGatewayIds,
       getNowMs,
       getWallMs: () => clock.getWallMs(),
       random,
@@ -146,9 +169,11 @@
       usageLedger: this.usageLedger,
       duties: this.duties,
       logReadCoordinator: this.logReadCoordinator,
+      quarantine: this.quarantine,
       clock,
       events,
       createChannel: onState =>
+        options.createChannel?.(onState) ??
         new GossipSocket({ip: settings.ip, port: settings.gossipPort, events, onState}),
       describeSelf,
       getNowMs,
@@ -209,6 +234,7 @@
       backendServers: catalog.servers.getServers().length,
       dutyToken: this.duties.claim.token,
       isDutyHolder: this.duties.claim.holderId === settings.id,
+      quarantines: this.quarantine.getQuarantineCount(),
       gossip: this.gossip.traffic,
       droppedLogLines,
       leftOutLogLines,
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -18,6 +18,7 @@
 import type {GatewaySettings} from './GatewaySettings.js';
 import {GossipRecipients} from './GossipRecipients.js';
 import {GroupExchange} from './GroupExchange.js';
+import type {RequestQuarantine} from './RequestQuarantine.js';
 import type {PeerClock} from './PeerClock.js';
 import type {LogReadCoordinator} from './LogReadCoordinator.js';
 
@@ -32,6 +33,7 @@
   readonly usageLedger: UsageLedger;
   readonly duties: Pick<DutyRunner, 'claim' | 'applyClaim'>;
   readonly logReadCoordinator: LogReadCoordinator;
+  readonly quarantine: Pick<RequestQuarantine, 'applyFindings' | 'getFindings' | 'setNewsListener'>;
   readonly clock: PeerClock;
   readonly events: EventLogger;
   /** Creates the channel to the other gateways; `onState` receives their states. */
@@ -90,7 +92,9 @@
     this.exchange = new GroupExchange(options);
     this.loggedTraffic = this.channel.traffic;
     this.loggedAtMs = options.getNowMs();
-    options.logReadCoordinator.setReadListener(() => this.announce(options.getNowMs(), undefined));
+    const announceNews = () => this.announce(options.getNowMs(), undefined);
+    options.logReadCoordinator.setReadListener(announceNews);
+    options.quarantine.setNewsListener(announceNews);
   }
 
   /** Datagrams and bytes since the start. */
@@ -200,7 +204,7 @@
   }
 
   private buildAnnouncement(members: readonly GatewayMember[], nowMs: number): GossipState {
-    const {catalog, duties, logReadCoordinator, clock} = this.options;
+    const {catalog, duties, logReadCoordinator, clock, quarantine} = this.options;
     return {
       sender: this.options.describeSelf(),
       members,
@@ -221,6 +225,7 @@
         this.isDue(FULL_STATE_INTERVAL),
         nowMs,
       ),
+      findings: quarantine.getFindings(this.isDue(FULL_STATE_INTERVAL), nowMs),
       wallMs: clock.getOwnWallMs(),
     };
   }
@@ -280,7 +285,9 @@
       operatorAgeMs: catalog.getOperatorRecordsAgeMs(nowMs),
     };
     logReadCoordinator.apply(state, nowMs);
+    const hasNewFindings = this.options.quarantine.applyFindings(state.findings, nowMs);
     const isNews =
+      hasNewFindings ||
       catalog.servers.getDigest() !== before.digest ||
       before.registrationsAgeMs - catalog.getRegistrationsAgeMs(nowMs) >= MIN_AGE_GAIN_MS ||
       before.operatorAgeMs - catalog.getOperatorRecordsAgeMs(nowMs) >= MIN_AGE_GAIN_MS;
@@ -309,7 +316,8 @@
     if (nowMs - (this.repliedAtMs.get(id) ?? -Infinity) < REPLY_INTERVAL_MS) return;
     this.repliedAtMs.set(id, nowMs);
     const members = this.recipients.getLiveMembers(MEMBERS_IN_REPLY, nowMs);
-    this.channel.send(this.buildAnnouncement(members, nowMs), [gossipAddress]);
+    const findings = this.options.quarantine.getFindings(true, nowMs);
+    this.channel.send({...this.buildAnnouncement(members, nowMs), findings}, [gossipAddress]);
   }
 }
 
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -14,6 +14,7 @@
   readonly backendServers: number;
   readonly dutyToken: number;
   readonly isDutyHolder: boolean;
+  readonly quarantines: number;
   readonly droppedLogLines: number;
   readonly leftOutLogLines: number;
   readonly gossip: GossipTraffic;
@@ -51,6 +52,10 @@
   backendServers: ['buckthorn_backend_servers', 'Backend servers that are known.'],
   dutyToken: ['buckthorn_duty_token', 'Fencing token of the newest claim of the duties.'],
   isDutyHolder: ['buckthorn_duty_held', 'Whether this gateway holds the duties.'],
+  quarantines: [
+    'buckthorn_quarantines',
+    'Prompt parts and whole requests that are refused because servers crash on them.',
+  ],
   droppedLogLines: [
     'buckthorn_log_lines_dropped',
     'Log lines dropped since the start, since nobody read them.',
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -20,8 +20,10 @@
   RefusalKind,
   RunServices,
 } from '../exchange/index.js';
+import type {QuarantineCheck, SuspectRequest} from '../controllers/quarantine/index.js';
 import type {EventLogger} from '../logging/index.js';
 import type {GatewaySettings} from './GatewaySettings.js';
+import type {RequestQuarantine} from './RequestQuarantine.js';
 
 /** Constructor options of `GatewayRunServices`. */
 export interface GatewayRunServicesOptions {
@@ -30,6 +32,7 @@
   readonly loads: ServerLoads;
   readonly promptRates: PromptRates;
   readonly usageLedger: UsageLedger;
+  readonly quarantine: RequestQuarantine;
   readonly events: EventLogger;
   /** Returns the ids of the gateways that may be sending requests, including this one. */
   readonly getGatewayIds: (nowMs: number) => readonly string[];
@@ -153,8 +156,18 @@
     this.health.addOutcome(server.entry.id, outcome, nowMs);
   }
 
+  checkQuarantine(admitted: AdmittedRequest, nowMs: number): QuarantineCheck {
+    return this.options.quarantine.check(toSuspectRequest(admitted), nowMs);
+  }
+
+  onAnswered(admitted: AdmittedRequest): void {
+    this.options.quarantine.addAnswer(toSuspectRequest(admitted));
+  }
+
   onLost(admitted: AdmittedRequest, attempt: LostAttempt): void {
     const {server, sinceSentMs, sinceFirstEventMs, message} = attempt;
+    const request = toSuspectRequest(admitted);
+    this.options.quarantine.addLost({request, server, sinceFirstEventMs});
     this.options.events.log('attempt lost', {
       request: admitted.request.id,
       server: server.entry.id,
@@ -235,3 +248,9 @@
     return budget;
   }
 }
+
+function toSuspectRequest({service, workspace, request}: AdmittedRequest): SuspectRequest {
+  const {method, path, body, promptParts} = request;
+  const promptPartIds = promptParts.map(({id}) => id);
+  return {service, workspace, method, path, body, promptPartIds};
+}
--- a/src/gateway/GossipRecipients.ts
+++ b/src/gateway/GossipRecipients.ts
@@ -1,5 +1,6 @@
 /** Chooses which member records a gateway sends, and which gateways outside its groups it contacts. */
 import type {GatewayMember, MemberTable} from '../gossip/index.js';
+import {takeInTurn} from '../utils/index.js';
 
 /** Constructor options of `GossipRecipients`. */
 export interface GossipRecipientsOptions {
@@ -83,9 +84,3 @@
     return chosen.map(({gossipAddress}) => gossipAddress);
   }
 }
-
-/** Returns `count` items from a cursor on, starting again at the beginning; all of them if there are no more. */
-function takeInTurn<Item>(items: readonly Item[], cursor: number, count: number): readonly Item[] {
-  if (items.length <= count) return items;
-  return Array.from({length: count}, (_, index) => items[(cursor + index) % items.length]);
-}
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -1,6 +1,7 @@
 /** State that gateways exchange by gossip, in its decoded form. */
 import type {ServerEntry, ServerStart} from '../catalog/index.js';
 import type {ServerLoad} from '../controllers/placement/index.js';
+import type {CrashFindings} from '../controllers/quarantine/index.js';
 import type {StateSummary} from './StateSummary.js';
 
 /** A gateway's own description of itself, which the other gateways keep as its member record. */
@@ -84,6 +85,8 @@
   /** Time since the sender's operators' records were last known to be complete. */
   readonly operatorAgeMs: number;
   readonly registrations: RegistrationsUpdate;
+  /** Crashes of backend servers, and what has been answered since; those that are new, or some of all. */
+  readonly findings: CrashFindings;
   /** Unix time of the sender's clock in milliseconds. */
   readonly wallMs: number;
 }
--- a/src/gossip/gossipCodec.ts
+++ b/src/gossip/gossipCodec.ts
@@ -22,6 +22,7 @@
 import type {ServerEntry, ServerStart} from '../catalog/index.js';
 import type {ServerLoad} from '../controllers/placement/index.js';
 import {getTextKey} from '../utils/index.js';
+import {fromCrash, fromSurvival, toCrash, toSurvival} from './findingsCodec.js';
 import type {GatewayMember, GossipState, UsageCount} from './GossipState.js';
 import type {MemberStatus, StateSummary} from './StateSummary.js';
 
@@ -61,6 +62,8 @@
     registrations: state.registrations.changed.map(toRegistration),
     drainingServers: state.registrations.draining.map(toServerStart),
     removedServers: state.registrations.removed.map(toServerStart),
+    crashes: state.findings.crashes.map(toCrash),
+    survivals: state.findings.survivals.map(toSurvival),
     wallMs: BigInt(Math.round(state.wallMs)),
   });
   return toBinary(GossipSchema, message);
@@ -99,6 +102,10 @@
       draining: message.drainingServers.map(fromServerStart),
       removed: message.removedServers.map(fromServerStart),
     },
+    findings: {
+      crashes: message.crashes.map(fromCrash),
+      survivals: message.survivals.map(fromSurvival),
+    },
     wallMs: Number(message.wallMs),
   };
 }
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -93,6 +93,38 @@
     ],
     maxPerSecond: STATE_CHANGES_PER_SECOND,
   },
+  'server crashed': {
+    level: 'warn',
+    meaning:
+      'Attempts were lost on a backend server and nothing listens at its address any more. Lists the keys of what the requests contained whose responses it was about to begin, without those that were answered a short time before (`cleared`).',
+    fields: ['server', 'failureDomain', 'suspects', 'cleared'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
+  'server not checked': {
+    level: 'warn',
+    meaning: 'It could not be found out whether a backend server has crashed.',
+    fields: ['server', 'error'],
+    maxPerSecond: ERRORS_PER_SECOND,
+  },
+  'quarantine begun': {
+    level: 'warn',
+    meaning:
+      'Requests with a prompt part, or one whole request, are refused because servers crash on them.',
+    fields: ['suspect', 'crashes', 'lengthMs'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
+  'quarantine trial': {
+    level: 'info',
+    meaning: 'After the end of a quarantine this gateway lets one request run.',
+    fields: ['suspect'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
+  'quarantine ended': {
+    level: 'info',
+    meaning: 'A quarantined prompt part or request was answered, or others explain the crashes.',
+    fields: ['suspect'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
   'configuration in force': {
     level: 'info',
     meaning: 'A newer configuration has come into force.',
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -5,7 +5,8 @@
   splitTokens,
   type PromptMessage,
 } from './promptBlocks.js';
-export {hashText, rankByRendezvous} from './rendezvous.js';
+export {hashBytes, hashText, rankByRendezvous} from './rendezvous.js';
+export {takeInTurn} from './takeInTurn.js';
 export {getTextKey} from './textKey.js';
 export {waitForStopSignal} from './stopSignal.js';
 export {createSeededRandom} from './seededRandom.js';
--- a/src/utils/rendezvous.ts
+++ b/src/utils/rendezvous.ts
@@ -1,13 +1,18 @@
 /** Rendezvous hashing: all processes rank the same candidates for a key identically, without coordination. */
 import xxhash from 'xxhash-wasm';
 
-const {h64} = await xxhash();
+const {h64, h64Raw} = await xxhash();
 
 /** Returns the 64-bit xxHash of a string; unlike a seeded hash, it is the same in every process. */
 export function hashText(text: string): bigint {
   return h64(text);
 }
 
+/** Returns the 64-bit xxHash of bytes. */
+export function hashBytes(bytes: Uint8Array): bigint {
+  return h64Raw(bytes);
+}
+
 /**
  * Returns the candidates in the order of preference for a key. Adding or removing a candidate doesn't reorder the rest.
  * @param key - Id of the item to be placed, such as a workspace name.
--- a/tests/controllers/placement/coldServerShares.test.ts
+++ b/tests/controllers/placement/coldServerShares.test.ts
@@ -9,7 +9,7 @@
 import {silentEvents} from '../../../src/logging/index.js';
 import {createSeededRandom} from '../../../src/utils/index.js';
 import {REQUEST, ROUTE, createServer} from '../../exchange/exchangeFixtures.js';
-import {createSettings} from '../../gateway/gatewayFixtures.js';
+import {createQuarantine, createSettings} from '../../gateway/gatewayFixtures.js';
 
 /** Requests per second that the cold server sustains. */
 const SUSTAINED_PER_SECOND = 11;
@@ -58,6 +58,7 @@
     promptRates: new PromptRates(),
     usageLedger: new UsageLedger(5),
     events: silentEvents,
+    quarantine: createQuarantine(id),
     getGatewayIds: () => fleet,
     isFleetKnown: () => isFleetKnown,
     getNowMs: () => 0,
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -120,6 +120,7 @@
           this.sentAttempts.push(sentAttempt);
           return {cancel: () => (sentAttempt.isCancelled = true)};
         },
+        hasStopped: async () => false,
       },
       services: this.createServices(serverIds),
       getNowMs: () => 0,
@@ -141,6 +142,8 @@
     const add = (id: string, count: number) =>
       this.openByServer.set(id, (this.openByServer.get(id) ?? 0) + count);
     return {
+      checkQuarantine: () => ({kind: 'run'}),
+      onAnswered: () => undefined,
       choose: (_admitted, attemptedServerIds) => {
         const id = serverIds.find(candidate => !attemptedServerIds.has(candidate));
         if (id === undefined) return {kind: 'none', reason: 'all-tried'};
--- a/tests/gateway/GatewayMetrics.test.ts
+++ b/tests/gateway/GatewayMetrics.test.ts
@@ -14,6 +14,7 @@
     gatewaysKnown: 0,
     backendServers: 0,
     dutyToken: 0,
+    quarantines: 0,
     isDutyHolder: false,
     droppedLogLines: 0,
     leftOutLogLines: 0,
--- a/tests/gateway/gatewayFixtures.ts
+++ b/tests/gateway/gatewayFixtures.ts
@@ -1,4 +1,7 @@
 /** Builders of settings, members and gossip states for gateway tests. */
+import {NO_FINDINGS} from '../../src/controllers/quarantine/index.js';
+import {RequestQuarantine} from '../../src/gateway/RequestQuarantine.js';
+import {silentEvents} from '../../src/logging/index.js';
 import type {GatewaySettings} from '../../src/gateway/index.js';
 import type {GatewayMember, GossipState, RegistrationsUpdate} from '../../src/gossip/index.js';
 
@@ -78,6 +81,24 @@
     operatorOffset: operator.offset,
     operatorAgeMs: operator.ageMs,
     registrations,
+    findings: NO_FINDINGS,
     wallMs: 0,
   };
 }
+
+/**
+ * Returns the quarantine of a gateway that is alone.
+ * @param ownId - Id of the gateway.
+ */
+export function createQuarantine(ownId: string): RequestQuarantine {
+  return new RequestQuarantine({
+    ownId,
+    events: silentEvents,
+    hasStopped: async () => true,
+    isExpectedToServe: () => true,
+    getGatewayIds: () => [ownId],
+    isFleetKnown: () => true,
+    getNowMs: () => 0,
+    getWallMs: () => 0,
+  });
+}
--- a/tests/gossip/gossip.test.ts
+++ b/tests/gossip/gossip.test.ts
@@ -59,6 +59,17 @@
     draining: [{id: 's9', startedAtMs: 1_780_000_000_000}],
     removed: [{id: 's7', startedAtMs: undefined}],
   },
+  findings: {
+    crashes: [
+      {
+        serverKey: 2n ** 63n + 5n,
+        failureDomain: 'a',
+        crashedAtMs: 1_780_000_000_100,
+        suspects: [7n, 2n ** 64n - 1n],
+      },
+    ],
+    survivals: [{suspect: 7n, survivedAtMs: 1_780_000_000_900}],
+  },
   wallMs: 1_780_000_001_000,
 };
 
--- a/tests/platform/BackendConnections.test.ts
+++ b/tests/platform/BackendConnections.test.ts
@@ -213,5 +213,15 @@
       connections.removeServers(() => false);
     },
   );
+  t.test('a server has stopped if nothing listens at its address', async t => {
+    const connections = new BackendConnections(silentEvents);
+    const server = await listen(() => undefined);
+    const known = createEntry('s1');
+    const address = `127.0.0.1:${getPort(server)}`;
+    const entry = {...known, entry: {...known.entry, address}};
+    t.notOk(await connections.hasStopped(entry));
+    await new Promise(resolve => server.close(resolve));
+    t.ok(await connections.hasStopped(entry));
+  });
   t.end();
 });
--- a/tests/support/GossipFleet.ts
+++ b/tests/support/GossipFleet.ts
@@ -9,6 +9,7 @@
 import {QuotaLedger} from '../../src/controllers/quotas/index.js';
 import {GatewayGossip} from '../../src/gateway/GatewayGossip.js';
 import {LogReadCoordinator} from '../../src/gateway/LogReadCoordinator.js';
+import {RequestQuarantine} from '../../src/gateway/RequestQuarantine.js';
 import {PeerClock} from '../../src/gateway/PeerClock.js';
 import {
   MemberTable,
@@ -58,6 +59,7 @@
   readonly usageLedger = new UsageLedger(5);
   readonly duties = new FakeDuties();
   readonly logReadCoordinator: LogReadCoordinator;
+  readonly quarantine: RequestQuarantine;
   readonly gossip: GatewayGossip;
   readonly member: GatewayMember;
   readonly phaseMs: number;
@@ -85,6 +87,16 @@
       events: silentEvents,
       describeSelf,
     });
+    this.quarantine = new RequestQuarantine({
+      ownId: member.id,
+      events: silentEvents,
+      hasStopped: async () => true,
+      isExpectedToServe: () => true,
+      getGatewayIds: nowMs => [member.id, ...this.members.getKnownIds(nowMs)],
+      isFleetKnown: () => true,
+      getNowMs,
+      getWallMs,
+    });
     this.gossip = new GatewayGossip({
       settings: createSettings({
         id: member.id,
@@ -101,6 +113,7 @@
       usageLedger: this.usageLedger,
       duties: this.duties,
       logReadCoordinator: this.logReadCoordinator,
+      quarantine: this.quarantine,
       clock: new PeerClock({getNowMs, getWallMs}),
       events: silentEvents,
       createChannel: onState => this.createChannel(onState, fleet),
--- /dev/null
+++ b/tests/support/ServingFleet.ts
@@ -0,0 +1,360 @@
+/**
+ * Simulates a fleet of whole gateways with their backend servers in virtual time: requests, servers that crash, and
+ * gossip that can be lost. Nothing in it knows how the gateways decide.
+ */
+import {Catalog, type KnownServer, type Route, type Service} from '../../src/catalog/index.js';
+import type {
+  BackendAttempt,
+  BackendCall,
+  BackendHead,
+  BackendResponseHandler,
+  Refusal,
+  ServingRequest,
+} from '../../src/exchange/index.js';
+import {Gateway, GatewayMetrics} from '../../src/gateway/index.js';
+import {decodeGossip, encodeGossip, type GossipState} from '../../src/gossip/index.js';
+import {silentEvents} from '../../src/logging/index.js';
+import {createSeededRandom} from '../../src/utils/index.js';
+import {REQUEST, ROUTE, SUCCESS, createServer} from '../exchange/exchangeFixtures.js';
+import {createSettings} from '../gateway/gatewayFixtures.js';
+
+/** Size and faults of a fleet. */
+export interface ServingFleetOptions {
+  readonly gatewayCount: number;
+  readonly serverCount: number;
+  readonly failureDomains: number;
+  readonly seed: number;
+  /** Share of datagrams that are lost. */
+  readonly lossShare: number;
+  /** Overrides of the route's defaults: a stream with two attempts. */
+  readonly route?: Partial<Route>;
+  /** Time from the start of an attempt to its first event. */
+  readonly prefillMs?: number;
+  /** Time from the first event to the end of the response. */
+  readonly responseMs?: number;
+}
+
+/** What a caller got. */
+export interface CallerResult {
+  readonly request: ServingRequest;
+  readonly sentAtMs: number;
+  outcome: 'open' | 'answered' | 'aborted' | Refusal;
+}
+
+/** An attempt that a server has received. */
+export interface ReceivedAttempt {
+  readonly call: BackendCall;
+  readonly gatewayId: string;
+  readonly serverId: string;
+  readonly atMs: number;
+}
+
+/** Prompt part that crashes every server that begins to answer it. */
+export const DEADLY_PART = 'deadly';
+
+const STEP_MS = 10;
+const PREFILL_MS = 150;
+const RESPONSE_MS = 1_000;
+const BROADCAST_INTERVAL_MS = 250;
+const WALL_START_MS = 1_780_000_000_000;
+/** Time until a crashed server is back, and until its registration is removed. */
+const RESTART_MS = 3_000;
+const EXPIRY_MS = 3_600;
+/** Time to the callers' deadlines; longer than any test, since runs keep real time. */
+const DEADLINE_MS = 3_600_000;
+/** Turns of the event loop's microtasks in a step, for checks that are promises. */
+const MICROTASK_TURNS = 6;
+const SERVICE: Service = {
+  name: 'app',
+  maxConnections: 1_000,
+  coldStartMs: 0,
+  coldRequestsPerSecond: 0,
+  engine: {slots: 64, cacheTokens: 1_000_000},
+  replicaBounds: undefined,
+};
+const LIMITS = {
+  maxHeaderBytes: 8_192,
+  maxBodyBytes: 8_192,
+  headerTimeoutMs: 1_000,
+  idleTimeoutMs: 1_000,
+};
+
+/** A running attempt at a simulated server. */
+interface RunningAttempt {
+  readonly call: BackendCall;
+  readonly handler: BackendResponseHandler;
+  isDone: boolean;
+}
+
+/** One start of a simulated server. */
+export class SimulatedServer {
+  readonly known: KnownServer;
+  readonly running = new Set<RunningAttempt>();
+  isUp = true;
+  /** Head of its responses. */
+  head: BackendHead = SUCCESS;
+
+  constructor(id: string, failureDomain: string, nowMs: number) {
+    const server = createServer(id);
+    this.known = {
+      ...server,
+      entry: {...server.entry, failureDomain, slots: 64, address: id, startedAtMs: 1 + nowMs},
+    };
+  }
+}
+
+/** One start of a gateway. */
+export class SimulatedGateway {
+  readonly id: string;
+  readonly catalog = new Catalog();
+  readonly gateway: Gateway;
+  readonly phaseMs: number;
+  isRunning = true;
+  deliver: (state: GossipState) => void = () => undefined;
+
+  constructor(index: number, incarnation: number, phaseMs: number, fleet: ServingFleet) {
+    this.id = `edge-${index}`;
+    this.phaseMs = phaseMs;
+    const getNowMs = () => fleet.nowMs;
+    const [ip] = getAddress(index).split(':');
+    const channelTraffic = {sentDatagrams: 0, sentBytes: 0, receivedDatagrams: 0, receivedBytes: 0};
+    this.gateway = new Gateway({
+      settings: createSettings({
+        id: this.id,
+        incarnation: WALL_START_MS + incarnation,
+        ip,
+        gossipPort: 7_600,
+        failureDomain: `domain-${index % fleet.options.failureDomains}`,
+        gossipSeeds: [0, 1, 2].map(getAddress),
+      }),
+      catalog: this.catalog,
+      transport: {
+        send: (call, handler) => fleet.send(this.id, call, handler),
+        hasStopped: async ({entry}) => fleet.servers.get(entry.id)?.isUp !== true,
+      },
+      dutyCalls: {reportUsage: async () => 'done', orderServers: async () => 'done'},
+      dutyLog: {
+        read: async () => undefined,
+        claim: async () => undefined,
+        writeReports: async () => 'done',
+      },
+      events: silentEvents,
+      metrics: new GatewayMetrics(),
+      createChannel: onState => {
+        this.deliver = onState;
+        return {
+          traffic: channelTraffic,
+          open: async () => undefined,
+          close: () => undefined,
+          send: (state, addresses) => fleet.transmit(encodeGossip(state), addresses),
+        };
+      },
+      getNowMs,
+      getWallMs: () => WALL_START_MS + fleet.nowMs,
+      random: fleet.random,
+    });
+  }
+}
+
+/** A fleet of gateways, backend servers, and the network between the gateways. */
+export class ServingFleet {
+  nowMs = 0;
+  readonly options: ServingFleetOptions;
+  readonly random: () => number;
+  readonly gateways: SimulatedGateway[] = [];
+  readonly servers = new Map<string, SimulatedServer>();
+  readonly results: CallerResult[] = [];
+  readonly received: ReceivedAttempt[] = [];
+  /** Times of the crashes by requests. */
+  readonly crashesAtMs: number[] = [];
+  private readonly byAddress = new Map<string, SimulatedGateway>();
+  private readonly scheduled = new Map<number, (() => void)[]>();
+  private inFlight: {readonly bytes: Uint8Array; readonly address: string}[] = [];
+  private requestCount = 0;
+
+  constructor(options: ServingFleetOptions) {
+    this.options = options;
+    this.random = createSeededRandom(options.seed);
+    for (let index = 0; index < options.serverCount; index += 1) {
+      this.addServer(`i-${index}`, `domain-${index % options.failureDomains}`);
+    }
+    for (let index = 0; index < options.gatewayCount; index += 1) this.startGateway(index, 1);
+  }
+
+  /** Starts a gateway; a running one with the same index has been killed. */
+  startGateway(index: number, incarnation: number): SimulatedGateway {
+    const phaseMs = Math.floor((this.random() * BROADCAST_INTERVAL_MS) / STEP_MS) * STEP_MS;
+    const gateway = new SimulatedGateway(index, incarnation, phaseMs, this);
+    gateway.catalog.applyConfiguration({
+      version: 1,
+      routes: [
+        {...ROUTE, kind: 'stream', isPublic: true, timeoutMs: DEADLINE_MS, ...this.options.route},
+      ],
+      services: new Map([['app', SERVICE]]),
+      workspaces: [],
+      limits: LIMITS,
+    });
+    for (const {known, isUp} of this.servers.values()) {
+      if (isUp) gateway.catalog.servers.applyEntry(known.entry, this.nowMs);
+    }
+    this.markCurrent(gateway);
+    this.gateways[index] = gateway;
+    this.byAddress.set(getAddress(index), gateway);
+    return gateway;
+  }
+
+  /** Sends a request to a gateway. */
+  request(gateway: SimulatedGateway, fields: Partial<ServingRequest>): CallerResult {
+    this.requestCount += 1;
+    const request = {
+      ...REQUEST,
+      id: `q${this.requestCount}`,
+      path: `/a/${this.requestCount}`,
+      deadlineMs: undefined,
+      receivedAtMs: this.nowMs,
+      ...fields,
+    };
+    const result: CallerResult = {request, sentAtMs: this.nowMs, outcome: 'open'};
+    this.results.push(result);
+    gateway.gateway.accept(request, {
+      start: () => undefined,
+      write: () => undefined,
+      end: () => (result.outcome = 'answered'),
+      abortResponse: () => (result.outcome = 'aborted'),
+      refuse: refusal => (result.outcome = refusal),
+    });
+    return result;
+  }
+
+  /**
+   * Advances the time.
+   * @param durationMs - Time to simulate.
+   * @param onStep - Called in each step of 10 ms.
+   */
+  async run(durationMs: number, onStep: () => void = () => undefined): Promise<void> {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += STEP_MS;
+      onStep();
+      this.deliverDatagrams();
+      this.runScheduled();
+      for (const gateway of this.gateways) {
+        if (!gateway.isRunning) continue;
+        if (this.nowMs % BROADCAST_INTERVAL_MS !== gateway.phaseMs) continue;
+        this.markCurrent(gateway);
+        gateway.gateway.broadcastState();
+      }
+      for (let turn = 0; turn < MICROTASK_TURNS; turn += 1) await undefined;
+    }
+  }
+
+  /** Runs until all requests have ended, so that none of their timers is left. */
+  async finish(): Promise<void> {
+    await this.run(
+      2 * ((this.options.prefillMs ?? PREFILL_MS) + (this.options.responseMs ?? RESPONSE_MS)) +
+        RESTART_MS,
+    );
+  }
+
+  /** Ends a server; the attempts that run there are lost. It is back some seconds later, as another start. */
+  crashServer(server: SimulatedServer): void {
+    if (!server.isUp) return;
+    server.isUp = false;
+    for (const attempt of server.running) this.loseAttempt(server, attempt);
+    const {id, failureDomain} = server.known.entry;
+    this.schedule(RESTART_MS, () => this.addServer(`${id}+`, failureDomain));
+    this.schedule(EXPIRY_MS, () => {
+      for (const {catalog} of this.gateways) catalog.servers.removeServer(id, this.nowMs);
+    });
+  }
+
+  /** Receives an attempt of a gateway. */
+  send(gatewayId: string, call: BackendCall, handler: BackendResponseHandler): BackendAttempt {
+    const server = this.servers.get(call.server.entry.id);
+    const attempt: RunningAttempt = {call, handler, isDone: false};
+    const cancel = () => {
+      attempt.isDone = true;
+      server?.running.delete(attempt);
+    };
+    if (!server?.isUp) {
+      this.schedule(STEP_MS, () => {
+        if (!attempt.isDone) {
+          handler.onFailure({kind: 'unreachable', isSent: false, message: 'ECONNREFUSED'});
+        }
+      });
+      return {cancel};
+    }
+    this.received.push({call, gatewayId, serverId: server.known.entry.id, atMs: this.nowMs});
+    server.running.add(attempt);
+    this.schedule(this.options.prefillMs ?? PREFILL_MS, () => this.beginResponse(server, attempt));
+    return {cancel};
+  }
+
+  /** Queues an encoded datagram, which arrives in the next step unless it is lost. */
+  transmit(bytes: Uint8Array, addresses: readonly string[]): void {
+    for (const address of addresses) {
+      if (this.random() >= this.options.lossShare) this.inFlight.push({bytes, address});
+    }
+  }
+
+  private beginResponse(server: SimulatedServer, attempt: RunningAttempt): void {
+    if (attempt.isDone) return;
+    const {request} = attempt.call;
+    if (request.promptParts.some(({id}) => id === DEADLY_PART)) {
+      this.crashesAtMs.push(this.nowMs);
+      return this.crashServer(server);
+    }
+    attempt.handler.onHead(server.head);
+    attempt.handler.onData(Buffer.from('id: 1\ndata: x\n\n'));
+    this.schedule(this.options.responseMs ?? RESPONSE_MS, () => {
+      if (attempt.isDone) return;
+      attempt.isDone = true;
+      server.running.delete(attempt);
+      attempt.handler.onEnd();
+    });
+  }
+
+  private loseAttempt(server: SimulatedServer, attempt: RunningAttempt): void {
+    attempt.isDone = true;
+    server.running.delete(attempt);
+    attempt.handler.onFailure({kind: 'broken', isSent: true, message: 'other side closed'});
+  }
+
+  private addServer(id: string, failureDomain: string): void {
+    const server = new SimulatedServer(id, failureDomain, this.nowMs);
+    this.servers.set(id, server);
+    for (const {catalog} of this.gateways) {
+      catalog.servers.applyEntry(server.known.entry, this.nowMs);
+    }
+  }
+
+  private markCurrent({catalog}: SimulatedGateway): void {
+    catalog.markOperatorRecordsCurrent(this.nowMs);
+    catalog.markRegistrationsCurrent(this.nowMs);
+  }
+
+  private schedule(delayMs: number, action: () => void): void {
+    const atMs = this.nowMs + Math.max(STEP_MS, Math.round(delayMs / STEP_MS) * STEP_MS);
+    this.scheduled.set(atMs, [...(this.scheduled.get(atMs) ?? []), action]);
+  }
+
+  private runScheduled(): void {
+    const due = this.scheduled.get(this.nowMs) ?? [];
+    this.scheduled.delete(this.nowMs);
+    for (const action of due) action();
+  }
+
+  private deliverDatagrams(): void {
+    const arriving = this.inFlight;
+    this.inFlight = [];
+    for (const {bytes, address} of arriving) {
+      const recipient = this.byAddress.get(address);
+      const state = decodeGossip(bytes);
+      if (recipient?.isRunning && state) recipient.deliver(state);
+    }
+  }
+}
+
+function getAddress(index: number): string {
+  return `10.${1 + Math.floor(index / 200)}.0.${1 + (index % 200)}:7600`;
+}
