Take a stream that ends inside an event for broken off

A caller could get a stream as complete although its server had crashed in the middle of an event: a response with neither a length nor chunks ends with its connection, and the end of the connection was taken for the end of the stream, with the incomplete event passed on.

Now a stream is complete only if at least one event has been received and nothing but line ends after the last one; otherwise the attempt is lost, and resumed where the route allows it. The quarantine needs it too: a server that crashes as it begins to answer must not look as if it had answered.

--- a/src/exchange/EventFramer.ts
+++ b/src/exchange/EventFramer.ts
@@ -15,6 +15,7 @@
 /** Buffers the bytes of an incomplete event until the rest of it arrives. */
 export class EventFramer {
   private pending: Buffer = Buffer.alloc(0);
+  private hasEvents = false;
 
   /** Appends received bytes and returns the events that they complete, in order. */
   add(chunk: Buffer): readonly FramedEvent[] {
@@ -26,15 +27,25 @@
       start = end;
     }
     this.pending = bytes.subarray(start);
+    this.hasEvents ||= events.length > 0;
     return events;
   }
 
+  /** Whether there was an event, and nothing but line ends has been received after the last one. */
+  get isAtEventEnd(): boolean {
+    return this.hasEvents && this.pending.every(isLineEnd);
+  }
+
   /** Returns the bytes after the last complete event. */
   getIncompleteEvent(): Buffer {
     return this.pending;
   }
 }
 
+function isLineEnd(byte: number): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
+}
+
 /** Returns the index after the blank line that ends the next event; -1 if it hasn't been received. */
 function findEventEnd(bytes: Buffer, start: number): number {
   for (
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -248,6 +248,13 @@
     if (getStatusClass(head.status) !== SUCCESS_CLASS) {
       return this.failAttempt(attempt, {kind: 'answered-failure', status: head.status});
     }
+    if (this.isStreamed(head) && !attempt.framer.isAtEventEnd) {
+      return this.handleFailure(attempt, {
+        kind: 'broken',
+        isSent: true,
+        message: 'the stream ended inside an event',
+      });
+    }
     this.deliver(attempt, head);
   }
 
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -78,6 +78,41 @@
     t.end();
   });
 
+  const doTestStreamEnd = (name: string, received: string, isComplete: boolean) => {
+    t.test(`a stream that ${name}`, t => {
+      const harness = new RunHarness({kind: 'stream'}, ['s1']);
+      harness.run.start();
+      const [{handler}] = harness.sentAttempts;
+      handler.onHead(SUCCESS);
+      handler.onData(Buffer.from(received));
+      handler.onEnd();
+      t.equal(harness.isResponseEnded, isComplete);
+      t.equal(harness.isResponseAborted || harness.refusals.length > 0, !isComplete);
+      t.equal(harness.openCount, 0);
+      t.end();
+    });
+  };
+  doTestStreamEnd('ends after an event is complete', 'id: 1\ndata: x\n\n', true);
+  doTestStreamEnd('ends with more line ends is complete', 'id: 1\ndata: x\n\n\r\n', true);
+  doTestStreamEnd('ends inside its first event is broken off', 'id: 1\ndata: x', false);
+  doTestStreamEnd('ends inside a later event is broken off', 'id: 1\ndata: x\n\nid: 2\n', false);
+  doTestStreamEnd('ends without any event is broken off', '', false);
+
+  t.test('a stream that ends inside an event is resumed after the last complete one', t => {
+    const harness = new RunHarness({kind: 'stream', isResumable: true}, ['s1', 's2']);
+    harness.run.start();
+    harness.sentAttempts[0].handler.onHead(SUCCESS);
+    harness.sentAttempts[0].handler.onData(Buffer.from('id: 1\ndata: x\n\nid: 2\nda'));
+    harness.sentAttempts[0].handler.onEnd();
+    t.equal(harness.sentAttempts[1].call.resumeAfterEventId, '1');
+    harness.sentAttempts[1].handler.onHead(SUCCESS);
+    harness.sentAttempts[1].handler.onData(createEvent(2));
+    harness.sentAttempts[1].handler.onEnd();
+    t.equal(harness.text, `${createEvent(1)}${createEvent(2)}`);
+    t.ok(harness.isResponseEnded);
+    t.end();
+  });
+
   t.test(
     'a server that did not run a request has not run it, even if its response has no end',
     t => {
