Don't take a connection's end at the start of a response for an answer

The quarantine releases what has been answered. A response with neither a length nor chunks ends with its connection, so a server that crashes right after its first event could have looked like one that answered, and its deadly prompt part would have been released for all gateways.

--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -269,7 +269,9 @@
       isServerError(head.status) ? 'failed' : 'good',
       getNowMs(),
     );
-    services.onAnswered(admitted);
+    const nowMs = getNowMs();
+    const sinceFirstEventMs = nowMs - (attempt.firstEventAtMs ?? nowMs);
+    services.onAnswered(admitted, {sinceFirstEventMs, isFramed: head.isFramed});
     this.closeAttempt('ended');
     this.finish('answered', undefined, undefined);
   }
--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -100,6 +100,8 @@
   readonly isNotRun: boolean;
   /** Whether the response carries a signature of the server. */
   readonly isSigned: boolean;
+  /** Whether the response's end is marked by a length or by chunks; otherwise it ends with its connection. */
+  readonly isFramed: boolean;
   /** Whether the response comes from another server than the intended one. */
   readonly isMisdirected: boolean;
   /** Time for which the server reports that it will stay cold; undefined if it doesn't report one. */
--- a/src/exchange/RunServices.ts
+++ b/src/exchange/RunServices.ts
@@ -16,6 +16,14 @@
   readonly message: string;
 }
 
+/** A complete response of an attempt. */
+export interface Answer {
+  /** Time since its first event or its head. */
+  readonly sinceFirstEventMs: number;
+  /** Whether its end was marked; the end of a connection may also be the server's. */
+  readonly isFramed: boolean;
+}
+
 /** Decisions for a run, and callbacks for its observations. All times are monotonic time in milliseconds. */
 export interface RunServices {
   /** Returns whether a request may be sent, or contains what has crashed servers. */
@@ -51,7 +59,7 @@
   /** Called when an attempt may have run and its connection ended before its response was complete. */
   onLost(admitted: AdmittedRequest, attempt: LostAttempt, nowMs: number): void;
   /** Called when the complete response of an attempt has been received. */
-  onAnswered(admitted: AdmittedRequest): void;
+  onAnswered(admitted: AdmittedRequest, answer: Answer): void;
   /** Called once per attempt, when it no longer counts as open. */
   onClosed(server: KnownServer): void;
 }
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -15,6 +15,7 @@
 import {RetryBudget} from '../controllers/retry/index.js';
 import type {
   AdmittedRequest,
+  Answer,
   BackendHead,
   LostAttempt,
   RefusalKind,
@@ -160,8 +161,8 @@
     return this.options.quarantine.check(toSuspectRequest(admitted), nowMs);
   }
 
-  onAnswered(admitted: AdmittedRequest): void {
-    this.options.quarantine.addAnswer(toSuspectRequest(admitted));
+  onAnswered(admitted: AdmittedRequest, answer: Answer): void {
+    this.options.quarantine.addAnswer(toSuspectRequest(admitted), answer);
   }
 
   onLost(admitted: AdmittedRequest, attempt: LostAttempt): void {
--- a/src/gateway/RequestQuarantine.ts
+++ b/src/gateway/RequestQuarantine.ts
@@ -16,6 +16,7 @@
   type Suspect,
   type SuspectRequest,
 } from '../controllers/quarantine/index.js';
+import type {Answer} from '../exchange/index.js';
 import type {EventLogger} from '../logging/index.js';
 import {hashText, rankByRendezvous, takeInTurn} from '../utils/index.js';
 
@@ -127,8 +128,12 @@
     for (const suspect of getSuspects(request)) pending.suspects.add(suspect);
   }
 
-  /** Records a complete response: its request crashes no servers. */
-  addAnswer(request: SuspectRequest): void {
+  /**
+   * Records a complete response: its request crashes no servers. One that ends with its connection soon after its first
+   * event shows nothing, since its server may have crashed.
+   */
+  addAnswer(request: SuspectRequest, {isFramed, sinceFirstEventMs}: Answer): void {
+    if (!isFramed && sinceFirstEventMs <= MAX_FIRST_EVENT_AGE_MS) return;
     const wallMs = this.options.getWallMs();
     const suspects = this.evidence.isEmpty ? getPartSuspects(request) : getSuspects(request);
     this.memory.addAnswer(suspects, wallMs);
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -24,6 +24,7 @@
   headers: {'x-signature': 's1'},
   isNotRun: false,
   isSigned: true,
+  isFramed: true,
   isMisdirected: false,
   coldMs: undefined,
 };
--- a/tests/gateway/RequestQuarantine.test.ts
+++ b/tests/gateway/RequestQuarantine.test.ts
@@ -9,6 +9,7 @@
 let requests = 0;
 const DEADLY: SuspectRequest = createRequest(['shared', 'deadly']);
 const SOUND: SuspectRequest = createRequest(['shared', 'other']);
+const ANSWER = {isFramed: true, sinceFirstEventMs: 500};
 /** Longer than the first quarantine. */
 const AFTER_QUARANTINE_MS = 31_000;
 
@@ -66,7 +67,7 @@
     for (let count = 0; count < 3; count += 1) {
       t.equal(quarantine.check(DEADLY, harness.nowMs).kind, 'run');
       await harness.crash(quarantine, [createRequest(['shared', 'deadly']), undefined]);
-      quarantine.addAnswer(SOUND);
+      quarantine.addAnswer(SOUND, ANSWER);
     }
     t.equal(quarantine.check(createRequest(['x', 'deadly']), harness.nowMs).kind, 'refused');
     t.equal(quarantine.check(SOUND, harness.nowMs).kind, 'run');
@@ -105,6 +106,18 @@
   });
   doTestNoEvidence('the response had begun long before', () => 2_000);
 
+  t.test('a response that ends with its connection as it begins releases nothing', async t => {
+    const harness = new Harness();
+    const quarantine = harness.create('g1');
+    for (let count = 0; count < 3; count += 1) {
+      await harness.crash(quarantine, [DEADLY, undefined]);
+    }
+    quarantine.addAnswer(DEADLY, {isFramed: false, sinceFirstEventMs: 20});
+    t.equal(quarantine.check(DEADLY, harness.nowMs).kind, 'refused');
+    quarantine.addAnswer(DEADLY, {isFramed: false, sinceFirstEventMs: 500});
+    t.equal(quarantine.check(DEADLY, harness.nowMs).kind, 'run');
+  });
+
   t.test('tells the others, who refuse too', async t => {
     const harness = new Harness();
     const witness = harness.create('g1');
@@ -130,7 +143,7 @@
     }
     t.match(witness.check(SOUND, harness.nowMs), {kind: 'refused', retryAfterMs: 1_000});
     harness.nowMs += 100;
-    other.addAnswer(SOUND);
+    other.addAnswer(SOUND, ANSWER);
     other.applyFindings(witness.getFindings(true, harness.nowMs), harness.nowMs);
     witness.applyFindings(other.getFindings(false, harness.nowMs), harness.nowMs);
     t.equal(witness.check(SOUND, harness.nowMs).kind, 'run');
@@ -159,7 +172,7 @@
     t.equal(countRunning(), 0, 'the next quarantine is longer');
     harness.nowMs += 4 * AFTER_QUARANTINE_MS;
     t.equal(countRunning(), 1);
-    fleet[1].addAnswer(DEADLY);
+    fleet[1].addAnswer(DEADLY, ANSWER);
     share();
     t.equal(countRunning(), GATEWAYS.length);
   });
