Log the limits of requests that servers name

The logs didn't show that there was a limit, nor which gateway knew of it when.

The header is decoded, and the event 'server limit' logs each change that a gateway gets from a server.

--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -106,6 +106,8 @@
   readonly isMisdirected: boolean;
   /** Time for which the server reports that it will stay cold; undefined if it doesn't report one. */
   readonly coldMs: number | undefined;
+  /** Requests per second that the server takes from all gateways together; undefined if it names no limit. */
+  readonly requestLimit: number | undefined;
 }
 
 /** Receives the response of a backend server. Exactly one of `onEnd` and `onFailure` is called, as the last call. */
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -25,6 +25,7 @@
 import type {EventLogger} from '../logging/index.js';
 import type {GatewaySettings} from './GatewaySettings.js';
 import type {RequestQuarantine} from './RequestQuarantine.js';
+import {ServerLimits} from './ServerLimits.js';
 
 /** Constructor options of `GatewayRunServices`. */
 export interface GatewayRunServicesOptions {
@@ -65,11 +66,13 @@
   private readonly options: GatewayRunServicesOptions;
   private readonly health = new ServerHealth();
   private readonly coldGate = new ColdServerLimiter();
+  private readonly serverLimits: ServerLimits;
   private readonly coldShares: ColdServerShares;
   private readonly retryBudgets = new Map<string, RetryBudget>();
 
   constructor(options: GatewayRunServicesOptions) {
     this.options = options;
+    this.serverLimits = new ServerLimits({events: options.events});
     this.coldShares = new ColdServerShares(options.settings.id);
   }
 
@@ -134,6 +137,7 @@
   }
 
   onHead(server: KnownServer, head: BackendHead, nowMs: number): void {
+    this.serverLimits.applyResponse(server, head.requestLimit, nowMs);
     if (head.isMisdirected) this.options.catalog.servers.removeServer(server.entry.id, nowMs);
     else if (head.coldMs !== undefined && head.coldMs > 0) {
       this.options.catalog.servers.markCold(server.entry.id, nowMs + head.coldMs, nowMs);
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -229,6 +229,13 @@
     fields: ['path', 'status'],
     maxPerSecond: ERRORS_PER_SECOND,
   },
+  'server limit': {
+    level: 'info',
+    meaning:
+      'A response of a backend server named another limit of requests per second than the previous one that this gateway got from it, or none any more.',
+    fields: ['server', 'service', 'perSecond', 'sinceChangeMs'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
   'attempt at cold server': {
     level: 'info',
     meaning:
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -27,6 +27,7 @@
   isFramed: true,
   isMisdirected: false,
   coldMs: undefined,
+  requestLimit: undefined,
 };
 
 export const NOT_RUN: BackendHead = {...SUCCESS, status: 503, isNotRun: true, isSigned: false};
