Name the rate shares of cold servers for any rate

ColdServerShares and ColdServerLimiter divide a server's rate among gateways; nothing in them is about cold servers. They get the names of what they do, so that other limits can use them. No behaviour changes.

--- a/src/controllers/placement/ColdServerLimiter.ts
+++ b/src/controllers/placement/ServerRateLimiter.ts
@@ -1,4 +1,4 @@
-/** Rate limit of this gateway for each cold backend server: its share of what the server sustains from all gateways. */
+/** Rate limit of this gateway for single backend servers: its share of what a server takes from all gateways together. */
 
 interface TokenBucket {
   /** Requests that may be sent at once. */
@@ -6,9 +6,9 @@
   updatedAtMs: number;
 }
 
-/** Rate limit of a cold backend server. */
-export interface ColdLimit {
-  /** Requests per second that a cold server sustains from all gateways together. */
+/** This gateway's share of the rate that a backend server takes. */
+export interface RateShare {
+  /** Requests per second that the server takes from all gateways together. */
   readonly requestsPerSecond: number;
   /** Gateways that share the limit equally, this one included. */
   readonly gateways: number;
@@ -18,17 +18,17 @@
 const USED_LIMIT_FRACTION = 0.9;
 const MS_PER_SECOND = 1_000;
 
-/** One token bucket for each cold backend server; it holds half a second's worth of requests, and at least one. */
-export class ColdServerLimiter {
+/** One token bucket for each backend server; it holds half a second's worth of requests, and at least one. */
+export class ServerRateLimiter {
   private readonly buckets = new Map<string, TokenBucket>();
 
   /** Returns whether the rate limit allows a request now; nothing is deducted. */
-  hasCapacity(serverId: string, limit: ColdLimit, nowMs: number): boolean {
+  hasCapacity(serverId: string, limit: RateShare, nowMs: number): boolean {
     return this.refill(serverId, limit, nowMs).level >= 1;
   }
 
   /** Deducts a request that is sent. */
-  addRequest(serverId: string, limit: ColdLimit, nowMs: number): void {
+  addRequest(serverId: string, limit: RateShare, nowMs: number): void {
     this.refill(serverId, limit, nowMs).level -= 1;
   }
 
@@ -37,7 +37,7 @@
     this.buckets.delete(serverId);
   }
 
-  private refill(serverId: string, limit: ColdLimit, nowMs: number): TokenBucket {
+  private refill(serverId: string, limit: RateShare, nowMs: number): TokenBucket {
     const perSecond = (limit.requestsPerSecond * USED_LIMIT_FRACTION) / Math.max(1, limit.gateways);
     const bucket = this.buckets.get(serverId) ?? {level: 1, updatedAtMs: nowMs};
     const added = ((nowMs - bucket.updatedAtMs) * perSecond) / MS_PER_SECOND;
--- a/src/controllers/placement/ColdServerShares.ts
+++ b/src/controllers/placement/ServerRateShares.ts
@@ -1,6 +1,6 @@
-/** Divides the rate that a cold backend server sustains among a few gateways, however many there are. */
+/** Divides the rate that a backend server takes among a few gateways, however many there are. */
 import {rankByRendezvous} from '../../utils/index.js';
-import type {ColdLimit} from './ColdServerLimiter.js';
+import type {RateShare} from './ServerRateLimiter.js';
 
 /**
  * Requests per second that a gateway's share is worth at least. With smaller shares, the single requests that gateways
@@ -8,8 +8,8 @@
  */
 const MIN_REQUESTS_PER_SECOND = 1.5;
 
-/** Determines for each cold server which gateways may send requests to it; all gateways compute the same ones. */
-export class ColdServerShares {
+/** Determines for each server which gateways may send requests to it; all gateways compute the same ones. */
+export class ServerRateShares {
   private readonly ownId: string;
   private gatewayIds: readonly string[] = [];
   /** Whether this gateway has a share, by server id, for the current `gatewayIds`. */
@@ -21,16 +21,16 @@
   }
 
   /**
-   * Returns this gateway's part of the limit of a cold server; undefined if other gateways hold all shares.
-   * @param serverId - Id of the cold server.
-   * @param requestsPerSecond - Rate that the server sustains from all gateways together.
+   * Returns this gateway's share of a server's rate; undefined if other gateways hold all shares.
+   * @param serverId - Id of the server.
+   * @param requestsPerSecond - Rate that the server takes from all gateways together.
    * @param gatewayIds - All gateways that may be running, this one included, in any order.
    */
   getLimit(
     serverId: string,
     requestsPerSecond: number,
     gatewayIds: readonly string[],
-  ): ColdLimit | undefined {
+  ): RateShare | undefined {
     this.setGateways(gatewayIds);
     const shares = Math.max(1, Math.floor(requestsPerSecond / MIN_REQUESTS_PER_SECOND));
     const gateways = Math.min(shares, gatewayIds.length);
--- a/src/controllers/placement/index.ts
+++ b/src/controllers/placement/index.ts
@@ -1,5 +1,5 @@
-export {ColdServerLimiter, type ColdLimit} from './ColdServerLimiter.js';
-export {ColdServerShares} from './ColdServerShares.js';
+export {ServerRateLimiter, type RateShare} from './ServerRateLimiter.js';
+export {ServerRateShares} from './ServerRateShares.js';
 export {ServerHealth, type HealthOutcome} from './ServerHealth.js';
 export {ServerLoads, type ServerLoad} from './ServerLoads.js';
 export {
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -2,11 +2,11 @@
 import type {Catalog, KnownServer, Service} from '../catalog/index.js';
 import type {UsageLedger} from '../controllers/duties/index.js';
 import {
-  ColdServerLimiter,
-  ColdServerShares,
+  ServerRateLimiter,
+  ServerRateShares,
   ServerHealth,
   choosePlacement,
-  type ColdLimit,
+  type RateShare,
   type HealthOutcome,
   type PlacementDecision,
   type ServerLoads,
@@ -65,15 +65,15 @@
 export class GatewayRunServices implements RunServices {
   private readonly options: GatewayRunServicesOptions;
   private readonly health = new ServerHealth();
-  private readonly coldGate = new ColdServerLimiter();
+  private readonly coldLimiter = new ServerRateLimiter();
   private readonly serverLimits: ServerLimits;
-  private readonly coldShares: ColdServerShares;
+  private readonly coldShares: ServerRateShares;
   private readonly retryBudgets = new Map<string, RetryBudget>();
 
   constructor(options: GatewayRunServicesOptions) {
     this.options = options;
     this.serverLimits = new ServerLimits({events: options.events});
-    this.coldShares = new ColdServerShares(options.settings.id);
+    this.coldShares = new ServerRateShares(options.settings.id);
   }
 
   choose(
@@ -126,8 +126,8 @@
     }
     this.options.loads.addRequest(server.entry.id, promptTokens);
     if (server.coldUntilMs <= nowMs) return;
-    const limit = this.getColdLimit(server, this.getService(admitted.service), nowMs);
-    if (limit) this.coldGate.addRequest(server.entry.id, limit, nowMs);
+    const limit = this.getColdShare(server, this.getService(admitted.service), nowMs);
+    if (limit) this.coldLimiter.addRequest(server.entry.id, limit, nowMs);
     this.options.events.log('attempt at cold server', {
       request: admitted.request.id,
       server: server.entry.id,
@@ -210,16 +210,16 @@
     if (server.coldUntilMs <= nowMs) return true;
     if (!service || service.coldRequestsPerSecond <= 0) return true;
     if (!this.options.isFleetKnown(nowMs)) return false;
-    const limit = this.getColdLimit(server, service, nowMs);
-    return limit !== undefined && this.coldGate.hasCapacity(server.entry.id, limit, nowMs);
+    const limit = this.getColdShare(server, service, nowMs);
+    return limit !== undefined && this.coldLimiter.hasCapacity(server.entry.id, limit, nowMs);
   }
 
   /** Returns this gateway's part of a cold server's limit; undefined if it has none or the service has no limit. */
-  private getColdLimit(
+  private getColdShare(
     {entry}: KnownServer,
     service: Service | undefined,
     nowMs: number,
-  ): ColdLimit | undefined {
+  ): RateShare | undefined {
     if (!service || service.coldRequestsPerSecond <= 0) return undefined;
     const gatewayIds = this.options.getGatewayIds(nowMs);
     return this.coldShares.getLimit(entry.id, service.coldRequestsPerSecond, gatewayIds);
--- a/tests/controllers/placement/placement.test.ts
+++ b/tests/controllers/placement/placement.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import type {KnownServer} from '../../../src/catalog/index.js';
 import {
-  ColdServerLimiter,
+  ServerRateLimiter,
   ServerHealth,
   ServerLoads,
   choosePlacement,
@@ -120,9 +120,9 @@
   t.end();
 });
 
-t.test('ColdServerLimiter', t => {
+t.test('ServerRateLimiter', t => {
   t.test('keeps all gateways together within the rate that a cold server sustains', t => {
-    const limiters = Array.from({length: 9}, () => new ColdServerLimiter());
+    const limiters = Array.from({length: 9}, () => new ServerRateLimiter());
     const limit = {requestsPerSecond: 18, gateways: 9};
     let sent = 0;
     for (let nowMs = 0; nowMs < 10_000; nowMs += 10) {
