Keep to the limits of requests that servers name, over all gateways

Change: NamedLimits merges what the responses to all gateways say, by the times of the responses, so that retelling can't renew a limit; changes are announced at once. A limit is divided among as many gateways as get 0.75 requests a second each, by ServerRateShares and ServerRateLimiter, so one gateway has all of a limit of 1 a second, also among 91. A limit ends with a later response that names none; a server that nobody has asked for a minute is taken to have none any more. Shares no longer keep the answer for the number of shares at the first question, which a changing limit changes. Requests that no server may take are refused at once, with 'limited' as the detail.

Evidence: tests/gateway/serverLimits.test.ts plays 7 and 91 whole gateways, limits of 1 to 10 a second and restarts; on every fleet fails (26 in 4 s where 17 are allowed, 38 of 11 with 91 gateways), now within.

--- a/src/catalog/ServerCatalog.ts
+++ b/src/catalog/ServerCatalog.ts
@@ -9,6 +9,11 @@
   readonly startedAtMs: number | undefined;
 }
 
+/** Returns the key of one start of a backend server. */
+export function getServerStartKey({id, startedAtMs}: ServerStart): bigint {
+  return hashText(`server\n${id}\n${startedAtMs ?? ''}`);
+}
+
 /** A registration, which a backend server writes to the store and renews. */
 export interface ServerEntry extends ServerStart {
   readonly service: string;
--- a/src/catalog/index.ts
+++ b/src/catalog/index.ts
@@ -6,6 +6,7 @@
   type DepartureReason,
   type ServerChange,
   type ServerEntry,
+  getServerStartKey,
   type ServerStart,
 } from './ServerCatalog.js';
 export type {
--- a/src/controllers/placement/ServerRateLimiter.ts
+++ b/src/controllers/placement/ServerRateLimiter.ts
@@ -14,13 +14,20 @@
   readonly gateways: number;
 }
 
-/** Fraction of the limit that is used; the rest is a margin for gateways that assume a different number of gateways. */
-const USED_LIMIT_FRACTION = 0.9;
 const MS_PER_SECOND = 1_000;
 
 /** One token bucket for each backend server; it holds half a second's worth of requests, and at least one. */
 export class ServerRateLimiter {
   private readonly buckets = new Map<string, TokenBucket>();
+  private readonly usedFraction: number;
+
+  /**
+   * @param usedFraction - Fraction of the limits that is used; the rest is a margin for gateways that assume a different
+   * number of gateways.
+   */
+  constructor(usedFraction: number) {
+    this.usedFraction = usedFraction;
+  }
 
   /** Returns whether the rate limit allows a request now; nothing is deducted. */
   hasCapacity(serverId: string, limit: RateShare, nowMs: number): boolean {
@@ -38,7 +45,7 @@
   }
 
   private refill(serverId: string, limit: RateShare, nowMs: number): TokenBucket {
-    const perSecond = (limit.requestsPerSecond * USED_LIMIT_FRACTION) / Math.max(1, limit.gateways);
+    const perSecond = (limit.requestsPerSecond * this.usedFraction) / Math.max(1, limit.gateways);
     const bucket = this.buckets.get(serverId) ?? {level: 1, updatedAtMs: nowMs};
     const added = ((nowMs - bucket.updatedAtMs) * perSecond) / MS_PER_SECOND;
     bucket.level = Math.min(Math.max(1, perSecond / 2), bucket.level + added);
--- a/src/controllers/placement/ServerRateShares.ts
+++ b/src/controllers/placement/ServerRateShares.ts
@@ -2,22 +2,22 @@
 import {rankByRendezvous} from '../../utils/index.js';
 import type {RateShare} from './ServerRateLimiter.js';
 
-/**
- * Requests per second that a gateway's share is worth at least. With smaller shares, the single requests that gateways
- * may send at once would add up to more than the server's limit.
- */
-const MIN_REQUESTS_PER_SECOND = 1.5;
-
 /** Determines for each server which gateways may send requests to it; all gateways compute the same ones. */
 export class ServerRateShares {
   private readonly ownId: string;
+  private readonly minPerSecond: number;
   private gatewayIds: readonly string[] = [];
-  /** Whether this gateway has a share, by server id, for the current `gatewayIds`. */
-  private readonly hasShareByServer = new Map<string, boolean>();
+  /** This gateway's rank for a share, by server id, for the current `gatewayIds`. */
+  private readonly ranksByServer = new Map<string, number>();
 
-  /** @param ownId - Id of this gateway. */
-  constructor(ownId: string) {
+  /**
+   * @param ownId - Id of this gateway.
+   * @param minPerSecond - Requests per second that a share is worth at least. With smaller shares, the single requests
+   * that gateways may send at once would add up to more than a server's limit.
+   */
+  constructor(ownId: string, minPerSecond: number) {
     this.ownId = ownId;
+    this.minPerSecond = minPerSecond;
   }
 
   /**
@@ -32,24 +32,24 @@
     gatewayIds: readonly string[],
   ): RateShare | undefined {
     this.setGateways(gatewayIds);
-    const shares = Math.max(1, Math.floor(requestsPerSecond / MIN_REQUESTS_PER_SECOND));
+    const shares = Math.max(1, Math.floor(requestsPerSecond / this.minPerSecond));
     const gateways = Math.min(shares, gatewayIds.length);
-    return this.hasShare(serverId, gateways) ? {requestsPerSecond, gateways} : undefined;
+    return this.getRank(serverId) < gateways ? {requestsPerSecond, gateways} : undefined;
   }
 
-  private hasShare(serverId: string, gateways: number): boolean {
-    const known = this.hasShareByServer.get(serverId);
+  private getRank(serverId: string): number {
+    const known = this.ranksByServer.get(serverId);
     if (known !== undefined) return known;
     const ranked = rankByRendezvous(`cold ${serverId}`, this.gatewayIds, id => id);
-    const hasShare = ranked.slice(0, gateways).includes(this.ownId);
-    this.hasShareByServer.set(serverId, hasShare);
-    return hasShare;
+    const rank = ranked.indexOf(this.ownId);
+    this.ranksByServer.set(serverId, rank);
+    return rank;
   }
 
   private setGateways(gatewayIds: readonly string[]): void {
     if (isSame(this.gatewayIds, gatewayIds)) return;
     this.gatewayIds = gatewayIds;
-    this.hasShareByServer.clear();
+    this.ranksByServer.clear();
   }
 }
 
--- a/src/controllers/placement/choosePlacement.ts
+++ b/src/controllers/placement/choosePlacement.ts
@@ -28,6 +28,8 @@
   getFailureRate(serverId: string): number;
   /** Returns whether a server is in backoff after a failure. */
   isInBackoff(serverId: string): boolean;
+  /** Returns whether the limit that a server has named allows a request now; true for a server without a limit. */
+  hasLimitCapacity(server: KnownServer): boolean;
   /** Returns whether the rate limit of a cold server allows a request now; true for a server that isn't cold. */
   hasColdCapacity(server: KnownServer): boolean;
 }
@@ -42,8 +44,14 @@
       /** Predicted time until the server starts to run the request. */
       readonly expectedWaitMs: number;
     }
-  /** `all-tried`: all servers had an earlier attempt; `cold`: the others are cold and at their rate limit. */
-  | {readonly kind: 'none'; readonly reason: 'no-server' | 'all-tried' | 'cold' | 'full'};
+  /**
+   * `all-tried`: all servers had an earlier attempt; `cold`: the others are cold and at their rate limit; `limited`: the
+   * others have named a limit that is used up.
+   */
+  | {
+      readonly kind: 'none';
+      readonly reason: 'no-server' | 'all-tried' | 'cold' | 'limited' | 'full';
+    };
 
 /** Assumed prefill speed of a model engine. */
 const PROMPT_TOKENS_PER_MS = 100;
@@ -65,7 +73,7 @@
 }
 
 /**
- * Chooses the backend server with the lowest score among those not attempted yet. Cold servers at their rate limit are
+ * Chooses the backend server with the lowest score among those not attempted yet. Servers at their rate limit are
  * left out; servers in backoff are used only if there is no healthy one.
  * @param random - Returns a uniform random number in [0, 1).
  */
@@ -77,8 +85,10 @@
   if (view.servers.length === 0) return {kind: 'none', reason: 'no-server'};
   const untried = view.servers.filter(({entry}) => !request.attemptedServerIds.has(entry.id));
   if (untried.length === 0) return {kind: 'none', reason: 'all-tried'};
-  const available = untried.filter(server => view.hasColdCapacity(server));
-  if (available.length === 0) return {kind: 'none', reason: 'cold'};
+  const warm = untried.filter(server => view.hasColdCapacity(server));
+  if (warm.length === 0) return {kind: 'none', reason: 'cold'};
+  const available = warm.filter(server => view.hasLimitCapacity(server));
+  if (available.length === 0) return {kind: 'none', reason: 'limited'};
   const healthy = available.filter(({entry}) => !view.isInBackoff(entry.id));
   const candidates = healthy.length > 0 ? healthy : available;
   const preferredIds = rankByCacheAffinity(candidates, request.promptParts);
--- a/src/controllers/placement/index.ts
+++ b/src/controllers/placement/index.ts
@@ -1,5 +1,6 @@
 export {ServerRateLimiter, type RateShare} from './ServerRateLimiter.js';
 export {ServerRateShares} from './ServerRateShares.js';
+export {NamedLimits, type NamedLimit} from './NamedLimits.js';
 export {ServerHealth, type HealthOutcome} from './ServerHealth.js';
 export {ServerLoads, type ServerLoad} from './ServerLoads.js';
 export {
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -32,6 +32,7 @@
 import type {DutyCalls, DutyLog} from './ports.js';
 import {LogReadCoordinator} from './LogReadCoordinator.js';
 import {RequestQuarantine} from './RequestQuarantine.js';
+import {ServerLimits} from './ServerLimits.js';
 import {StartGate} from './StartGate.js';
 
 /** Constructor options of `Gateway`: its settings, clocks and adapters. */
@@ -121,6 +122,13 @@
       getNowMs,
       getWallMs: () => clock.getWallMs(),
     });
+    const serverLimits = new ServerLimits({
+      ownId: settings.id,
+      events,
+      getGatewayIds,
+      isFleetKnown,
+      getWallMs: () => clock.getWallMs(),
+    });
     this.services = new GatewayRunServices({
       settings,
       catalog,
@@ -128,6 +136,7 @@
       promptRates: this.promptRates,
       usageLedger: this.usageLedger,
       quarantine: this.quarantine,
+      serverLimits,
       events,
       isFleetKnown,
       getGatewayIds,
@@ -170,6 +179,7 @@
       duties: this.duties,
       logReadCoordinator: this.logReadCoordinator,
       quarantine: this.quarantine,
+      serverLimits,
       clock,
       events,
       createChannel: onState =>
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -19,6 +19,7 @@
 import {GossipRecipients} from './GossipRecipients.js';
 import {GroupExchange} from './GroupExchange.js';
 import type {RequestQuarantine} from './RequestQuarantine.js';
+import type {ServerLimits} from './ServerLimits.js';
 import type {PeerClock} from './PeerClock.js';
 import type {LogReadCoordinator} from './LogReadCoordinator.js';
 
@@ -34,6 +35,7 @@
   readonly duties: Pick<DutyRunner, 'claim' | 'applyClaim'>;
   readonly logReadCoordinator: LogReadCoordinator;
   readonly quarantine: Pick<RequestQuarantine, 'applyFindings' | 'getFindings' | 'setNewsListener'>;
+  readonly serverLimits: Pick<ServerLimits, 'applyLimits' | 'getLimits' | 'setNewsListener'>;
   readonly clock: PeerClock;
   readonly events: EventLogger;
   /** Creates the channel to the other gateways; `onState` receives their states. */
@@ -95,6 +97,7 @@
     const announceNews = () => this.announce(options.getNowMs(), undefined);
     options.logReadCoordinator.setReadListener(announceNews);
     options.quarantine.setNewsListener(announceNews);
+    options.serverLimits.setNewsListener(announceNews);
   }
 
   /** Datagrams and bytes since the start. */
@@ -204,7 +207,7 @@
   }
 
   private buildAnnouncement(members: readonly GatewayMember[], nowMs: number): GossipState {
-    const {catalog, duties, logReadCoordinator, clock, quarantine} = this.options;
+    const {catalog, duties, logReadCoordinator, clock, quarantine, serverLimits} = this.options;
     return {
       sender: this.options.describeSelf(),
       members,
@@ -226,6 +229,7 @@
         nowMs,
       ),
       findings: quarantine.getFindings(this.isDue(FULL_STATE_INTERVAL), nowMs),
+      serverLimits: serverLimits.getLimits(this.isDue(FULL_STATE_INTERVAL), nowMs),
       wallMs: clock.getOwnWallMs(),
     };
   }
@@ -286,8 +290,10 @@
     };
     logReadCoordinator.apply(state, nowMs);
     const hasNewFindings = this.options.quarantine.applyFindings(state.findings, nowMs);
+    const hasNewLimits = this.options.serverLimits.applyLimits(state.serverLimits, nowMs);
     const isNews =
       hasNewFindings ||
+      hasNewLimits ||
       catalog.servers.getDigest() !== before.digest ||
       before.registrationsAgeMs - catalog.getRegistrationsAgeMs(nowMs) >= MIN_AGE_GAIN_MS ||
       before.operatorAgeMs - catalog.getOperatorRecordsAgeMs(nowMs) >= MIN_AGE_GAIN_MS;
@@ -316,8 +322,13 @@
     if (nowMs - (this.repliedAtMs.get(id) ?? -Infinity) < REPLY_INTERVAL_MS) return;
     this.repliedAtMs.set(id, nowMs);
     const members = this.recipients.getLiveMembers(MEMBERS_IN_REPLY, nowMs);
-    const findings = this.options.quarantine.getFindings(true, nowMs);
-    this.channel.send({...this.buildAnnouncement(members, nowMs), findings}, [gossipAddress]);
+    const {quarantine, serverLimits} = this.options;
+    const state = {
+      ...this.buildAnnouncement(members, nowMs),
+      findings: quarantine.getFindings(true, nowMs),
+      serverLimits: serverLimits.getLimits(true, nowMs),
+    };
+    this.channel.send(state, [gossipAddress]);
   }
 }
 
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -25,7 +25,7 @@
 import type {EventLogger} from '../logging/index.js';
 import type {GatewaySettings} from './GatewaySettings.js';
 import type {RequestQuarantine} from './RequestQuarantine.js';
-import {ServerLimits} from './ServerLimits.js';
+import type {ServerLimits} from './ServerLimits.js';
 
 /** Constructor options of `GatewayRunServices`. */
 export interface GatewayRunServicesOptions {
@@ -35,6 +35,7 @@
   readonly promptRates: PromptRates;
   readonly usageLedger: UsageLedger;
   readonly quarantine: RequestQuarantine;
+  readonly serverLimits: ServerLimits;
   readonly events: EventLogger;
   /** Returns the ids of the gateways that may be sending requests, including this one. */
   readonly getGatewayIds: (nowMs: number) => readonly string[];
@@ -49,8 +50,12 @@
 }
 
 const PERCENT = 100;
+/** Requests per second that a gateway's share of a cold server's limit is worth at least. */
+const MIN_COLD_SHARE_PER_SECOND = 1.5;
 /** Share of `retrySlack` that the gateways divide among themselves; the rest covers gateways that join and leave. */
 const USABLE_SLACK_SHARE = 0.6;
+/** Cold servers crash above their limit, so a tenth is left unused. */
+const USED_COLD_FRACTION = 0.9;
 const DEFAULT_MAX_CONNECTIONS = 100;
 /** Base of the delay before a caller retries; a random part of up to the same length is added to spread the retries. */
 const RETRY_AFTER_BASE_MS: Readonly<Partial<Record<RefusalKind, number>>> = {
@@ -65,15 +70,13 @@
 export class GatewayRunServices implements RunServices {
   private readonly options: GatewayRunServicesOptions;
   private readonly health = new ServerHealth();
-  private readonly coldLimiter = new ServerRateLimiter();
-  private readonly serverLimits: ServerLimits;
+  private readonly coldLimiter = new ServerRateLimiter(USED_COLD_FRACTION);
   private readonly coldShares: ServerRateShares;
   private readonly retryBudgets = new Map<string, RetryBudget>();
 
   constructor(options: GatewayRunServicesOptions) {
     this.options = options;
-    this.serverLimits = new ServerLimits({events: options.events});
-    this.coldShares = new ServerRateShares(options.settings.id);
+    this.coldShares = new ServerRateShares(options.settings.id, MIN_COLD_SHARE_PER_SECOND);
   }
 
   choose(
@@ -90,6 +93,7 @@
         getFailureRate: serverId => this.health.getFailureRate(serverId, nowMs),
         isInBackoff: serverId => this.health.isInBackoff(serverId, nowMs),
         hasColdCapacity: server => this.hasColdCapacity(server, service, nowMs),
+        hasLimitCapacity: server => this.options.serverLimits.hasCapacity(server, nowMs),
       },
       {promptParts: admitted.request.promptParts, attemptedServerIds},
       random,
@@ -125,6 +129,7 @@
       this.options.promptRates.addPrompt(admitted.service, promptTokens, nowMs);
     }
     this.options.loads.addRequest(server.entry.id, promptTokens);
+    this.options.serverLimits.addRequest(server, nowMs);
     if (server.coldUntilMs <= nowMs) return;
     const limit = this.getColdShare(server, this.getService(admitted.service), nowMs);
     if (limit) this.coldLimiter.addRequest(server.entry.id, limit, nowMs);
@@ -137,7 +142,7 @@
   }
 
   onHead(server: KnownServer, head: BackendHead, nowMs: number): void {
-    this.serverLimits.applyResponse(server, head.requestLimit, nowMs);
+    this.applyRequestLimit(server, head, nowMs);
     if (head.isMisdirected) this.options.catalog.servers.removeServer(server.entry.id, nowMs);
     else if (head.coldMs !== undefined && head.coldMs > 0) {
       this.options.catalog.servers.markCold(server.entry.id, nowMs + head.coldMs, nowMs);
@@ -189,6 +194,13 @@
     this.options.loads.removeRequest(server.entry.id);
   }
 
+  /** A response of a server that rejected the request says nothing if it names no limit. */
+  private applyRequestLimit(server: KnownServer, head: BackendHead, nowMs: number): void {
+    if (head.isMisdirected) return;
+    if (head.requestLimit === undefined && !head.isSigned) return;
+    this.options.serverLimits.applyResponse(server, head.requestLimit, nowMs);
+  }
+
   /** Returns the available servers in regions that all non-empty lists of home regions allow. */
   private getAllowedServers({service, homeRegions}: AdmittedRequest): readonly KnownServer[] {
     const {catalog, settings} = this.options;
--- a/src/gateway/RequestQuarantine.ts
+++ b/src/gateway/RequestQuarantine.ts
@@ -2,7 +2,7 @@
  * Keeps requests from backend servers that crash on them: collects what this gateway sees of crashes, shares it with the
  * other gateways, and refuses requests that contain what has crashed several servers.
  */
-import type {KnownServer} from '../catalog/index.js';
+import {getServerStartKey, type KnownServer} from '../catalog/index.js';
 import {
   CrashEvidence,
   NO_FINDINGS,
@@ -18,7 +18,7 @@
 } from '../controllers/quarantine/index.js';
 import type {Answer} from '../exchange/index.js';
 import type {EventLogger} from '../logging/index.js';
-import {hashText, rankByRendezvous, takeInTurn} from '../utils/index.js';
+import {rankByRendezvous, takeInTurn} from '../utils/index.js';
 
 /** Constructor options of `RequestQuarantine`. */
 export interface RequestQuarantineOptions {
@@ -122,7 +122,7 @@
   /** Records an attempt that was lost, and finds out whether its server has crashed. */
   addLost({request, server, sinceFirstEventMs}: LostRequest): void {
     if (!this.options.isExpectedToServe(server)) return;
-    const key = getServerKey(server);
+    const key = getServerStartKey(server.entry);
     const pending = this.pendingLosses.get(key) ?? this.addPendingLoss(key, server);
     if (sinceFirstEventMs !== undefined && sinceFirstEventMs > MAX_FIRST_EVENT_AGE_MS) return;
     for (const suspect of getSuspects(request)) pending.suspects.add(suspect);
@@ -312,10 +312,6 @@
   return [...getPartSuspects(request), getRequestSuspect(request)];
 }
 
-function getServerKey({entry: {id, startedAtMs}}: KnownServer): bigint {
-  return hashText(`server\n${id}\n${startedAtMs ?? ''}`);
-}
-
 function toText(suspect: Suspect): string {
   return suspect.toString(16);
 }
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -1,6 +1,6 @@
 /** State that gateways exchange by gossip, in its decoded form. */
 import type {ServerEntry, ServerStart} from '../catalog/index.js';
-import type {ServerLoad} from '../controllers/placement/index.js';
+import type {NamedLimit, ServerLoad} from '../controllers/placement/index.js';
 import type {CrashFindings} from '../controllers/quarantine/index.js';
 import type {StateSummary} from './StateSummary.js';
 
@@ -87,6 +87,8 @@
   readonly registrations: RegistrationsUpdate;
   /** Crashes of backend servers, and what has been answered since; those that are new, or some of all. */
   readonly findings: CrashFindings;
+  /** Limits that servers have named; those that have changed, or some of all. */
+  readonly serverLimits: readonly NamedLimit[];
   /** Unix time of the sender's clock in milliseconds. */
   readonly wallMs: number;
 }
--- a/src/gossip/gossipCodec.ts
+++ b/src/gossip/gossipCodec.ts
@@ -23,6 +23,7 @@
 import type {ServerLoad} from '../controllers/placement/index.js';
 import {getTextKey} from '../utils/index.js';
 import {fromCrash, fromSurvival, toCrash, toSurvival} from './findingsCodec.js';
+import {fromServerLimit, toServerLimit} from './serverLimitCodec.js';
 import type {GatewayMember, GossipState, UsageCount} from './GossipState.js';
 import type {MemberStatus, StateSummary} from './StateSummary.js';
 
@@ -64,6 +65,7 @@
     removedServers: state.registrations.removed.map(toServerStart),
     crashes: state.findings.crashes.map(toCrash),
     survivals: state.findings.survivals.map(toSurvival),
+    serverLimits: state.serverLimits.map(toServerLimit),
     wallMs: BigInt(Math.round(state.wallMs)),
   });
   return toBinary(GossipSchema, message);
@@ -106,6 +108,7 @@
       crashes: message.crashes.map(fromCrash),
       survivals: message.survivals.map(fromSurvival),
     },
+    serverLimits: message.serverLimits.map(fromServerLimit),
     wallMs: Number(message.wallMs),
   };
 }
--- a/tests/controllers/placement/placement.test.ts
+++ b/tests/controllers/placement/placement.test.ts
@@ -22,6 +22,7 @@
     getFailureRate: () => 0,
     isInBackoff: () => false,
     hasColdCapacity: () => true,
+    hasLimitCapacity: () => true,
     ...fields,
   };
 }
@@ -97,6 +98,7 @@
     t.equal(chooseId(createView({servers: []})), 'no-server');
     t.equal(chooseId(createView(), [], new Set(['s1', 's2', 's3', 's4'])), 'all-tried');
     t.equal(chooseId(createView({hasColdCapacity: () => false})), 'cold');
+    t.equal(chooseId(createView({hasLimitCapacity: () => false})), 'limited');
     t.end();
   });
   t.end();
@@ -122,7 +124,7 @@
 
 t.test('ServerRateLimiter', t => {
   t.test('keeps all gateways together within the rate that a cold server sustains', t => {
-    const limiters = Array.from({length: 9}, () => new ServerRateLimiter());
+    const limiters = Array.from({length: 9}, () => new ServerRateLimiter(0.9));
     const limit = {requestsPerSecond: 18, gateways: 9};
     let sent = 0;
     for (let nowMs = 0; nowMs < 10_000; nowMs += 10) {
--- a/tests/controllers/placement/serverRateShares.test.ts
+++ b/tests/controllers/placement/serverRateShares.test.ts
@@ -9,7 +9,11 @@
 import {silentEvents} from '../../../src/logging/index.js';
 import {createSeededRandom} from '../../../src/utils/index.js';
 import {REQUEST, ROUTE, createServer} from '../../exchange/exchangeFixtures.js';
-import {createQuarantine, createSettings} from '../../gateway/gatewayFixtures.js';
+import {
+  createQuarantine,
+  createServerLimits,
+  createSettings,
+} from '../../gateway/gatewayFixtures.js';
 
 /** Requests per second that the cold server sustains. */
 const SUSTAINED_PER_SECOND = 11;
@@ -59,6 +63,7 @@
     usageLedger: new UsageLedger(5),
     events: silentEvents,
     quarantine: createQuarantine(id),
+    serverLimits: createServerLimits(id),
     getGatewayIds: () => fleet,
     isFleetKnown: () => isFleetKnown,
     getNowMs: () => 0,
--- a/tests/gateway/gatewayFixtures.ts
+++ b/tests/gateway/gatewayFixtures.ts
@@ -1,5 +1,6 @@
 /** Builders of settings, members and gossip states for gateway tests. */
 import {NO_FINDINGS} from '../../src/controllers/quarantine/index.js';
+import {ServerLimits} from '../../src/gateway/ServerLimits.js';
 import {RequestQuarantine} from '../../src/gateway/RequestQuarantine.js';
 import {silentEvents} from '../../src/logging/index.js';
 import type {GatewaySettings} from '../../src/gateway/index.js';
@@ -82,6 +83,7 @@
     operatorAgeMs: operator.ageMs,
     registrations,
     findings: NO_FINDINGS,
+    serverLimits: [],
     wallMs: 0,
   };
 }
@@ -102,3 +104,17 @@
     getWallMs: () => 0,
   });
 }
+
+/**
+ * Returns the servers' limits of a gateway that is alone.
+ * @param ownId - Id of the gateway.
+ */
+export function createServerLimits(ownId: string): ServerLimits {
+  return new ServerLimits({
+    ownId,
+    events: silentEvents,
+    getGatewayIds: () => [ownId],
+    isFleetKnown: () => true,
+    getWallMs: () => 0,
+  });
+}
--- a/tests/gateway/retrySlack.test.ts
+++ b/tests/gateway/retrySlack.test.ts
@@ -6,7 +6,7 @@
 import {ServerLoads} from '../../src/controllers/placement/index.js';
 import {GatewayRunServices} from '../../src/gateway/GatewayRunServices.js';
 import {silentEvents} from '../../src/logging/index.js';
-import {createQuarantine, createSettings} from './gatewayFixtures.js';
+import {createQuarantine, createServerLimits, createSettings} from './gatewayFixtures.js';
 
 const GATEWAYS = 30;
 const RETRY_SLACK = 200;
@@ -26,6 +26,7 @@
       usageLedger: new UsageLedger(5),
       events: silentEvents,
       quarantine: createQuarantine(id),
+      serverLimits: createServerLimits(id),
       getGatewayIds: nowMs => (nowMs < DISCOVERY_MS ? [id] : fleet),
       isFleetKnown: nowMs => nowMs >= DISCOVERY_MS,
       getNowMs: () => 0,
--- a/tests/gossip/gossip.test.ts
+++ b/tests/gossip/gossip.test.ts
@@ -70,6 +70,9 @@
     ],
     survivals: [{suspect: 7n, survivedAtMs: 1_780_000_000_900}],
   },
+  serverLimits: [
+    {serverKey: 2n ** 63n + 9n, perSecond: 1.9, namedAtMs: 1_780_000_000_100, endedAtMs: 0},
+  ],
   wallMs: 1_780_000_001_000,
 };
 
--- a/tests/support/GossipFleet.ts
+++ b/tests/support/GossipFleet.ts
@@ -9,6 +9,7 @@
 import {QuotaLedger} from '../../src/controllers/quotas/index.js';
 import {GatewayGossip} from '../../src/gateway/GatewayGossip.js';
 import {LogReadCoordinator} from '../../src/gateway/LogReadCoordinator.js';
+import {ServerLimits} from '../../src/gateway/ServerLimits.js';
 import {RequestQuarantine} from '../../src/gateway/RequestQuarantine.js';
 import {PeerClock} from '../../src/gateway/PeerClock.js';
 import {
@@ -60,6 +61,7 @@
   readonly duties = new FakeDuties();
   readonly logReadCoordinator: LogReadCoordinator;
   readonly quarantine: RequestQuarantine;
+  readonly serverLimits: ServerLimits;
   readonly gossip: GatewayGossip;
   readonly member: GatewayMember;
   readonly phaseMs: number;
@@ -97,6 +99,13 @@
       getNowMs,
       getWallMs,
     });
+    this.serverLimits = new ServerLimits({
+      ownId: member.id,
+      events: silentEvents,
+      getGatewayIds: nowMs => [member.id, ...this.members.getKnownIds(nowMs)],
+      isFleetKnown: () => true,
+      getWallMs,
+    });
     this.gossip = new GatewayGossip({
       settings: createSettings({
         id: member.id,
@@ -114,6 +123,7 @@
       duties: this.duties,
       logReadCoordinator: this.logReadCoordinator,
       quarantine: this.quarantine,
+      serverLimits: this.serverLimits,
       clock: new PeerClock({getNowMs, getWallMs}),
       events: silentEvents,
       createChannel: onState => this.createChannel(onState, fleet),
