Keep the origin of relayed reads of the operators' records

Cause: gateways told each other the age of the newest read, each receiver counted back from the time of arrival, without the time in transit, and kept the latest it had ever heard. Two gateways that told each other the same read so made it younger with each turn.

Change: a relayed read names the gateway's start that made it and its number there. A read that is known can only turn out to be older, whatever path it comes by, so its error is at most the time in transit of one path and doesn't grow.

--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -68,11 +68,11 @@
   }
 
   /**
-   * Marks the operators' records as completely known up to a time.
-   * @param atMs - Monotonic time in milliseconds; ignored if earlier than the recorded one.
+   * Sets the time up to which the operators' records are completely known.
+   * @param atMs - Monotonic time in milliseconds; earlier than the present one if a read turned out to be older.
    */
-  markOperatorRecordsCurrent(atMs: number): void {
-    this.operatorRecordsCurrentAtMs = Math.max(this.operatorRecordsCurrentAtMs, atMs);
+  setOperatorRecordsCurrent(atMs: number): void {
+    this.operatorRecordsCurrentAtMs = atMs;
   }
 
   /**
--- a/src/controllers/reading/index.ts
+++ b/src/controllers/reading/index.ts
@@ -5,3 +5,4 @@
   type ReadIntervals,
   type ReadView,
 } from './decideRead.js';
+export {ReadOrigins, type RelayedRead} from './ReadOrigins.js';
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -207,7 +207,7 @@
   }
 
   private buildAnnouncement(members: readonly GatewayMember[], nowMs: number): GossipState {
-    const {catalog, duties, logReadCoordinator, clock, quarantine, serverLimits} = this.options;
+    const {duties, logReadCoordinator, clock, quarantine, serverLimits} = this.options;
     return {
       sender: this.options.describeSelf(),
       members,
@@ -223,7 +223,7 @@
       rest: undefined,
       dutyClaim: duties.claim,
       operatorOffset: logReadCoordinator.getKnownOffset('operator'),
-      operatorAgeMs: catalog.getOperatorRecordsAgeMs(nowMs),
+      operatorRead: logReadCoordinator.getOperatorRead(nowMs),
       registrations: logReadCoordinator.getRegistrationsUpdate(
         this.isDue(FULL_STATE_INTERVAL),
         nowMs,
--- a/src/gateway/LogReadCoordinator.ts
+++ b/src/gateway/LogReadCoordinator.ts
@@ -3,12 +3,19 @@
  * decides when this gateway reads a log itself, and applies what its peers report that they have read.
  */
 import type {Catalog, DepartureReason, ServerEntry, ServerStart} from '../catalog/index.js';
-import {getReaderRank, getReadDelayMs, type ReadIntervals} from '../controllers/reading/index.js';
-import type {
-  GatewayMember,
-  GossipState,
-  MemberTable,
-  RegistrationsUpdate,
+import {
+  ReadOrigins,
+  getReaderRank,
+  getReadDelayMs,
+  type ReadIntervals,
+  type RelayedRead,
+} from '../controllers/reading/index.js';
+import {
+  getMemberKey,
+  type GatewayMember,
+  type GossipState,
+  type MemberTable,
+  type RegistrationsUpdate,
 } from '../gossip/index.js';
 import type {EventLogger, LogFields} from '../logging/index.js';
 
@@ -49,6 +56,7 @@
   private readonly knownOffsets: Record<SharedLog, number> = {operator: 0, registrations: 0};
   /** Highest offset of the operators' records that a peer has reported. */
   private reportedOperatorOffset = 0;
+  private readonly operatorReads = new ReadOrigins();
   private onOperatorUpdate: () => void = () => undefined;
   private onRead: () => void = () => undefined;
 
@@ -76,8 +84,16 @@
    * Records that the adapter has read a log.
    * @param log - Log that was read.
    * @param nextOffset - Offset after the last record read.
+   * @param readAtMs - Monotonic time up to which the records are complete.
    */
-  recordRead(log: SharedLog, nextOffset: number): void {
+  recordRead(log: SharedLog, nextOffset: number, readAtMs: number): void {
+    const {catalog, describeSelf} = this.options;
+    if (log === 'operator') {
+      this.operatorReads.addOwnRead(getMemberKey(describeSelf()), readAtMs);
+      catalog.setOperatorRecordsCurrent(this.operatorReads.getNewestAtMs());
+    } else {
+      catalog.markRegistrationsCurrent(readAtMs);
+    }
     this.knownOffsets[log] = Math.max(this.knownOffsets[log], nextOffset);
     this.onRead();
   }
@@ -90,6 +106,14 @@
     return this.knownOffsets[log];
   }
 
+  /**
+   * Returns the newest read of the operators' records for the peers.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  getOperatorRead(nowMs: number): RelayedRead {
+    return this.operatorReads.getNewest(nowMs);
+  }
+
   /**
    * Returns the time in milliseconds until the adapter reads a log again.
    * @param log - Log to read.
@@ -139,24 +163,23 @@
    * @param state - State received from the peer.
    * @param nowMs - Current monotonic time in milliseconds.
    */
-  apply({sender, operatorOffset, operatorAgeMs, registrations}: GossipState, nowMs: number): void {
+  apply({sender, operatorOffset, operatorRead, registrations}: GossipState, nowMs: number): void {
     for (const start of registrations.draining) {
       this.applyDeparture(start, 'draining', sender.id, nowMs);
     }
     this.applyRegistrations(registrations, sender.id, nowMs);
-    this.applyOperatorOffset(operatorOffset, operatorAgeMs, nowMs);
+    this.applyOperatorRead(operatorOffset, operatorRead, nowMs);
   }
 
   /**
    * Applies a peer's position in the operators' records. At an equal offset this gateway knows the same records, so
    * they were complete at the time of the peer's read. A higher offset means that there are records to read.
    */
-  private applyOperatorOffset(offset: number, ageMs: number, nowMs: number): void {
-    if (offset === 0) return;
-    if (offset <= this.knownOffsets.operator) {
-      if (offset === this.knownOffsets.operator) {
-        this.options.catalog.markOperatorRecordsCurrent(nowMs - ageMs);
-      }
+  private applyOperatorRead(offset: number, read: RelayedRead, nowMs: number): void {
+    if (offset === 0 || offset < this.knownOffsets.operator) return;
+    if (offset === this.knownOffsets.operator) {
+      this.operatorReads.apply(read, nowMs);
+      this.options.catalog.setOperatorRecordsCurrent(this.operatorReads.getNewestAtMs());
       return;
     }
     const isHigher = offset > this.reportedOperatorOffset;
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -2,6 +2,7 @@
 import type {ServerEntry, ServerStart} from '../catalog/index.js';
 import type {NamedLimit, ServerLoad} from '../controllers/placement/index.js';
 import type {CrashFindings} from '../controllers/quarantine/index.js';
+import type {RelayedRead} from '../controllers/reading/index.js';
 import type {StateSummary} from './StateSummary.js';
 
 /** A gateway's own description of itself, which the other gateways keep as its member record. */
@@ -82,8 +83,8 @@
   readonly dutyClaim: DutyClaim;
   /** Next offset that the sender will read in the operators' records; 0 before its first read. */
   readonly operatorOffset: number;
-  /** Time since the sender's operators' records were last known to be complete. */
-  readonly operatorAgeMs: number;
+  /** The newest read by which the sender's operators' records are known to be complete. */
+  readonly operatorRead: RelayedRead;
   readonly registrations: RegistrationsUpdate;
   /** Crashes of backend servers, and what has been answered since; those that are new, or some of all. */
   readonly findings: CrashFindings;
--- a/src/gossip/gossipCodec.ts
+++ b/src/gossip/gossipCodec.ts
@@ -56,7 +56,9 @@
     dutyToken: BigInt(state.dutyClaim.token),
     dutyHolderId: state.dutyClaim.holderId,
     operatorOffset: BigInt(state.operatorOffset),
-    operatorAgeMs: toAge(state.operatorAgeMs),
+    operatorAgeMs: toAge(state.operatorRead.ageMs),
+    operatorReaderKey: state.operatorRead.readerKey,
+    operatorReadNumber: state.operatorRead.readNumber,
     registrationsOffset: BigInt(state.registrations.offset),
     registrationsAgeMs: toAge(state.registrations.ageMs),
     registrationsDigest: state.registrations.digest,
@@ -95,7 +97,11 @@
     rest: message.rest && fromSummary(message.rest),
     dutyClaim: {token: Number(message.dutyToken), holderId: message.dutyHolderId},
     operatorOffset: Number(message.operatorOffset),
-    operatorAgeMs: message.operatorAgeMs,
+    operatorRead: {
+      readerKey: message.operatorReaderKey,
+      readNumber: message.operatorReadNumber,
+      ageMs: message.operatorAgeMs,
+    },
     registrations: {
       offset: Number(message.registrationsOffset),
       ageMs: message.registrationsAgeMs,
