Let a telling request decide between suspects of the same crashes

Suspects of the same crashes are now rivals. A request that has one of them but not the other runs at once, one at a time at each gateway: an answer releases its suspect, a crash counts against it alone and releases the rival. A request with all of them stays refused. The price is at most a few servers more where the deadly part comes without its company.

Two tests of RequestQuarantine, which failed before (the telling request was refused).

--- a/src/controllers/quarantine/decideQuarantines.ts
+++ b/src/controllers/quarantine/decideQuarantines.ts
@@ -7,6 +7,8 @@
   readonly sinceMs: number;
   /** Unix time in milliseconds after which a single request may show whether the suspect still crashes servers. */
   readonly untilMs: number;
+  /** Suspects of the same crashes, of which one may be the cause alone. */
+  readonly rivals: readonly Suspect[];
 }
 
 /** Whether a request may be sent to a backend server. */
@@ -53,8 +55,10 @@
   for (;;) {
     const charges = getWorstCharges(unexplained, survivedAtMs);
     if (charges.length === 0) return quarantines;
-    for (const {suspect, crashes, hasSurvived} of charges) {
-      quarantines.set(suspect, getPeriod(crashes, getThreshold(hasSurvived)));
+    for (const charge of charges) {
+      const rivals = charges.filter(other => other !== charge && hasSameCrashes(other, charge));
+      const period = getPeriod(charge.crashes, getThreshold(charge.hasSurvived));
+      quarantines.set(charge.suspect, {...period, rivals: rivals.map(({suspect}) => suspect)});
     }
     unexplained = unexplained.filter(
       ({suspects}) => !suspects.some(suspect => quarantines.has(suspect)),
@@ -108,12 +112,21 @@
   return others.length >= OUTAGE_SERVERS;
 }
 
+function hasSameCrashes(a: Charge, b: Charge): boolean {
+  return (
+    a.crashes.length === b.crashes.length && a.crashes.every(crash => b.crashes.includes(crash))
+  );
+}
+
 function getThreshold(hasSurvived: boolean): number {
   return hasSurvived ? CRASHES_SINCE_SURVIVAL : CRASHES_WITHOUT_SURVIVAL;
 }
 
 /** A crash after the end of a quarantine begins the next one, which is longer. */
-function getPeriod(crashes: readonly CrashReport[], threshold: number): QuarantinePeriod {
+function getPeriod(
+  crashes: readonly CrashReport[],
+  threshold: number,
+): Omit<QuarantinePeriod, 'rivals'> {
   const timesMs = crashes.map(({crashedAtMs}) => crashedAtMs).sort((a, b) => a - b);
   let sinceMs = timesMs[threshold - 1];
   let lengthMs = FIRST_PERIOD_MS;
--- a/src/gateway/RequestQuarantine.ts
+++ b/src/gateway/RequestQuarantine.ts
@@ -105,17 +105,15 @@
   check(request: SuspectRequest, nowMs: number): QuarantineCheck {
     if (this.quarantines.size === 0) return {kind: 'run'};
     const wallMs = this.options.getWallMs();
-    const periods = getSuspects(request).flatMap(suspect => {
-      const period = this.quarantines.get(suspect);
-      return period ? [{suspect, period}] : [];
-    });
-    if (periods.length === 0) return {kind: 'run'};
-    const delaysMs = periods.map(({suspect, period}) =>
-      this.getRetryAfterMs(suspect, period, wallMs, nowMs),
+    const suspects = getSuspects(request);
+    const quarantined = suspects.filter(suspect => this.quarantines.has(suspect));
+    if (quarantined.length === 0) return {kind: 'run'};
+    const delaysMs = quarantined.map(suspect =>
+      this.isUndecided(suspect, suspects, nowMs) ? 0 : this.getRetryAfterMs(suspect, wallMs, nowMs),
     );
     const retryAfterMs = Math.max(...delaysMs);
     if (retryAfterMs > 0) return {kind: 'refused', retryAfterMs};
-    for (const {suspect} of periods) this.startTrial(suspect, nowMs);
+    for (const suspect of quarantined) this.startTrial(suspect, nowMs);
     return {kind: 'run'};
   }
 
@@ -186,17 +184,27 @@
   }
 
   /** Returns the time after which a caller may retry; 0 if the request may run, to try the suspect again. */
-  private getRetryAfterMs(
-    suspect: Suspect,
-    {sinceMs, untilMs}: QuarantinePeriod,
-    wallMs: number,
-    nowMs: number,
-  ): number {
+  private getRetryAfterMs(suspect: Suspect, wallMs: number, nowMs: number): number {
+    const {sinceMs = 0, untilMs = 0} = this.quarantines.get(suspect) ?? {};
     if (wallMs < untilMs) {
       return wallMs - sinceMs < OBJECTION_MS ? OBJECTION_MS : untilMs - wallMs;
     }
-    const isTrialRunning = nowMs - (this.trialsAtMs.get(suspect) ?? -Infinity) < TRIAL_TIMEOUT_MS;
-    return isTrialRunning || !this.hasTrialTurn(wallMs, nowMs) ? TRIAL_RETRY_MS : 0;
+    const mayTry = !this.isTrialRunning(suspect, nowMs) && this.hasTrialTurn(wallMs, nowMs);
+    return mayTry ? 0 : TRIAL_RETRY_MS;
+  }
+
+  /**
+   * Returns whether a request shows which of several suspects of the same crashes is the cause: it has this one, but not
+   * all of its rivals. It may then run at once, since either result decides.
+   */
+  private isUndecided(suspect: Suspect, suspects: readonly Suspect[], nowMs: number): boolean {
+    const rivals = this.quarantines.get(suspect)?.rivals ?? [];
+    const isTelling = rivals.some(rival => !suspects.includes(rival));
+    return isTelling && !this.isTrialRunning(suspect, nowMs);
+  }
+
+  private isTrialRunning(suspect: Suspect, nowMs: number): boolean {
+    return nowMs - (this.trialsAtMs.get(suspect) ?? -Infinity) < TRIAL_TIMEOUT_MS;
   }
 
   /** Returns whether it is this gateway's turn to try what other gateways refuse; no two have it at a time. */
--- a/tests/gateway/RequestQuarantine.test.ts
+++ b/tests/gateway/RequestQuarantine.test.ts
@@ -149,6 +149,36 @@
     t.equal(witness.check(SOUND, harness.nowMs).kind, 'run');
   });
 
+  t.test('a part that was in the company of the deadly one each time is soon released', async t => {
+    const harness = new Harness();
+    const quarantine = harness.create('g1');
+    const createDeadly = () => createRequest(['subject', 'deadly']);
+    for (let count = 0; count < 3; count += 1) {
+      await harness.crash(quarantine, [createDeadly(), undefined]);
+    }
+    t.equal(quarantine.check(createDeadly(), harness.nowMs).kind, 'refused');
+    const sound = createRequest(['subject']);
+    t.equal(quarantine.check(sound, harness.nowMs).kind, 'run', 'it shows which part it is');
+    t.equal(quarantine.check(createRequest(['subject']), harness.nowMs).kind, 'refused');
+    harness.nowMs += 500;
+    quarantine.addAnswer(sound, ANSWER);
+    t.equal(quarantine.check(createRequest(['subject']), harness.nowMs).kind, 'run');
+    t.equal(quarantine.check(createDeadly(), harness.nowMs).kind, 'refused');
+  });
+
+  t.test('a crash of such a request releases the other part', async t => {
+    const harness = new Harness();
+    const quarantine = harness.create('g1');
+    for (let count = 0; count < 3; count += 1) {
+      await harness.crash(quarantine, [createRequest(['subject', 'deadly']), undefined]);
+    }
+    const telling = createRequest(['deadly']);
+    t.equal(quarantine.check(telling, harness.nowMs).kind, 'run');
+    await harness.crash(quarantine, [telling, undefined]);
+    t.equal(quarantine.check(createRequest(['deadly']), harness.nowMs).kind, 'refused');
+    t.equal(quarantine.check(createRequest(['subject']), harness.nowMs).kind, 'run');
+  });
+
   t.test('after a quarantine one gateway lets one request run, and its result counts', async t => {
     const harness = new Harness();
     const fleet = GATEWAYS.map(id => harness.create(id));
