--- a/tests/support/GossipFleet.ts
+++ b/tests/support/GossipFleet.ts
@@ -156,6 +156,8 @@
   readonly gateways: GossipGateway[] = [];
   private readonly options: GossipFleetOptions;
   private readonly random: () => number;
+  /** Apart from the other random numbers, so that times in transit don't change which datagrams are lost. */
+  private readonly transitRandom: () => number;
   private readonly byAddress = new Map<string, GossipGateway>();
   private inFlight: {
     readonly bytes: Uint8Array;
@@ -166,6 +168,7 @@
   constructor(options: GossipFleetOptions) {
     this.options = options;
     this.random = createSeededRandom(options.seed);
+    this.transitRandom = createSeededRandom(options.seed + 1_000);
     for (let index = 0; index < options.gatewayCount; index += 1) this.addGateway(index, 1);
   }
 
@@ -200,7 +203,7 @@
   /** Queues an encoded datagram, which arrives after its time in transit unless it is lost. */
   transmit(bytes: Uint8Array, address: string): void {
     if (this.random() < this.options.lossShare) return;
-    const transitMs = this.random() * (this.options.maxTransitMs ?? 0);
+    const transitMs = this.transitRandom() * (this.options.maxTransitMs ?? 0);
     this.inFlight.push({bytes, address, arrivesAtMs: this.nowMs + transitMs});
   }
 
