Move windowed sums over gateways and sums of durations into modules of their own

The usage counts of all gateways are added up by window, gateway and group of gateways. Results of roll-outs need the same, so that part of UsageLedger becomes FleetWindows. addDuration and addMoments stood in two modules, and a third copy of the second one in EvidenceComparison. Behaviour is the same: usageLosses, duties, MoveController and gossip tests pass unchanged.

--- a/src/controllers/duties/UsageLedger.ts
+++ b/src/controllers/duties/UsageLedger.ts
@@ -1,5 +1,6 @@
 /** Counts started requests of all gateways by workspace and by time window of the wall clock. */
 import type {UsageCount} from '../../gossip/index.js';
+import {FleetWindows, type WindowRow} from '../../utils/index.js';
 
 /** Number of requests by workspace. */
 export type WindowCounts = ReadonlyMap<string, number>;
@@ -13,13 +14,12 @@
 /** Merges this gateway's request counts with those that the other gateways report over gossip. */
 export class UsageLedger {
   private readonly windowMs: number;
-  /** Counts by window and workspace, for each `gatewayId/incarnation`. */
-  private readonly byGateway = new Map<string, Map<number, Map<string, number>>>();
-  /** This gateway's counts by window and workspace. */
-  private readonly own = new Map<number, Map<string, number>>();
-  /** Counts that represent several gateways, by window and workspace, for each source. */
-  private readonly bySource = new Map<string, Map<number, Map<string, number>>>();
-  private isCounted: (gatewayId: string) => boolean = () => true;
+  private readonly windows = new FleetWindows<number>({
+    keptWindows: KEPT_WINDOWS,
+    add: (one, other) => one + other,
+    // Counts only grow.
+    getLater: Math.max,
+  });
 
   /** @param windowSeconds - Length of a window, the same at all gateways. */
   constructor(windowSeconds: number) {
@@ -45,27 +45,17 @@
    * @param wallMs - Unix time of its start in milliseconds.
    */
   addRequest(workspace: string, wallMs: number): void {
-    const window = this.getWindow(wallMs);
-    const counts = getOrAdd(this.own, window, () => new Map<string, number>());
-    counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
-    dropOld(this.own, window);
+    this.windows.addOwn({window: this.getWindow(wallMs), key: workspace, value: 1});
   }
 
   /**
-   * Merges counts reported by another gateway. Counts only grow, so the larger one wins when messages arrive out of
-   * order.
+   * Merges counts reported by another gateway.
    * @param gatewayId - Gateway that reported the counts.
    * @param incarnation - Distinguishes restarts of that gateway; each one starts counting at zero.
    * @param usage - Totals by window and workspace, not increments.
    */
   mergePeerUsage(gatewayId: string, incarnation: number, usage: readonly UsageCount[]): void {
-    const key = `${gatewayId}/${incarnation}`;
-    const windows = getOrAdd(this.byGateway, key, () => new Map<number, Map<string, number>>());
-    for (const {window, workspace, requests} of usage) {
-      const counts = getOrAdd(windows, window, () => new Map<string, number>());
-      counts.set(workspace, Math.max(requests, counts.get(workspace) ?? 0));
-      dropOld(windows, window);
-    }
+    this.windows.mergePeer(gatewayId, incarnation, usage.map(toRow));
   }
 
   /**
@@ -73,7 +63,7 @@
    * @param isCounted - Called with the id of a gateway that has reported its own counts.
    */
   setGatewayFilter(isCounted: (gatewayId: string) => boolean): void {
-    this.isCounted = isCounted;
+    this.windows.setGatewayFilter(isCounted);
   }
 
   /**
@@ -82,18 +72,12 @@
    * @param usage - Totals of the windows that the report contains; other windows keep their counts.
    */
   applyCombinedUsage(sourceId: string, usage: readonly UsageCount[]): void {
-    const windows = getOrAdd(this.bySource, sourceId, () => new Map());
-    for (const window of new Set(usage.map(count => count.window))) {
-      windows.set(window, new Map());
-      dropOld(windows, window);
-    }
-    for (const {window, workspace, requests} of usage)
-      windows.get(window)?.set(workspace, requests);
+    this.windows.applyCombined(sourceId, usage.map(toRow));
   }
 
   /** Drops the combined counts of a source whose gateways are now reported by another one. */
   removeCombinedUsage(sourceId: string): void {
-    this.bySource.delete(sourceId);
+    this.windows.removeCombined(sourceId);
   }
 
   /**
@@ -102,12 +86,7 @@
    * @param sourceIds - Sources of combined counts that are included.
    */
   getGroupUsage(windows: number, sourceIds: readonly string[]): readonly UsageCount[] {
-    const numbers = [this.own, ...this.byGateway.values()].flatMap(counts => [...counts.keys()]);
-    return toUsage(getNewest(numbers, windows), window => {
-      const total = this.getGroupTotal(window);
-      this.addCombined(total, window, sourceIds);
-      return total;
-    });
+    return this.windows.getGroup(windows, sourceIds).map(toCount);
   }
 
   /**
@@ -115,12 +94,7 @@
    * @param windows - Number of windows to return.
    */
   getCombinedUsage(windows: number, sourceIds: readonly string[]): readonly UsageCount[] {
-    const numbers = sourceIds.flatMap(id => [...(this.bySource.get(id)?.keys() ?? [])]);
-    return toUsage(getNewest(numbers, windows), window => {
-      const total = new Map<string, number>();
-      this.addCombined(total, window, sourceIds);
-      return total;
-    });
+    return this.windows.getCombined(windows, sourceIds).map(toCount);
   }
 
   /**
@@ -128,11 +102,7 @@
    * @param windows - Number of windows to return; all that are kept by default.
    */
   getOwnUsage(windows = KEPT_WINDOWS): readonly UsageCount[] {
-    return [...this.own]
-      .slice(-windows)
-      .flatMap(([window, counts]) =>
-        [...counts].map(([workspace, requests]) => ({window, workspace, requests})),
-      );
+    return this.windows.getOwn(windows).map(toCount);
   }
 
   /**
@@ -157,59 +127,14 @@
 
   /** Returns the counts of a window, summed over all gateways and incarnations. */
   getTotal(window: number): WindowCounts {
-    const total = this.getGroupTotal(window);
-    this.addCombined(total, window, [...this.bySource.keys()]);
-    return total;
+    return this.windows.getTotal(window);
   }
-
-  /** Returns the counts of a window over this gateway and all that report their own counts. */
-  private getGroupTotal(window: number): Map<string, number> {
-    const total = new Map(this.own.get(window));
-    for (const [key, windows] of this.byGateway) {
-      const gatewayId = key.slice(0, key.lastIndexOf('/'));
-      if (this.isCounted(gatewayId)) addCounts(total, windows.get(window));
-    }
-    return total;
-  }
-
-  private addCombined(
-    total: Map<string, number>,
-    window: number,
-    sourceIds: readonly string[],
-  ): void {
-    for (const id of sourceIds) addCounts(total, this.bySource.get(id)?.get(window));
-  }
-}
-
-function getNewest(windows: readonly number[], count: number): readonly number[] {
-  return [...new Set(windows)].sort((a, b) => a - b).slice(-count);
 }
 
-function toUsage(
-  windows: readonly number[],
-  getCounts: (window: number) => WindowCounts,
-): readonly UsageCount[] {
-  return windows.flatMap(window =>
-    [...getCounts(window)].map(([workspace, requests]) => ({window, workspace, requests})),
-  );
+function toRow({window, workspace, requests}: UsageCount): WindowRow<number> {
+  return {window, key: workspace, value: requests};
 }
 
-function addCounts(total: Map<string, number>, counts: WindowCounts | undefined): void {
-  for (const [workspace, requests] of counts ?? []) {
-    total.set(workspace, (total.get(workspace) ?? 0) + requests);
-  }
-}
-
-function getOrAdd<Key, Value>(map: Map<Key, Value>, key: Key, createValue: () => Value): Value {
-  const existing = map.get(key);
-  if (existing !== undefined) return existing;
-  const created = createValue();
-  map.set(key, created);
-  return created;
-}
-
-function dropOld<Value>(windows: Map<number, Value>, newest: number): void {
-  for (const window of windows.keys()) {
-    if (window <= newest - KEPT_WINDOWS) windows.delete(window);
-  }
+function toCount({window, key, value}: WindowRow<number>): UsageCount {
+  return {window, workspace: key, requests: value};
 }
--- a/src/controllers/moves/EvidenceComparison.ts
+++ b/src/controllers/moves/EvidenceComparison.ts
@@ -3,6 +3,7 @@
  * tests are sequential: they stay valid however often their result is read.
  */
 import type {DurationMoments, VersionEvidence} from '../../blackboard/index.js';
+import {addMoments, NO_DURATIONS} from './DurationMoments.js';
 
 /** Measurements of two versions from the same time block under similar load, so that they can be compared. */
 export interface EvidenceStratum {
@@ -38,7 +39,6 @@
 /** Variance of the score at which the mixture over alternatives is most sensitive. */
 const ERROR_MIXTURE_VARIANCE = 0.25;
 const DURATION_MIXTURE_VARIANCE = 4;
-const NO_DURATIONS: DurationMoments = {count: 0, sumLogMs: 0, sumSquaredLogMs: 0};
 /**
  * Minimum variance of log durations. Stand-in engines are so regular that any difference would otherwise be
  * significant.
@@ -192,12 +192,5 @@
 }
 
 function sumMoments(summands: readonly DurationMoments[]): DurationMoments {
-  return summands.reduce(
-    (total, moments) => ({
-      count: total.count + moments.count,
-      sumLogMs: total.sumLogMs + moments.sumLogMs,
-      sumSquaredLogMs: total.sumSquaredLogMs + moments.sumSquaredLogMs,
-    }),
-    NO_DURATIONS,
-  );
+  return summands.reduce(addMoments, NO_DURATIONS);
 }
--- a/src/controllers/moves/EvidenceMerge.ts
+++ b/src/controllers/moves/EvidenceMerge.ts
@@ -1,5 +1,6 @@
 /** Merges the evidence of all entries and coarsens old windows into blocks, which bounds the lease holder's memory. */
-import type {DurationMoments, VersionEvidence} from '../../blackboard/index.js';
+import type {VersionEvidence} from '../../blackboard/index.js';
+import {addMoments} from './DurationMoments.js';
 
 /** Time for which the lease holder keeps merged evidence. */
 export const MERGED_RETENTION_MS = 900_000;
@@ -55,11 +56,3 @@
     interToken: addMoments(one.interToken, other.interToken),
   };
 }
-
-function addMoments(one: DurationMoments, other: DurationMoments): DurationMoments {
-  return {
-    count: one.count + other.count,
-    sumLogMs: one.sumLogMs + other.sumLogMs,
-    sumSquaredLogMs: one.sumSquaredLogMs + other.sumSquaredLogMs,
-  };
-}
--- a/src/controllers/moves/EvidenceRecorder.ts
+++ b/src/controllers/moves/EvidenceRecorder.ts
@@ -1,10 +1,6 @@
 /** Aggregates an entry's finished attempts into time windows of evidence, by which versions are compared. */
-import type {
-  DurationMoments,
-  LoadBand,
-  PrefillBand,
-  VersionEvidence,
-} from '../../blackboard/index.js';
+import type {LoadBand, PrefillBand, VersionEvidence} from '../../blackboard/index.js';
+import {addDuration, NO_DURATIONS} from './DurationMoments.js';
 
 /** Length of an evidence window. */
 export const EVIDENCE_WINDOW_MS = 2_000;
@@ -20,9 +16,6 @@
   {band: 'long', fromTokens: 1_024},
   {band: 'short', fromTokens: 256},
 ];
-/** Shorter durations are recorded as this one, since the logarithm of 0 isn't finite. */
-const MIN_DURATION_MS = 0.1;
-const NO_DURATIONS: DurationMoments = {count: 0, sumLogMs: 0, sumSquaredLogMs: 0};
 
 /** A finished attempt as measured by an entry. */
 export interface AttemptSample {
@@ -102,13 +95,3 @@
     }
   }
 }
-
-function addDuration(moments: DurationMoments, durationMs: number | undefined): DurationMoments {
-  if (durationMs === undefined) return moments;
-  const logMs = Math.log(Math.max(durationMs, MIN_DURATION_MS));
-  return {
-    count: moments.count + 1,
-    sumLogMs: moments.sumLogMs + logMs,
-    sumSquaredLogMs: moments.sumSquaredLogMs + logMs * logMs,
-  };
-}
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -11,3 +11,9 @@
 export {waitForStopSignal} from './stopSignal.js';
 export {createSeededRandom} from './seededRandom.js';
 export {parseJson} from './parseJson.js';
+export {
+  FleetWindows,
+  type FleetWindowsOptions,
+  type WindowRow,
+  type WindowValues,
+} from './FleetWindows.js';
