--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -18,6 +18,8 @@
 const REQUEST_EVENTS_PER_SECOND = 300;
 /** Rate limit of events that are caused by changes of the deployment. */
 const STATE_CHANGES_PER_SECOND = 50;
+/** Steps of roll-outs, of which a gateway sees a few per service. */
+const ROLLOUT_EVENTS_PER_SECOND = 10;
 /** Rate limit of events that repeat while a fault persists. */
 const ERRORS_PER_SECOND = 10;
 
@@ -154,7 +156,7 @@
     meaning:
       'The share of requests that a roll-out may move has changed, or the roll-out has ended.',
     fields: ['service', 'targetVersion', 'phase', 'sharePercent', 'token'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: ROLLOUT_EVENTS_PER_SECOND,
   },
   'roll-out decided': {
     level: 'info',
@@ -171,14 +173,14 @@
       'sinceStartMs',
       'token',
     ],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: ROLLOUT_EVENTS_PER_SECOND,
   },
   'roll-out written': {
     level: 'info',
     meaning:
       'This gateway, as the duty holder, has written the state of a roll-out for the operators.',
     fields: ['service', 'targetVersion', 'phase', 'result', 'token'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: ROLLOUT_EVENTS_PER_SECOND,
   },
   'unreadable roll-out': {
     level: 'warn',
