Refuse requests by proofs of current keys instead of ages that peers tell

Cause: what a gateway believes of the age of its keys came from ages in datagrams, without the time for which these waited in transit or in a socket. An own read counted from the processing of its response. The monotonic clock stands still while a machine is suspended. A request that is sent again wasn't checked again. Change: a gateway that gets its own stamp back measures with its own clock (ReadProof); relaying and delays only make proofs older. Requests are refused when the proof is older than 0.95 of the bound. Ages still decide when a gateway reads for itself. The clock counts suspensions. Keys are checked before each attempt. checkRequest gets the age as a value, so its test passes that value.

--- a/src/controllers/reading/index.ts
+++ b/src/controllers/reading/index.ts
@@ -5,4 +5,5 @@
   type ReadIntervals,
   type ReadView,
 } from './decideRead.js';
+export {ReadProof, type ToldProof} from './ReadProof.js';
 export {ReadOrigins, type RelayedRead} from './ReadOrigins.js';
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -139,6 +139,8 @@
     const nowMs = getNowMs();
     const remainingMs = admitted.deadlineAtMs - nowMs;
     if (remainingMs < MIN_ATTEMPT_MS) return this.fail('timeout', undefined);
+    const refusal = this.attempts > 0 ? services.recheck(admitted) : undefined;
+    if (refusal) return this.fail(this.hasRun ? 'backend-failed' : refusal, refusal);
     const quarantine = services.checkQuarantine(admitted, nowMs);
     if (quarantine.kind === 'refused') {
       return this.fail('quarantined', undefined, quarantine.retryAfterMs);
--- a/src/exchange/RunServices.ts
+++ b/src/exchange/RunServices.ts
@@ -42,6 +42,8 @@
 export interface RunServices {
   /** Returns whether a request may be sent, or contains what has crashed servers. */
   checkQuarantine(admitted: AdmittedRequest, nowMs: number): QuarantineCheck;
+  /** Returns why a request that was admitted may not be sent again; undefined if it may. */
+  recheck(admitted: AdmittedRequest): RefusalKind | undefined;
   /** Chooses the backend server of the next attempt, other than those in `attemptedServerIds`. */
   choose(
     admitted: AdmittedRequest,
--- a/src/exchange/checkRequest.ts
+++ b/src/exchange/checkRequest.ts
@@ -14,6 +14,8 @@
 
 /** Limits that `checkRequest` applies. */
 export interface RequestCheckOptions {
+  /** Time since the configuration was certainly the newest one. */
+  readonly configurationAgeMs: number;
   /** Age of the configuration above which all requests are refused, since its API keys can't be trusted any more. */
   readonly maxConfigurationAgeMs: number;
 }
@@ -21,19 +23,15 @@
 /** Short, since a caller that reached a gateway without a current configuration can retry at another gateway. */
 const RETRY_ELSEWHERE_MS = 100;
 
-/**
- * Finds the route and workspace of a request, or refuses it.
- * @param nowMs - Monotonic time in milliseconds.
- */
+/** Finds the route and workspace of a request, or refuses it. */
 export function checkRequest(
   catalog: Catalog,
   request: Pick<ServingRequest, 'host' | 'path' | 'key'>,
   options: RequestCheckOptions,
-  nowMs: number,
 ): RequestCheck {
   const {routeTable} = catalog;
   if (!routeTable) return refuse('not-configured', RETRY_ELSEWHERE_MS);
-  if (catalog.getOperatorRecordsAgeMs(nowMs) > options.maxConfigurationAgeMs) {
+  if (options.configurationAgeMs > options.maxConfigurationAgeMs) {
     return refuse('not-current', RETRY_ELSEWHERE_MS);
   }
   const route = routeTable.getRoute(request.host, request.path);
--- a/src/fleet/FleetClock.ts
+++ b/src/fleet/FleetClock.ts
@@ -1,4 +1,5 @@
 /** Clocks of a fleet daemon: wall-clock time for records, and two monotonic clocks for the terms of the lease. */
+import {SuspendAwareClock} from '../utils/index.js';
 
 /** The underlying clocks of the machine. */
 export interface ClockSources {
@@ -15,21 +16,16 @@
 };
 
 /**
- * Adds a suspend-aware clock for the lease holder. It advances by the larger of the wall clock's and the monotonic
- * clock's progress, because the monotonic clock stops while the machine is suspended. A step of the wall clock can
- * therefore only make the holder consider its lease expired too early, never too late.
+ * Adds a suspend-aware clock for the lease holder. A step of the wall clock can only make the holder consider its lease
+ * expired too early, never too late.
  */
 export class FleetClock {
   private readonly sources: ClockSources;
-  private lastWallMs: number;
-  private lastMonotonicMs: number;
-  private suspendAwareMs: number;
+  private readonly suspendAwareClock: SuspendAwareClock;
 
   constructor(sources: ClockSources = processClocks) {
     this.sources = sources;
-    this.lastWallMs = sources.getWallMs();
-    this.lastMonotonicMs = sources.getMonotonicMs();
-    this.suspendAwareMs = this.lastMonotonicMs;
+    this.suspendAwareClock = new SuspendAwareClock(sources);
   }
 
   /** Returns the Unix time in milliseconds, for timestamps in records. */
@@ -44,11 +40,6 @@
 
   /** Returns the suspend-aware time in milliseconds, by which the holder decides that its own lease has expired. */
   getSuspendAwareMs(): number {
-    const wallMs = this.sources.getWallMs();
-    const monotonicMs = this.sources.getMonotonicMs();
-    this.suspendAwareMs += Math.max(wallMs - this.lastWallMs, monotonicMs - this.lastMonotonicMs);
-    this.lastWallMs = wallMs;
-    this.lastMonotonicMs = monotonicMs;
-    return this.suspendAwareMs;
+    return this.suspendAwareClock.getNowMs();
   }
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -8,6 +8,8 @@
 import {
   ExchangeRun,
   checkRequest,
+  type AdmittedRequest,
+  type RequestCheck,
   type ResponseSink,
   type BackendTransport,
   type RefusalKind,
@@ -52,6 +54,8 @@
   readonly createChannel?: (onState: (state: GossipState) => void) => GossipChannel;
   /** Returns the monotonic time in milliseconds. */
   readonly getNowMs: () => number;
+  /** Returns the same time including the time for which the machine was suspended. */
+  readonly getAwareNowMs: () => number;
   /** Returns the Unix time in milliseconds. */
   readonly getWallMs: () => number;
   /** Returns a random number from 0 to less than 1. */
@@ -74,7 +78,7 @@
 /**
  * Age of the operators' records, as a share of `revocationMs`, above which requests are refused: keys may be revoked.
  */
-const MAX_CONFIGURATION_AGE_SHARE = 0.8;
+const MAX_CONFIGURATION_AGE_SHARE = 0.95;
 /** Age of the registrations above which a gateway reports itself as not ready. */
 const MAX_REGISTRATIONS_AGE_MS = 20_000;
 /** Time after the start in which the other gateways are found through the seeds. */
@@ -150,6 +154,7 @@
       rollouts,
       evidence: this.evidence,
       events,
+      recheck: admitted => this.recheck(admitted),
       isFleetKnown,
       getGatewayIds,
       getNowMs,
@@ -161,6 +166,7 @@
       members: this.members,
       events,
       describeSelf,
+      getAwareNowMs: options.getAwareNowMs,
     });
     this.startGate = new StartGate({
       isDeploymentKnown: () =>
@@ -265,7 +271,7 @@
     return {
       openRequests: this.runs.size,
       configurationVersion: catalog.routeTable?.configuration.version ?? 0,
-      configurationAgeMs: catalog.getOperatorRecordsAgeMs(nowMs),
+      configurationAgeMs: this.logReadCoordinator.getOperatorProofAgeMs(),
       registrationsAgeMs: catalog.getRegistrationsAgeMs(nowMs),
       gatewaysHeard: this.members.getLiveMembers(nowMs).length,
       gatewaysKnown: this.members.getKnownCount(nowMs),
@@ -290,7 +296,7 @@
     if (this.isStopping || !catalog.routeTable) return false;
     const nowMs = getNowMs();
     return (
-      catalog.getOperatorRecordsAgeMs(nowMs) <= this.getMaxConfigurationAgeMs() &&
+      this.logReadCoordinator.getOperatorProofAgeMs() <= this.getMaxConfigurationAgeMs() &&
       catalog.getRegistrationsAgeMs(nowMs) <= MAX_REGISTRATIONS_AGE_MS
     );
   }
@@ -353,10 +359,8 @@
   }
 
   private serve(request: ServingRequest, sink: ResponseSink): OpenRequest {
-    const {catalog, getNowMs} = this.options;
-    const nowMs = getNowMs();
-    const maxConfigurationAgeMs = this.getMaxConfigurationAgeMs();
-    const check = checkRequest(catalog, request, {maxConfigurationAgeMs}, nowMs);
+    const nowMs = this.options.getNowMs();
+    const check = this.check(request);
     if (check.kind === 'refused') {
       sink.refuse(check.refusal);
       this.logRefusal(request, check.refusal.kind, undefined);
@@ -372,6 +376,20 @@
     return this.run(request, route, workspace, sink);
   }
 
+  private check(request: ServingRequest): RequestCheck {
+    return checkRequest(this.options.catalog, request, {
+      configurationAgeMs: this.logReadCoordinator.getOperatorProofAgeMs(),
+      maxConfigurationAgeMs: this.getMaxConfigurationAgeMs(),
+    });
+  }
+
+  /** Returns why a request that was admitted earlier isn't any more; undefined if it still is. */
+  private recheck({request, workspace}: AdmittedRequest): RefusalKind | undefined {
+    const check = this.check(request);
+    if (check.kind === 'refused') return check.refusal.kind;
+    return check.workspace?.name === workspace ? undefined : 'no-key';
+  }
+
   private run(
     request: ServingRequest,
     route: Route,
@@ -434,7 +452,7 @@
     refusal: RefusalKind,
     workspace: string | undefined,
   ): void {
-    const {catalog, events, metrics, getNowMs} = this.options;
+    const {catalog, events, metrics} = this.options;
     metrics.addRefusal(refusal, workspace);
     events.log('request refused', {
       request: request.id,
@@ -442,7 +460,7 @@
       workspace,
       refusal,
       version: catalog.routeTable?.configuration.version,
-      configurationAgeMs: round(catalog.getOperatorRecordsAgeMs(getNowMs())),
+      configurationAgeMs: round(this.logReadCoordinator.getOperatorProofAgeMs()),
     });
   }
 
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -161,7 +161,7 @@
     }
     const others = this.getOtherRecipients(nowMs);
     if (others.length > 0) {
-      const state = {...this.buildAnnouncement(members, nowMs), requestsMembers: true};
+      const state = {...this.buildAnnouncement(members, [], nowMs), requestsMembers: true};
       this.channel.send(state, others);
     }
     if (this.broadcastCount % TRAFFIC_LOG_INTERVAL === 0) this.logTraffic(nowMs);
@@ -181,7 +181,7 @@
       heard: members.getLiveMembers(nowMs).length,
       known: members.getKnownCount(nowMs),
       registrationsAgeMs: Math.round(catalog.getRegistrationsAgeMs(nowMs)),
-      configurationAgeMs: Math.round(catalog.getOperatorRecordsAgeMs(nowMs)),
+      configurationAgeMs: Math.round(this.options.logReadCoordinator.getOperatorProofAgeMs()),
     });
     this.loggedTraffic = traffic;
     this.loggedAtMs = nowMs;
@@ -198,7 +198,7 @@
     const rest =
       isHead && this.isDue(REST_INTERVAL) ? this.exchange.getRest(group.level, nowMs) : undefined;
     const base = {
-      ...this.buildAnnouncement(members, nowMs),
+      ...this.buildAnnouncement(members, group.fellows, nowMs),
       level: group.level,
       isAnnouncement: false,
       rest: rest && this.limitWindows(rest, FULL_STATE_INTERVAL),
@@ -222,7 +222,11 @@
     };
   }
 
-  private buildAnnouncement(members: readonly GatewayMember[], nowMs: number): GossipState {
+  private buildAnnouncement(
+    members: readonly GatewayMember[],
+    recipients: readonly GatewayMember[],
+    nowMs: number,
+  ): GossipState {
     const {duties, logReadCoordinator, clock, quarantine, serverLimits} = this.options;
     return {
       sender: this.options.describeSelf(),
@@ -240,6 +244,7 @@
       dutyClaim: duties.claim,
       operatorOffset: logReadCoordinator.getKnownOffset('operator'),
       operatorRead: logReadCoordinator.getOperatorRead(nowMs),
+      ...logReadCoordinator.getOperatorProof(recipients),
       registrations: logReadCoordinator.getRegistrationsUpdate(
         this.isDue(FULL_STATE_INTERVAL),
         nowMs,
@@ -344,20 +349,22 @@
     const recipients = this.exchange
       .getGroups(nowMs)
       .filter(({fellows}) => !fellows.some(({id}) => id === sourceId))
-      .flatMap(({fellows}) => getAddresses(fellows));
+      .flatMap(({fellows}) => fellows);
     if (recipients.length === 0) return;
     this.announcedAtMs = nowMs;
-    this.channel.send(this.buildAnnouncement([], nowMs), recipients);
+    const state = this.buildAnnouncement([], recipients, nowMs);
+    this.channel.send(state, getAddresses(recipients));
   }
 
   /** Tells a gateway that takes this one for a fellow, or just started, which gateways there are. */
-  private reply({id, gossipAddress}: GatewayMember, nowMs: number): void {
+  private reply(recipient: GatewayMember, nowMs: number): void {
+    const {id, gossipAddress} = recipient;
     if (nowMs - (this.repliedAtMs.get(id) ?? -Infinity) < REPLY_INTERVAL_MS) return;
     this.repliedAtMs.set(id, nowMs);
     const members = this.recipients.getLiveMembers(MEMBERS_IN_REPLY, nowMs);
     const {quarantine, serverLimits} = this.options;
     const state = {
-      ...this.buildAnnouncement(members, nowMs),
+      ...this.buildAnnouncement(members, [recipient], nowMs),
       findings: quarantine.getFindings(true, nowMs),
       serverLimits: serverLimits.getLimits(true, nowMs),
       rolloutSteps: this.options.rollouts.getStepsToSend(true, nowMs),
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -48,6 +48,8 @@
   readonly rollouts: Pick<RolloutGate, 'getVersions' | 'isRunning'>;
   readonly evidence: FleetEvidence;
   readonly events: EventLogger;
+  /** Returns why a request that was admitted isn't any more; undefined if it still is. */
+  readonly recheck: (admitted: AdmittedRequest) => RefusalKind | undefined;
   /** Returns the ids of the gateways that may be sending requests, including this one. */
   readonly getGatewayIds: (nowMs: number) => readonly string[];
   /** Returns whether this gateway has had time to learn of the other gateways since its start. */
@@ -92,6 +94,10 @@
     this.coldShares = new ServerRateShares(options.settings.id, MIN_COLD_SHARE_PER_SECOND);
   }
 
+  recheck(admitted: AdmittedRequest): RefusalKind | undefined {
+    return this.options.recheck(admitted);
+  }
+
   choose(
     admitted: AdmittedRequest,
     attemptedServerIds: ReadonlySet<string>,
--- a/src/gateway/LogReadCoordinator.ts
+++ b/src/gateway/LogReadCoordinator.ts
@@ -5,6 +5,7 @@
 import type {Catalog, DepartureReason, ServerEntry, ServerStart} from '../catalog/index.js';
 import {
   ReadOrigins,
+  ReadProof,
   getReaderRank,
   getReadDelayMs,
   type ReadIntervals,
@@ -29,6 +30,8 @@
   readonly events: EventLogger;
   /** Returns this gateway's own member record. */
   readonly describeSelf: () => GatewayMember;
+  /** Returns the monotonic time in milliseconds, including the time for which the machine was suspended. */
+  readonly getAwareNowMs: () => number;
 }
 
 /**
@@ -46,6 +49,8 @@
   maxRelayedAgeMs: 1_100,
   readsReportedRecords: false,
 };
+/** Time after which the proof of a read that this gateway has heard of is no longer awaited. */
+const MAX_PROOF_DELAY_MS = 1_500;
 /** Time for which a changed registration is included in the gossip. */
 const CHANGE_REPORT_MS = 2_000;
 
@@ -57,6 +62,7 @@
   /** Highest offset of the operators' records that a peer has reported. */
   private reportedOperatorOffset = 0;
   private readonly operatorReads = new ReadOrigins();
+  private readonly operatorProof = new ReadProof();
   private onOperatorUpdate: () => void = () => undefined;
   private onRead: () => void = () => undefined;
 
@@ -85,11 +91,13 @@
    * @param log - Log that was read.
    * @param nextOffset - Offset after the last record read.
    * @param readAtMs - Monotonic time up to which the records are complete.
+   * @param provenAtMs - Time on the suspend-aware clock that is certainly not later than that of the read.
    */
-  recordRead(log: SharedLog, nextOffset: number, readAtMs: number): void {
+  recordRead(log: SharedLog, nextOffset: number, readAtMs: number, provenAtMs = readAtMs): void {
     const {catalog, describeSelf} = this.options;
     if (log === 'operator') {
       this.operatorReads.addOwnRead(getMemberKey(describeSelf()), readAtMs);
+      this.operatorProof.addOwnRead(provenAtMs);
       catalog.setOperatorRecordsCurrent(this.operatorReads.getNewestAtMs());
     } else {
       catalog.markRegistrationsCurrent(readAtMs);
@@ -106,6 +114,29 @@
     return this.knownOffsets[log];
   }
 
+  /**
+   * Returns the time since the operators' records were last certainly complete, including the time for which the machine
+   * was suspended; infinite before the first read.
+   */
+  getOperatorProofAgeMs(): number {
+    return this.options.getAwareNowMs() - this.operatorProof.provenAtMs;
+  }
+
+  /**
+   * Returns the proof of the operators' records for a datagram.
+   * @param recipients - Peers that get the datagram.
+   */
+  getOperatorProof(
+    recipients: readonly GatewayMember[],
+  ): Pick<GossipState, 'operatorProofAgeMs' | 'stampMs' | 'returnedStamps'> {
+    const nowMs = this.options.getAwareNowMs();
+    return {
+      operatorProofAgeMs: nowMs - this.operatorProof.provenAtMs,
+      stampMs: nowMs,
+      returnedStamps: this.operatorProof.getStampsToReturn(recipients.map(getMemberKey), nowMs),
+    };
+  }
+
   /**
    * Returns the newest read of the operators' records for the peers.
    * @param nowMs - Current monotonic time in milliseconds.
@@ -127,9 +158,7 @@
       rank: this.getReaderRank(nowMs),
       knownOffset: this.knownOffsets[log],
       reportedOffset: isOperator ? this.reportedOperatorOffset : 0,
-      ageMs: isOperator
-        ? catalog.getOperatorRecordsAgeMs(nowMs)
-        : catalog.getRegistrationsAgeMs(nowMs),
+      ageMs: isOperator ? this.getOperatorAgeMs(nowMs) : catalog.getRegistrationsAgeMs(nowMs),
       sinceReadMs,
     };
     return getReadDelayMs(view, isOperator ? OPERATOR_READ_TIMES : REGISTRATION_READ_TIMES);
@@ -163,12 +192,28 @@
    * @param state - State received from the peer.
    * @param nowMs - Current monotonic time in milliseconds.
    */
-  apply({sender, operatorOffset, operatorRead, registrations}: GossipState, nowMs: number): void {
+  apply(state: GossipState, nowMs: number): void {
+    const {sender, operatorOffset, operatorRead, registrations} = state;
     for (const start of registrations.draining) {
       this.applyDeparture(start, 'draining', sender.id, nowMs);
     }
     this.applyRegistrations(registrations, sender.id, nowMs);
     this.applyOperatorRead(operatorOffset, operatorRead, nowMs);
+    this.applyOperatorProof(state);
+  }
+
+  /** Applies a peer's proof, which holds for the records known here if the peer's offset is the same. */
+  private applyOperatorProof(state: GossipState): void {
+    const {sender, operatorOffset, operatorProofAgeMs, stampMs, returnedStamps} = state;
+    const {describeSelf, getAwareNowMs} = this.options;
+    const told = {
+      peerKey: getMemberKey(sender),
+      ageMs: operatorProofAgeMs,
+      stampMs,
+      returnedStampMs: returnedStamps.get(getMemberKey(describeSelf())),
+    };
+    const isSameLog = operatorOffset > 0 && operatorOffset === this.knownOffsets.operator;
+    this.operatorProof.apply(told, isSameLog, getAwareNowMs());
   }
 
   /**
@@ -226,6 +271,15 @@
     this.options.events.log('backend server', fields);
   }
 
+  /**
+   * Returns the age of the operators' records by which this gateway decides to read them: that of the newest read that it
+   * has heard of, unless the proof of it doesn't arrive.
+   */
+  private getOperatorAgeMs(nowMs: number): number {
+    const believedMs = this.options.catalog.getOperatorRecordsAgeMs(nowMs);
+    return Math.max(believedMs, this.getOperatorProofAgeMs() - MAX_PROOF_DELAY_MS);
+  }
+
   /** Returns this gateway's place in the order of readers, in which the first one reads for all. */
   private getReaderRank(nowMs: number): number {
     const {members, describeSelf} = this.options;
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -87,6 +87,12 @@
   readonly operatorOffset: number;
   /** The newest read by which the sender's operators' records are known to be complete. */
   readonly operatorRead: RelayedRead;
+  /** Age of the proof that the sender's operators' records are complete; infinite without one. */
+  readonly operatorProofAgeMs: number;
+  /** Time on the sender's clock in milliseconds, from an arbitrary start. */
+  readonly stampMs: number;
+  /** The latest stamps that the sender has received from some of the recipients, by the keys of their starts. */
+  readonly returnedStamps: ReadonlyMap<number, number>;
   readonly registrations: RegistrationsUpdate;
   /** Crashes of backend servers, and what has been answered since; those that are new, or some of all. */
   readonly findings: CrashFindings;
--- a/src/gossip/gossipCodec.ts
+++ b/src/gossip/gossipCodec.ts
@@ -65,6 +65,10 @@
     operatorAgeMs: toAge(state.operatorRead.ageMs),
     operatorReaderKey: state.operatorRead.readerKey,
     operatorReadNumber: state.operatorRead.readNumber,
+    operatorProofAgeMs: toAge(state.operatorProofAgeMs),
+    stampMs: toStamp(state.stampMs),
+    returnedStampKeys: [...state.returnedStamps.keys()],
+    returnedStampsMs: [...state.returnedStamps.values()].map(toStamp),
     registrationsOffset: BigInt(state.registrations.offset),
     registrationsAgeMs: toAge(state.registrations.ageMs),
     registrationsDigest: state.registrations.digest,
@@ -110,6 +114,15 @@
       readNumber: message.operatorReadNumber,
       ageMs: message.operatorAgeMs,
     },
+    // A sender of an older version has no proof to tell.
+    operatorProofAgeMs: message.stampMs === 0n ? Infinity : message.operatorProofAgeMs,
+    stampMs: Number(message.stampMs),
+    returnedStamps: new Map(
+      message.returnedStampKeys.map((key, index) => [
+        key,
+        Number(message.returnedStampsMs[index] ?? 0n),
+      ]),
+    ),
     registrations: {
       offset: Number(message.registrationsOffset),
       ageMs: message.registrationsAgeMs,
@@ -213,6 +226,11 @@
   return Math.min(MAX_AGE_MS, Math.max(0, Math.round(ageMs)));
 }
 
+/** Rounds down, so that a returned stamp is never later than its sending. */
+function toStamp(stampMs: number): bigint {
+  return BigInt(Math.max(0, Math.floor(stampMs)));
+}
+
 function toServerStart({id, startedAtMs}: ServerStart): MessageInitShape<typeof ServerStartSchema> {
   return {id, startedAtMs: BigInt(startedAtMs ?? 0)};
 }
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -17,3 +17,4 @@
   type WindowRow,
   type WindowValues,
 } from './FleetWindows.js';
+export {SuspendAwareClock, type SuspendAwareClockOptions} from './SuspendAwareClock.js';
--- a/tests/controllers/placement/serverRateShares.test.ts
+++ b/tests/controllers/placement/serverRateShares.test.ts
@@ -68,6 +68,7 @@
     serverLimits: createServerLimits(id),
     rollouts: new RolloutGate({catalog, events: silentEvents}),
     evidence: new FleetEvidence(),
+    recheck: () => undefined,
     getGatewayIds: () => fleet,
     isFleetKnown: () => isFleetKnown,
     getNowMs: () => 0,
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -157,6 +157,23 @@
     t.end();
   });
 
+  t.test('does not send a request again whose key was revoked in the meantime', t => {
+    const notRun = new RunHarness({}, ['s1', 's2']);
+    notRun.run.start();
+    notRun.recheckRefusal = 'no-key';
+    notRun.sentAttempts[0].handler.onHead(NOT_RUN);
+    notRun.sentAttempts[0].handler.onEnd();
+    t.equal(notRun.sentAttempts.length, 1);
+    t.match(notRun.refusals, [{kind: 'no-key', isNotRun: true}]);
+    const mayHaveRun = new RunHarness({}, ['s1', 's2']);
+    mayHaveRun.run.start();
+    mayHaveRun.recheckRefusal = 'not-current';
+    mayHaveRun.sentAttempts[0].handler.onFailure(BROKEN);
+    t.equal(mayHaveRun.sentAttempts.length, 1);
+    t.match(mayHaveRun.refusals, [{kind: 'backend-failed', isNotRun: false}]);
+    t.end();
+  });
+
   t.test('does not retry when the retry budget is exhausted', t => {
     const harness = new RunHarness({}, ['s1', 's2']);
     harness.remainingRetries = 0;
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -7,6 +7,7 @@
   type BackendResponseHandler,
   type HeaderFields,
   type Refusal,
+  type RefusalKind,
   type RunOutcome,
   type RunServices,
   type ServingRequest,
@@ -92,6 +93,8 @@
   startedResponses: {status: number; headers: HeaderFields}[] = [];
   refusals: Refusal[] = [];
   outcome: RunOutcome | undefined;
+  /** Why the request isn't admitted any more when it is sent again. */
+  recheckRefusal: RefusalKind | undefined;
   isResponseEnded = false;
   isResponseAborted = false;
   remainingRetries = 10;
@@ -147,6 +150,7 @@
       checkQuarantine: () => ({kind: 'run'}),
       onAnswered: () => undefined,
       onMeasured: () => undefined,
+      recheck: () => this.recheckRefusal,
       choose: (_admitted, attemptedServerIds) => {
         const id = serverIds.find(candidate => !attemptedServerIds.has(candidate));
         if (id === undefined) return {kind: 'none', reason: 'all-tried'};
--- a/tests/gateway/LogReadCoordinator.test.ts
+++ b/tests/gateway/LogReadCoordinator.test.ts
@@ -21,6 +21,7 @@
       members: new MemberTable(id, {unresponsiveAfterMs: 900, removedAfterMs: 8_000}),
       events: silentEvents,
       describeSelf: () => this.member,
+      getAwareNowMs: () => 0,
     });
     this.logReadCoordinator.setOperatorRecordsListener(() => (this.operatorUpdates += 1));
   }
--- a/tests/gateway/retrySlack.test.ts
+++ b/tests/gateway/retrySlack.test.ts
@@ -31,6 +31,7 @@
       serverLimits: createServerLimits(id),
       rollouts: new RolloutGate({catalog: new Catalog(), events: silentEvents}),
       evidence: new FleetEvidence(),
+      recheck: () => undefined,
       getGatewayIds: nowMs => (nowMs < DISCOVERY_MS ? [id] : fleet),
       isFleetKnown: nowMs => nowMs >= DISCOVERY_MS,
       getNowMs: () => 0,
--- a/tests/gossip/gossip.test.ts
+++ b/tests/gossip/gossip.test.ts
@@ -80,6 +80,9 @@
   dutyClaim: {token: 12, holderId: 'g2'},
   operatorOffset: 4,
   operatorRead: {readerKey: 77, readNumber: 3, ageMs: 250},
+  operatorProofAgeMs: 410,
+  stampMs: 5_123_456,
+  returnedStamps: new Map([[0xffff_fff8, 7_654_321]]),
   registrations: {
     offset: 77,
     ageMs: 300,
--- a/tests/platform/StoreFeed.test.ts
+++ b/tests/platform/StoreFeed.test.ts
@@ -58,6 +58,7 @@
     members,
     events,
     describeSelf: () => createMember('g1'),
+    getAwareNowMs: getNowMs,
   });
   let notificationCount = 0;
   const feed = new StoreFeed({
@@ -65,6 +66,7 @@
     catalog,
     events,
     getNowMs,
+    getAwareNowMs: getNowMs,
     logReadCoordinator,
     onNewOperatorRecords: () => (notificationCount += 1),
     onConfiguration: () => undefined,
--- a/tests/support/GossipFleet.ts
+++ b/tests/support/GossipFleet.ts
@@ -94,6 +94,7 @@
       members: this.members,
       events: silentEvents,
       describeSelf,
+      getAwareNowMs: getNowMs,
     });
     this.quarantine = new RequestQuarantine({
       ownId: member.id,
--- /dev/null
+++ b/tests/utils/SuspendAwareClock.test.ts
@@ -0,0 +1,22 @@
+/** Time that passes while the machine is suspended, or while its clocks are set. */
+import t from 'tap';
+import {SuspendAwareClock} from '../../src/utils/index.js';
+
+t.test('time passes while the machine is suspended, and never runs backwards', t => {
+  let wallMs = 1_780_000_000_000;
+  let monotonicMs = 500;
+  const clock = new SuspendAwareClock({
+    getWallMs: () => wallMs,
+    getMonotonicMs: () => monotonicMs,
+  });
+  const pass = (monotonic: number, wall: number) => {
+    monotonicMs += monotonic;
+    wallMs += wall;
+    return clock.getNowMs();
+  };
+  t.equal(pass(100, 100), 600);
+  t.equal(pass(10, 5_010), 5_610, 'suspended for 5 s');
+  t.equal(pass(50, -2_000), 5_660, 'the wall clock was set back');
+  t.equal(pass(50, 2_050), 7_710, 'and forward again');
+  t.end();
+});
