--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -19,7 +19,7 @@
 /** Rate limit of events that are caused by changes of the deployment. */
 const STATE_CHANGES_PER_SECOND = 50;
 /** Steps of roll-outs, of which a gateway sees a few per service. */
-const ROLLOUT_EVENTS_PER_SECOND = 10;
+const ROLLOUT_EVENTS_PER_SECOND = 5;
 /** Rate limit of events that repeat while a fault persists. */
 const ERRORS_PER_SECOND = 10;
 
