Name the era of every position in the store's logs

Cause: a position was an offset. The restored log is shorter, its new records get offsets that counted as known, and gateways told each other the old ones; only the one that read for all met the new records. The same class: the token of the duties was an offset, which is given out again, and reports that the store lost could be made again with other counts. Change: positions are an era and an offset in reads, gossip and proofs. A gateway that has just started doesn't serve a configuration older than another gateway's. Tests that failed before, on: StoreFeed (version 5 never in force; what was confirmed comes back older) and StoreDutyLog (the same token twice). Those of LogReadCoordinator, decideRead, UsageDuty and Catalog check what the former code had no notion of and don't compile with it. Positions have another type, so older tests pass eras; none checks less.

--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -12,12 +12,21 @@
   readonly learnedAtMs: number;
 }
 
+/** Time in which a gateway reads a configuration that another one has told of. */
+const CONFIGURATION_READ_MS = 1_500;
+
 /** Replicated state of the deployment, as read from the operators' records and the registrations. */
 export class Catalog {
   readonly servers = new ServerCatalog();
   private currentRouteTable: RouteTable | undefined;
   private readonly evacuatedDomainNames = new Set<string>();
+  private readonly endedEvacuations = new Set<string>();
   private readonly rolloutOrders = new Map<string, RolloutOrder>();
+  /** Highest version of the configuration that another gateway has in force, and when it was first told. */
+  private toldVersion = 0;
+  private toldAtMs = -Infinity;
+  /** Version of the first configuration that this process has read. */
+  private firstVersion: number | undefined;
   private operatorRecordsCurrentAtMs = -Infinity;
   private registrationsCurrentAtMs = -Infinity;
 
@@ -44,17 +53,48 @@
     const known = this.currentRouteTable?.configuration.version ?? -Infinity;
     if (configuration.version <= known) return false;
     this.currentRouteTable = new RouteTable(configuration);
+    this.firstVersion ??= configuration.version;
     return true;
   }
 
+  /**
+   * Records the version of the configuration that another gateway has in force.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  applyToldVersion(version: number, nowMs: number): void {
+    if (version <= this.toldVersion) return;
+    this.toldVersion = version;
+    this.toldAtMs = nowMs;
+  }
+
+  /**
+   * Returns whether another gateway has a newer configuration in force that this process should have read by now. A process
+   * that has just started may have read an old one from a store that was restored from a copy.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  isConfigurationOutdated(nowMs: number): boolean {
+    const version = this.currentRouteTable?.configuration.version ?? -Infinity;
+    if (version >= this.toldVersion) return false;
+    return version === this.firstVersion || nowMs - this.toldAtMs >= CONFIGURATION_READ_MS;
+  }
+
   /**
    * Sets whether a failure domain is evacuated.
    * @param failureDomain - Name of the failure domain.
    * @param isEvacuated - Whether its backend servers get no requests.
    */
   setEvacuated(failureDomain: string, isEvacuated: boolean): void {
-    if (isEvacuated) this.evacuatedDomainNames.add(failureDomain);
-    else this.evacuatedDomainNames.delete(failureDomain);
+    if (isEvacuated) {
+      this.evacuatedDomainNames.add(failureDomain);
+      this.endedEvacuations.delete(failureDomain);
+    } else if (this.evacuatedDomainNames.delete(failureDomain)) {
+      this.endedEvacuations.add(failureDomain);
+    }
+  }
+
+  /** Returns whether a failure domain was evacuated and its evacuation has ended. */
+  hasEndedEvacuation(failureDomain: string): boolean {
+    return this.endedEvacuations.has(failureDomain);
   }
 
   /**
--- a/src/catalog/ServerCatalog.ts
+++ b/src/catalog/ServerCatalog.ts
@@ -94,7 +94,10 @@
   applyEntry(entry: ServerEntry, nowMs: number): ServerChange {
     const known = this.servers.get(entry.id);
     const isRestarted = known !== undefined && known.entry.startedAtMs !== entry.startedAtMs;
-    const isDraining = entry.isDraining || (!isRestarted && known?.entry.isDraining === true);
+    const isDraining =
+      entry.isDraining ||
+      (!isRestarted && known?.entry.isDraining === true) ||
+      this.hasAnnouncedDeparture(entry);
     if (entry.isDraining) this.recordDeparture(entry, 'draining', nowMs);
     else if (this.departures.get(entry.id)?.reason === 'removed') this.departures.delete(entry.id);
     const change = getChange(isRestarted ? undefined : known, {...entry, isDraining});
@@ -118,10 +121,13 @@
    * @param nowMs - Current monotonic time in milliseconds.
    */
   applyRelayedEntry(entry: ServerEntry, nowMs: number): ServerChange {
-    const departure = this.departures.get(entry.id);
-    const isOutdated =
-      departure?.reason === 'draining' && departure.startedAtMs === entry.startedAtMs;
-    return isOutdated ? 'same' : this.applyEntry(entry, nowMs);
+    return this.hasAnnouncedDeparture(entry) ? 'same' : this.applyEntry(entry, nowMs);
+  }
+
+  /** Returns whether a start has announced its departure, or its registration was removed, not long ago. */
+  hasDeparted({id, startedAtMs}: ServerStart): boolean {
+    const departure = this.departures.get(id);
+    return departure !== undefined && departure.startedAtMs === startedAtMs;
   }
 
   /**
@@ -310,6 +316,10 @@
     );
   }
 
+  private hasAnnouncedDeparture(start: ServerStart): boolean {
+    return this.hasDeparted(start) && this.departures.get(start.id)?.reason === 'draining';
+  }
+
   private deleteServer(id: string): void {
     this.servers.delete(id);
     this.digest = undefined;
--- a/src/controllers/reading/decideRead.ts
+++ b/src/controllers/reading/decideRead.ts
@@ -4,6 +4,7 @@
  * old.
  */
 import {rankByRendezvous} from '../../utils/index.js';
+import {comparePositions, type LogPosition} from './LogPosition.js';
 
 /** A gateway that reaches the log and may become the designated reader. */
 export interface ReaderCandidate {
@@ -15,10 +16,10 @@
 export interface ReadView {
   /** Rank of this gateway among the readers; rank 0 is the designated reader. */
   readonly rank: number;
-  /** Offset up to which this gateway has the log's records, whether read or relayed. */
-  readonly knownOffset: number;
-  /** Highest offset that another gateway has reported. */
-  readonly reportedOffset: number;
+  /** Position up to which this gateway has the log's records, whether read or relayed. */
+  readonly knownPosition: LogPosition;
+  /** Latest position that another gateway has reported. */
+  readonly reportedPosition: LogPosition;
   /** Time since this gateway's state was last confirmed to be up to date, by a read here or at another gateway. */
   readonly ageMs: number;
   /** Time since this gateway's last read of the log ended. */
@@ -32,7 +33,7 @@
   /** Age of its state at which the second reader reads the log; lower ranks wait longer. */
   readonly maxRelayedAgeMs: number;
   /**
-   * Whether a higher offset reported by another gateway triggers a read; false if gossip relays the records themselves.
+   * Whether a later position reported by another gateway triggers a read; false if gossip relays the records themselves.
    */
   readonly readsReportedRecords: boolean;
 }
@@ -69,9 +70,10 @@
  * @param times - Read intervals of the log.
  */
 export function getReadDelayMs(view: ReadView, times: ReadIntervals): number {
-  const {rank, knownOffset, reportedOffset, ageMs, sinceReadMs} = view;
+  const {rank, knownPosition, reportedPosition, ageMs, sinceReadMs} = view;
   const {intervalMs, maxRelayedAgeMs, readsReportedRecords} = times;
-  if (readsReportedRecords && reportedOffset > knownOffset) return 0;
+  const isBehind = comparePositions(reportedPosition, knownPosition) > 0;
+  if (readsReportedRecords && isBehind) return 0;
   const intervalLeftMs = Math.max(0, intervalMs - sinceReadMs);
   if (rank === 0) return intervalLeftMs;
   const lowerRanks = Math.max(0, rank - 1 - MAX_DELAYED_RANKS);
--- a/src/controllers/reading/index.ts
+++ b/src/controllers/reading/index.ts
@@ -5,5 +5,11 @@
   type ReadIntervals,
   type ReadView,
 } from './decideRead.js';
+export {
+  START_POSITION,
+  comparePositions,
+  getLaterPosition,
+  type LogPosition,
+} from './LogPosition.js';
 export {ReadProof, type ToldProof} from './ReadProof.js';
 export {ReadOrigins, type RelayedRead} from './ReadOrigins.js';
--- a/src/gateway/DutyRunner.ts
+++ b/src/gateway/DutyRunner.ts
@@ -9,7 +9,7 @@
 import type {EventLogger} from '../logging/index.js';
 import {FleetDuty} from './FleetDuty.js';
 import type {GatewaySettings} from './GatewaySettings.js';
-import type {DutyCalls, DutyLog, DutyResult} from './ports.js';
+import type {DutyCalls, DutyLog, DutyResult, UsageReport} from './ports.js';
 import {UsageDuty} from './UsageDuty.js';
 
 /** Constructor options of `DutyRunner`. */
@@ -56,6 +56,10 @@
   private isRunning = false;
   /** Whether the claims made before this process started have been read from the duty log. */
   private isHistoryLoaded: boolean;
+  /** Reports that this gateway wrote under its latest claim. */
+  private ownReports: readonly UsageReport[] = [];
+  /** Newest usage window that another gateway knows to have been written. */
+  private toldUsageWindow = 0;
 
   constructor(options: DutyRunnerOptions) {
     this.options = options;
@@ -84,6 +88,23 @@
     if (this.duties && this.duties.claim.token < claim.token) this.release('a newer claim exists');
   }
 
+  /** Newest usage window that is known to have been written to the duty log, and may have been reported; 0 for none. */
+  get reportedUsageWindow(): number {
+    return Math.max(this.toldUsageWindow, this.duties?.usage.newestWindow ?? 0);
+  }
+
+  /** Records the newest usage window that a peer knows to have been written. */
+  applyReportedUsageWindow(window: number): void {
+    this.toldUsageWindow = Math.max(this.toldUsageWindow, window);
+  }
+
+  /** Claims the duties again if they are held: a restored store may have lost the claim and the reports. */
+  handleStoreRestored(): void {
+    if (!this.duties) return;
+    this.release('the store was restored');
+    this.nextClaimAtMs = this.options.getNowMs();
+  }
+
   /**
    * Claims the duties if that is due, or performs them if they are held. Does nothing while an earlier call is running.
    * @param startedAtMs - Monotonic time at which the gateway started, in milliseconds.
@@ -142,7 +163,7 @@
       events.log('duties not claimed', {token, newest: this.newestClaim.token});
       return;
     }
-    const {claim, previous} = claimed;
+    const {claim, previous, hasLostRecords} = claimed;
     const {usageDueMs: reportDueMs, regionByDomain} = settings;
     const failureDomains = [...regionByDomain.keys()];
     this.duties = {
@@ -153,7 +174,12 @@
       ),
       usage: new UsageDuty(
         {usageLedger, calls, log, events, reportDueMs},
-        history.reports,
+        {
+          written: history.reports,
+          own: this.ownReports,
+          reportedWindow: this.reportedUsageWindow,
+          hasLostRecords,
+        },
         getWallMs(),
       ),
       fleet: new FleetDuty({
@@ -189,6 +215,10 @@
       newest: this.newestClaim.token,
       reason,
     });
+    if (this.duties) {
+      this.ownReports = this.duties.usage.getReports();
+      this.applyReportedUsageWindow(this.duties.usage.newestWindow);
+    }
     this.duties = undefined;
     const isHeldByOther = this.newestClaim.holderId !== settings.id;
     this.nextClaimAtMs =
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -285,6 +285,11 @@
     };
   }
 
+  /** Called when the store has come back from an older copy. */
+  handleStoreRestored(): void {
+    this.duties.handleStoreRestored();
+  }
+
   /** Returns the number of requests in progress. */
   getOpenRequests(): number {
     return this.runs.size;
@@ -296,7 +301,7 @@
     if (this.isStopping || !catalog.routeTable) return false;
     const nowMs = getNowMs();
     return (
-      this.logReadCoordinator.getOperatorProofAgeMs() <= this.getMaxConfigurationAgeMs() &&
+      this.getConfigurationAgeMs() <= this.getMaxConfigurationAgeMs() &&
       catalog.getRegistrationsAgeMs(nowMs) <= MAX_REGISTRATIONS_AGE_MS
     );
   }
@@ -378,7 +383,7 @@
 
   private check(request: ServingRequest): RequestCheck {
     return checkRequest(this.options.catalog, request, {
-      configurationAgeMs: this.logReadCoordinator.getOperatorProofAgeMs(),
+      configurationAgeMs: this.getConfigurationAgeMs(),
       maxConfigurationAgeMs: this.getMaxConfigurationAgeMs(),
     });
   }
@@ -482,6 +487,13 @@
     return decision.kind === 'over' ? decision.retryAfterMs : undefined;
   }
 
+  /** Returns the time since the configuration was certainly the newest one; infinite if it certainly isn't any more. */
+  private getConfigurationAgeMs(): number {
+    const {catalog, getNowMs} = this.options;
+    if (catalog.isConfigurationOutdated(getNowMs())) return Infinity;
+    return this.logReadCoordinator.getOperatorProofAgeMs();
+  }
+
   private getMaxConfigurationAgeMs(): number {
     return this.options.settings.revocationMs * MAX_CONFIGURATION_AGE_SHARE;
   }
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -35,7 +35,10 @@
   readonly promptRates: PromptRates;
   readonly quotaLedger: QuotaLedger;
   readonly usageLedger: UsageLedger;
-  readonly duties: Pick<DutyRunner, 'claim' | 'applyClaim'>;
+  readonly duties: Pick<
+    DutyRunner,
+    'claim' | 'applyClaim' | 'reportedUsageWindow' | 'applyReportedUsageWindow'
+  >;
   readonly logReadCoordinator: LogReadCoordinator;
   readonly quarantine: Pick<RequestQuarantine, 'applyFindings' | 'getFindings' | 'setNewsListener'>;
   readonly serverLimits: Pick<ServerLimits, 'applyLimits' | 'getLimits' | 'setNewsListener'>;
@@ -227,7 +230,7 @@
     recipients: readonly GatewayMember[],
     nowMs: number,
   ): GossipState {
-    const {duties, logReadCoordinator, clock, quarantine, serverLimits} = this.options;
+    const {duties, logReadCoordinator, clock, quarantine, serverLimits, catalog} = this.options;
     return {
       sender: this.options.describeSelf(),
       members,
@@ -242,7 +245,9 @@
       summary: undefined,
       rest: undefined,
       dutyClaim: duties.claim,
-      operatorOffset: logReadCoordinator.getKnownOffset('operator'),
+      reportedUsageWindow: duties.reportedUsageWindow,
+      configurationVersion: catalog.routeTable?.configuration.version ?? 0,
+      operatorPosition: logReadCoordinator.getKnownPosition('operator'),
       operatorRead: logReadCoordinator.getOperatorRead(nowMs),
       ...logReadCoordinator.getOperatorProof(recipients),
       registrations: logReadCoordinator.getRegistrationsUpdate(
@@ -318,6 +323,8 @@
     for (const member of state.members) members.applyReported(member, nowMs);
     const relation = this.exchange.apply(state, nowMs);
     duties.applyClaim(state.dutyClaim);
+    duties.applyReportedUsageWindow(state.reportedUsageWindow);
+    catalog.applyToldVersion(state.configurationVersion, nowMs);
     clock.applyPeerReport(sender.id, state.wallMs);
     const before = {
       digest: catalog.servers.getDigest(),
--- a/src/gateway/LogReadCoordinator.ts
+++ b/src/gateway/LogReadCoordinator.ts
@@ -8,6 +8,10 @@
   ReadProof,
   getReaderRank,
   getReadDelayMs,
+  START_POSITION,
+  comparePositions,
+  getLaterPosition,
+  type LogPosition,
   type ReadIntervals,
   type RelayedRead,
 } from '../controllers/reading/index.js';
@@ -57,10 +61,13 @@
 /** Read positions of this gateway in the logs, and its exchange of reads with the peers. */
 export class LogReadCoordinator {
   private readonly options: LogReadCoordinatorOptions;
-  /** Offset after the last known record of each log. */
-  private readonly knownOffsets: Record<SharedLog, number> = {operator: 0, registrations: 0};
-  /** Highest offset of the operators' records that a peer has reported. */
-  private reportedOperatorOffset = 0;
+  /** Position after the last known record of each log. */
+  private readonly knownPositions: Record<SharedLog, LogPosition> = {
+    operator: START_POSITION,
+    registrations: START_POSITION,
+  };
+  /** Latest position in the operators' records that a peer has reported. */
+  private reportedOperatorPosition = START_POSITION;
   private readonly operatorReads = new ReadOrigins();
   private readonly operatorProof = new ReadProof();
   private onOperatorUpdate: () => void = () => undefined;
@@ -72,7 +79,7 @@
 
   /**
    * Sets the listener for operators' records that a peer reports and this gateway hasn't read.
-   * @param listener - Called once for each higher offset; starts a read.
+   * @param listener - Called once for each later position; starts a read.
    */
   setOperatorRecordsListener(listener: () => void): void {
     this.onOperatorUpdate = listener;
@@ -89,11 +96,11 @@
   /**
    * Records that the adapter has read a log.
    * @param log - Log that was read.
-   * @param nextOffset - Offset after the last record read.
+   * @param position - Position after the last record read.
    * @param readAtMs - Monotonic time up to which the records are complete.
    * @param provenAtMs - Time on the suspend-aware clock that is certainly not later than that of the read.
    */
-  recordRead(log: SharedLog, nextOffset: number, readAtMs: number, provenAtMs = readAtMs): void {
+  recordRead(log: SharedLog, position: LogPosition, readAtMs: number, provenAtMs = readAtMs): void {
     const {catalog, describeSelf} = this.options;
     if (log === 'operator') {
       this.operatorReads.addOwnRead(getMemberKey(describeSelf()), readAtMs);
@@ -102,16 +109,16 @@
     } else {
       catalog.markRegistrationsCurrent(readAtMs);
     }
-    this.knownOffsets[log] = Math.max(this.knownOffsets[log], nextOffset);
+    this.knownPositions[log] = getLaterPosition(this.knownPositions[log], position);
     this.onRead();
   }
 
   /**
-   * Returns the offset after the last known record of a log, read by this gateway or by a peer.
+   * Returns the position after the last known record of a log, read by this gateway or by a peer.
    * @param log - Log to look up.
    */
-  getKnownOffset(log: SharedLog): number {
-    return this.knownOffsets[log];
+  getKnownPosition(log: SharedLog): LogPosition {
+    return this.knownPositions[log];
   }
 
   /**
@@ -137,6 +144,11 @@
     };
   }
 
+  /** Returns the highest era in which a peer has told a position. */
+  getReportedEra(): number {
+    return this.reportedOperatorPosition.era;
+  }
+
   /**
    * Returns the newest read of the operators' records for the peers.
    * @param nowMs - Current monotonic time in milliseconds.
@@ -156,8 +168,8 @@
     const isOperator = log === 'operator';
     const view = {
       rank: this.getReaderRank(nowMs),
-      knownOffset: this.knownOffsets[log],
-      reportedOffset: isOperator ? this.reportedOperatorOffset : 0,
+      knownPosition: this.knownPositions[log],
+      reportedPosition: isOperator ? this.reportedOperatorPosition : START_POSITION,
       ageMs: isOperator ? this.getOperatorAgeMs(nowMs) : catalog.getRegistrationsAgeMs(nowMs),
       sinceReadMs,
     };
@@ -175,7 +187,7 @@
     const cold = includesCold ? catalog.servers.getColdServers(nowMs) : [];
     const changed = [...new Set([...recent, ...cold])];
     return {
-      offset: this.knownOffsets.registrations,
+      position: this.knownPositions.registrations,
       ageMs: catalog.getRegistrationsAgeMs(nowMs),
       digest: catalog.servers.getDigest(),
       changed: changed.map(({entry, coldUntilMs}) => ({
@@ -193,18 +205,18 @@
    * @param nowMs - Current monotonic time in milliseconds.
    */
   apply(state: GossipState, nowMs: number): void {
-    const {sender, operatorOffset, operatorRead, registrations} = state;
+    const {sender, operatorPosition, operatorRead, registrations} = state;
     for (const start of registrations.draining) {
       this.applyDeparture(start, 'draining', sender.id, nowMs);
     }
     this.applyRegistrations(registrations, sender.id, nowMs);
-    this.applyOperatorRead(operatorOffset, operatorRead, nowMs);
+    this.applyOperatorRead(operatorPosition, operatorRead, nowMs);
     this.applyOperatorProof(state);
   }
 
-  /** Applies a peer's proof, which holds for the records known here if the peer's offset is the same. */
+  /** Applies a peer's proof, which holds for the records known here if the peer's position is the same. */
   private applyOperatorProof(state: GossipState): void {
-    const {sender, operatorOffset, operatorProofAgeMs, stampMs, returnedStamps} = state;
+    const {sender, operatorPosition, operatorProofAgeMs, stampMs, returnedStamps} = state;
     const {describeSelf, getAwareNowMs} = this.options;
     const told = {
       peerKey: getMemberKey(sender),
@@ -212,24 +224,27 @@
       stampMs,
       returnedStampMs: returnedStamps.get(getMemberKey(describeSelf())),
     };
-    const isSameLog = operatorOffset > 0 && operatorOffset === this.knownOffsets.operator;
+    const isSameLog =
+      operatorPosition.offset > 0 &&
+      comparePositions(operatorPosition, this.knownPositions.operator) === 0;
     this.operatorProof.apply(told, isSameLog, getAwareNowMs());
   }
 
   /**
-   * Applies a peer's position in the operators' records. At an equal offset this gateway knows the same records, so
-   * they were complete at the time of the peer's read. A higher offset means that there are records to read.
+   * Applies a peer's position in the operators' records. At the same position this gateway knows the same records, so
+   * they were complete at the time of the peer's read. A later one means that there are records to read.
    */
-  private applyOperatorRead(offset: number, read: RelayedRead, nowMs: number): void {
-    if (offset === 0 || offset < this.knownOffsets.operator) return;
-    if (offset === this.knownOffsets.operator) {
+  private applyOperatorRead(position: LogPosition, read: RelayedRead, nowMs: number): void {
+    const order = comparePositions(position, this.knownPositions.operator);
+    if (position.offset === 0 || order < 0) return;
+    if (order === 0) {
       this.operatorReads.apply(read, nowMs);
       this.options.catalog.setOperatorRecordsCurrent(this.operatorReads.getNewestAtMs());
       return;
     }
-    const isHigher = offset > this.reportedOperatorOffset;
-    this.reportedOperatorOffset = Math.max(this.reportedOperatorOffset, offset);
-    if (isHigher) this.onOperatorUpdate();
+    if (comparePositions(position, this.reportedOperatorPosition) <= 0) return;
+    this.reportedOperatorPosition = position;
+    this.onOperatorUpdate();
   }
 
   /**
@@ -238,11 +253,12 @@
    */
   private applyRegistrations(update: RegistrationsUpdate, toldBy: string, nowMs: number): void {
     const {catalog} = this.options;
-    if (update.offset === 0 || update.offset < this.knownOffsets.registrations) return;
+    const isBehind = comparePositions(update.position, this.knownPositions.registrations) < 0;
+    if (update.position.offset === 0 || isBehind) return;
     for (const start of update.removed) this.applyDeparture(start, 'removed', toldBy, nowMs);
     for (const entry of update.changed) this.applyRegistration(entry, toldBy, nowMs);
     if (update.digest !== catalog.servers.getDigest()) return;
-    this.knownOffsets.registrations = update.offset;
+    this.knownPositions.registrations = update.position;
     catalog.markRegistrationsCurrent(nowMs - update.ageMs);
     for (const id of catalog.servers.removeStaleDraining(nowMs)) {
       this.logServer({server: id, change: 'removed', toldBy});
--- a/src/gateway/UsageDuty.ts
+++ b/src/gateway/UsageDuty.ts
@@ -14,6 +14,18 @@
   readonly reportDueMs: number;
 }
 
+/** What is known of reports made before a claim. */
+export interface UsageHistory {
+  /** Reports in the duty log; each may or may not have been sent. */
+  readonly written: readonly UsageReport[];
+  /** Reports that this gateway wrote under an earlier claim, which a restored store may have lost. */
+  readonly own: readonly UsageReport[];
+  /** Newest window that may have been reported, as gateways tell each other; 0 if none is known. */
+  readonly reportedWindow: number;
+  /** Whether the duty log may have lost reports. */
+  readonly hasLostRecords: boolean;
+}
+
 /** Delay after the end of a window for the other gateways' counts to arrive, over up to three groups. */
 const COLLECTION_DELAY_MS = 3_500;
 /** Number of the newest reports kept in the duty log for the next duty holder. */
@@ -25,18 +37,38 @@
   private reports: readonly UsageReport[];
   private readonly reportedWindows = new Set<number>();
   private nextWindow: number;
+  /** Whether reports have to be written again that the duty log doesn't contain. */
+  private needsRewrite: boolean;
 
   /**
    * @param options - The usage counts, the calls and the duty log.
-   * @param history - Reports that earlier duty holders wrote to the duty log; each may or may not have been sent.
+   * @param history - Reports of earlier claims.
    * @param wallMs - Current Unix time in milliseconds.
    */
-  constructor(options: UsageDutyOptions, history: readonly UsageReport[], wallMs: number) {
+  constructor(options: UsageDutyOptions, history: UsageHistory, wallMs: number) {
     this.options = options;
-    this.reports = history;
-    const oldest = options.usageLedger.getWindow(wallMs - options.reportDueMs);
-    const lastWritten = Math.max(-1, ...history.map(({window}) => window));
-    this.nextWindow = Math.max(oldest, lastWritten + 1);
+    const {written, own, reportedWindow, hasLostRecords} = history;
+    const writtenWindows = new Set(written.map(({window}) => window));
+    const lost = own.filter(({window}) => !writtenWindows.has(window));
+    this.reports = [...written, ...lost]
+      .sort((one, other) => one.window - other.window)
+      .slice(-MAX_STORED_REPORTS);
+    this.needsRewrite = lost.length > 0;
+    const {usageLedger, reportDueMs} = options;
+    // A window that was reported must not be reported with other counts. If that can't be known, it is left out.
+    const isUnknown = hasLostRecords && reportedWindow === 0;
+    const oldest = usageLedger.getWindow(isUnknown ? wallMs : wallMs - reportDueMs);
+    this.nextWindow = Math.max(oldest, reportedWindow + 1, this.newestWindow + 1);
+  }
+
+  /** Newest window that has been written to the duty log, and may have been reported; 0 for none. */
+  get newestWindow(): number {
+    return this.reports.at(-1)?.window ?? 0;
+  }
+
+  /** Returns the newest reports, oldest first. */
+  getReports(): readonly UsageReport[] {
+    return this.reports;
   }
 
   /**
@@ -68,13 +100,13 @@
     ) {
       due.push({window, counts: usageLedger.getTotal(window)});
     }
-    const last = due.at(-1);
-    if (!last) return 'done';
+    if (due.length === 0 && !this.needsRewrite) return 'done';
     const reports = [...this.reports, ...due].slice(-MAX_STORED_REPORTS);
     const result = await log.writeReports(reports, claim);
     if (result !== 'done') return result;
     this.reports = reports;
-    this.nextWindow = last.window + 1;
+    this.needsRewrite = false;
+    this.nextWindow = Math.max(this.nextWindow, this.newestWindow + 1);
     return result;
   }
 
--- a/src/gateway/ports.ts
+++ b/src/gateway/ports.ts
@@ -42,6 +42,8 @@
   readonly claim: DutyClaim;
   /** Token 0 if nobody has claimed the duties before. */
   readonly previous: DutyClaim;
+  /** Whether the store was restored from a copy since the previous claim, so that later records may be lost. */
+  readonly hasLostRecords: boolean;
 }
 
 /** State of the newest roll-out of a service, as operators see it. */
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -4,7 +4,7 @@
 import type {EvidenceRow} from '../controllers/moves/FleetEvidence.js';
 import type {RolloutStep} from '../controllers/moves/RolloutStep.js';
 import type {CrashFindings} from '../controllers/quarantine/index.js';
-import type {RelayedRead} from '../controllers/reading/index.js';
+import type {LogPosition, RelayedRead} from '../controllers/reading/index.js';
 import type {StateSummary} from './StateSummary.js';
 
 /** A gateway's own description of itself, which the other gateways keep as its member record. */
@@ -43,8 +43,8 @@
  * departures.
  */
 export interface RegistrationsUpdate {
-  /** Next offset that the gateway will read; 0 before its first read. */
-  readonly offset: number;
+  /** Position at which the gateway will read next. */
+  readonly position: LogPosition;
   /** Time since the registrations were last known to be complete. */
   readonly ageMs: number;
   /** Digest of all servers that are not draining; equal digests mean equal registrations. */
@@ -83,8 +83,12 @@
   /** State of all gateways outside the group; undefined if the sender isn't its head, or if it is left out. */
   readonly rest: StateSummary | undefined;
   readonly dutyClaim: DutyClaim;
-  /** Next offset that the sender will read in the operators' records; 0 before its first read. */
-  readonly operatorOffset: number;
+  /** Newest usage window that a duty holder has written and may have reported; 0 for none. */
+  readonly reportedUsageWindow: number;
+  /** Version of the configuration that is in force at the sender; 0 for none. */
+  readonly configurationVersion: number;
+  /** Position at which the sender will read the operators' records next. */
+  readonly operatorPosition: LogPosition;
   /** The newest read by which the sender's operators' records are known to be complete. */
   readonly operatorRead: RelayedRead;
   /** Age of the proof that the sender's operators' records are complete; infinite without one. */
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -207,6 +207,12 @@
     fields: ['topic', 'message'],
     maxPerSecond: ERRORS_PER_SECOND,
   },
+  'store restored': {
+    level: 'warn',
+    meaning: 'The store has come back from an older copy and lost the records after it.',
+    fields: ['era', 'known'],
+    maxPerSecond: ERRORS_PER_SECOND,
+  },
   'store regained': {
     level: 'info',
     meaning: 'A read of a topic succeeded after failures.',
--- a/tests/controllers/reading/decideRead.test.ts
+++ b/tests/controllers/reading/decideRead.test.ts
@@ -1,9 +1,24 @@
 /** Tests which gateway reads a shared log, and when. */
 import t from 'tap';
-import {getReaderRank, getReadDelayMs} from '../../../src/controllers/reading/index.js';
+import {
+  getReaderRank,
+  getReadDelayMs,
+  type LogPosition,
+} from '../../../src/controllers/reading/index.js';
 
 const TIMES = {intervalMs: 700, maxRelayedAgeMs: 1_100, readsReportedRecords: false};
-const VIEW = {rank: 3, knownOffset: 10, reportedOffset: 0, ageMs: 200, sinceReadMs: 5_000};
+const VIEW = {
+  rank: 3,
+  knownPosition: at(10),
+  reportedPosition: at(0),
+  ageMs: 200,
+  sinceReadMs: 5_000,
+};
+
+/** Returns a position in the era of a store that was restored once, if not said otherwise. */
+function at(offset: number, era = 1): LogPosition {
+  return {era, offset};
+}
 
 function createCandidates(count: number, domains: number) {
   return Array.from({length: count}, (_, index) => ({
@@ -72,8 +87,25 @@
     false,
     400,
   );
-  doTest('a reported higher offset is read at once', {reportedOffset: 11, sinceReadMs: 0}, true, 0);
-  doTest('relayed records are not read again', {reportedOffset: 11}, false, 1_200);
-  doTest('a reported known offset triggers no read', {reportedOffset: 10}, true, 1_200);
+  doTest(
+    'a reported higher offset is read at once',
+    {reportedPosition: at(11), sinceReadMs: 0},
+    true,
+    0,
+  );
+  doTest(
+    'a lower offset of a restored store is read at once',
+    {reportedPosition: at(3, 2), sinceReadMs: 0},
+    true,
+    0,
+  );
+  doTest(
+    'a higher offset of before the store was restored triggers no read',
+    {reportedPosition: at(90, 0)},
+    true,
+    1_200,
+  );
+  doTest('relayed records are not read again', {reportedPosition: at(11)}, false, 1_200);
+  doTest('a reported known offset triggers no read', {reportedPosition: at(10)}, true, 1_200);
   t.end();
 });
--- a/tests/gateway/DutyRunner.test.ts
+++ b/tests/gateway/DutyRunner.test.ts
@@ -35,7 +35,7 @@
     const previous = this.getNewest();
     const claim = {token: previous.token + 1, holderId};
     this.claims.push(claim);
-    return {claim, previous};
+    return {claim, previous, hasLostRecords: false};
   }
 
   async writeReports(): Promise<DutyResult> {
--- a/tests/gateway/LogReadCoordinator.test.ts
+++ b/tests/gateway/LogReadCoordinator.test.ts
@@ -27,9 +27,9 @@
   }
 
   /** Applies registrations that were read from the log, as the adapter does. */
-  read(entries: readonly ServerEntry[], nextOffset: number, nowMs: number): void {
+  read(entries: readonly ServerEntry[], nextOffset: number, nowMs: number, era = 0): void {
     for (const entry of entries) this.catalog.servers.applyEntry(entry, nowMs);
-    this.logReadCoordinator.recordRead('registrations', nextOffset, nowMs);
+    this.logReadCoordinator.recordRead('registrations', {era, offset: nextOffset}, nowMs);
   }
 
   getState(nowMs: number): GossipState {
@@ -37,7 +37,7 @@
       this.member,
       this.logReadCoordinator.getRegistrationsUpdate(true, nowMs),
       {
-        offset: this.logReadCoordinator.getKnownOffset('operator'),
+        position: this.logReadCoordinator.getKnownPosition('operator'),
         read: this.logReadCoordinator.getOperatorRead(nowMs),
       },
     );
@@ -65,7 +65,7 @@
     t.same(other.getAvailableIds(), ['s1', 's2']);
     t.equal(other.catalog.servers.getServer('s2')?.coldUntilMs, 13_000);
     t.equal(other.catalog.getRegistrationsAgeMs(10_100), 100);
-    t.equal(other.logReadCoordinator.getKnownOffset('registrations'), 6);
+    t.same(other.logReadCoordinator.getKnownPosition('registrations'), {era: 0, offset: 6});
     t.end();
   });
 
@@ -100,13 +100,13 @@
     t => {
       const {reader, other} = createPair();
       for (const gateway of [reader, other]) gateway.read([S1, S2], 5, 0);
-      reader.logReadCoordinator.recordRead('registrations', 8, 0);
+      reader.logReadCoordinator.recordRead('registrations', {era: 0, offset: 8}, 0);
       other.catalog.servers.markExpired('s2', 10_000);
       other.logReadCoordinator.apply(reader.getState(12_500), 12_500);
       t.same(other.getAvailableIds(), ['s1', 's2']);
-      t.equal(
-        other.logReadCoordinator.getKnownOffset('registrations'),
-        5,
+      t.same(
+        other.logReadCoordinator.getKnownPosition('registrations'),
+        {era: 0, offset: 5},
         'so it reads for itself',
       );
       t.end();
@@ -130,7 +130,7 @@
     reader.read([], 7, 20_000);
     other.logReadCoordinator.apply(reader.getState(20_000), 20_000);
     t.equal(other.catalog.getRegistrationsAgeMs(20_000), 20_000);
-    t.equal(other.logReadCoordinator.getKnownOffset('registrations'), 5);
+    t.same(other.logReadCoordinator.getKnownPosition('registrations'), {era: 0, offset: 5});
     t.end();
   });
 
@@ -143,15 +143,32 @@
     t.end();
   });
 
+  t.test('a peer that has not met the restored store renews nothing at one that has', t => {
+    const {reader, other} = createPair();
+    reader.logReadCoordinator.recordRead('operator', {era: 1, offset: 30}, 0);
+    reader.read([S1, S2], 90, 0, 1);
+    other.logReadCoordinator.recordRead('operator', {era: 2, offset: 7}, 0);
+    other.read([S1], 40, 0, 2);
+    other.logReadCoordinator.apply(reader.getState(5_000), 5_000);
+    t.same(other.getAvailableIds(), ['s1']);
+    t.equal(other.operatorUpdates, 0);
+    t.equal(other.catalog.getOperatorRecordsAgeMs(5_000), 5_000);
+    reader.logReadCoordinator.apply(other.getState(5_000), 5_000);
+    t.equal(reader.operatorUpdates, 1, 'and is told by it to read');
+    t.equal(reader.logReadCoordinator.getNextReadDelayMs('operator', 0, 5_000), 0);
+    t.equal(reader.logReadCoordinator.getReportedEra(), 2);
+    t.end();
+  });
+
   t.test("operators' records that a peer reports are read at once, and only once", t => {
     const {reader, other} = createPair();
-    reader.logReadCoordinator.recordRead('operator', 3, 0);
+    reader.logReadCoordinator.recordRead('operator', {era: 0, offset: 3}, 0);
     other.logReadCoordinator.apply(reader.getState(0), 0);
     other.logReadCoordinator.apply(reader.getState(100), 100);
     t.equal(other.operatorUpdates, 1);
     t.equal(other.logReadCoordinator.getNextReadDelayMs('operator', 0, 100), 0);
     t.equal(other.catalog.getOperatorRecordsAgeMs(100), Infinity);
-    other.logReadCoordinator.recordRead('operator', 3, -500);
+    other.logReadCoordinator.recordRead('operator', {era: 0, offset: 3}, -500);
     other.logReadCoordinator.apply(reader.getState(200), 200);
     t.equal(other.catalog.getOperatorRecordsAgeMs(200), 200);
     t.end();
--- a/tests/gateway/duties.test.ts
+++ b/tests/gateway/duties.test.ts
@@ -4,7 +4,7 @@
 import {UsageLedger} from '../../src/controllers/duties/index.js';
 import type {ServiceLoad} from '../../src/controllers/fleetSize/index.js';
 import {FleetDuty} from '../../src/gateway/FleetDuty.js';
-import {UsageDuty} from '../../src/gateway/UsageDuty.js';
+import {UsageDuty, type UsageHistory} from '../../src/gateway/UsageDuty.js';
 import type {
   DutyCalls,
   DutyLog,
@@ -51,7 +51,11 @@
   }
 }
 
-function createUsageDuty(history: readonly UsageReport[], wallMs: number) {
+function createUsageDuty(
+  written: readonly UsageReport[],
+  wallMs: number,
+  history: Partial<UsageHistory> = {},
+) {
   const platform = new DutyPlatform();
   const ledger = new UsageLedger(5);
   const options = {
@@ -61,7 +65,8 @@
     events,
     reportDueMs: DUE_MS,
   };
-  return {platform, ledger, duty: new UsageDuty(options, history, wallMs)};
+  const fullHistory = {written, own: [], reportedWindow: 0, hasLostRecords: false, ...history};
+  return {platform, ledger, duty: new UsageDuty(options, fullHistory, wallMs)};
 }
 
 t.test('UsageDuty', t => {
@@ -96,6 +101,34 @@
     t.same(platform.reported, [written]);
   });
 
+  t.test(
+    'a window whose report a restored store has lost is not reported with other counts',
+    async t => {
+      const own = [{window: 199, counts: new Map([['w', 17]])}];
+      const kept = createUsageDuty([], 1_001_000, {own, reportedWindow: 199, hasLostRecords: true});
+      kept.ledger.addRequest('w', 999_000);
+      await kept.duty.run(CLAIM, 1_001_000);
+      t.same(kept.platform.written, own, 'the holder writes its reports again');
+      t.same(kept.platform.reported, own);
+      const told = createUsageDuty([], 1_001_000, {reportedWindow: 199, hasLostRecords: true});
+      told.ledger.addRequest('w', 999_000);
+      await told.duty.run(CLAIM, 1_008_500);
+      t.same(
+        told.platform.reported.map(({window}) => window),
+        [200],
+        'a successor leaves it out',
+      );
+      const unknown = createUsageDuty([], 1_001_000, {hasLostRecords: true});
+      unknown.ledger.addRequest('w', 999_000);
+      await unknown.duty.run(CLAIM, 1_008_500);
+      t.same(
+        unknown.platform.reported.map(({window}) => window),
+        [200],
+        'so does one that knows nothing',
+      );
+    },
+  );
+
   t.test('stops when a newer holder has written', async t => {
     const {platform, duty} = createUsageDuty([], 1_000_000);
     platform.writeResult = 'superseded';
--- a/tests/gateway/gatewayFixtures.ts
+++ b/tests/gateway/gatewayFixtures.ts
@@ -4,7 +4,7 @@
 import {RequestQuarantine} from '../../src/gateway/RequestQuarantine.js';
 import {silentEvents} from '../../src/logging/index.js';
 import type {GatewaySettings} from '../../src/gateway/index.js';
-import type {RelayedRead} from '../../src/controllers/reading/index.js';
+import type {LogPosition, RelayedRead} from '../../src/controllers/reading/index.js';
 import type {GatewayMember, GossipState, RegistrationsUpdate} from '../../src/gossip/index.js';
 
 /**
@@ -60,12 +60,12 @@
  * Returns the gossip state of a gateway without requests.
  * @param sender - Member record of the gateway.
  * @param registrations - Its update on the registrations.
- * @param operator - Its next offset in the operators' records, and the newest read of them.
+ * @param operator - Its position in the operators' records, and the newest read of them.
  */
 export function createGossipState(
   sender: GatewayMember,
   registrations: RegistrationsUpdate,
-  operator: {readonly offset: number; readonly read: RelayedRead},
+  operator: {readonly position: LogPosition; readonly read: RelayedRead},
 ): GossipState {
   return {
     sender,
@@ -81,7 +81,9 @@
     promptRates: new Map(),
     usage: [],
     dutyClaim: {token: 0, holderId: ''},
-    operatorOffset: operator.offset,
+    reportedUsageWindow: 0,
+    configurationVersion: 0,
+    operatorPosition: operator.position,
     operatorRead: operator.read,
     registrations,
     findings: NO_FINDINGS,
--- a/tests/gateway/gossipFleet.test.ts
+++ b/tests/gateway/gossipFleet.test.ts
@@ -93,7 +93,7 @@
           const reader = fleet.gateways[(seed * 7) % gatewayCount];
           const entry = {...createServer('i-server3').entry, isDraining: true};
           reader.catalog.servers.applyEntry(entry, fleet.nowMs);
-          reader.logReadCoordinator.recordRead('registrations', 10, fleet.nowMs);
+          reader.logReadCoordinator.recordRead('registrations', {era: 0, offset: 10}, fleet.nowMs);
           fleet.run(DEPARTURE_BOUND_MS);
           const late = fleet.gateways.filter(({catalog}) =>
             catalog.servers.getAvailableServers('app', new Set()).some(({entry: {id}}) => {
--- a/tests/gateway/relayedReads.test.ts
+++ b/tests/gateway/relayedReads.test.ts
@@ -32,12 +32,12 @@
     maxTransitMs,
   });
   for (const {logReadCoordinator} of fleet.gateways) {
-    logReadCoordinator.recordRead('operator', 5, 0);
+    logReadCoordinator.recordRead('operator', {era: 0, offset: 5}, 0);
   }
   fleet.run(SETTLING_MS, () => {
     if (fleet.nowMs % READ_INTERVAL_MS !== 0) return;
     for (const {logReadCoordinator} of fleet.gateways.slice(0, READERS)) {
-      logReadCoordinator.recordRead('operator', 5, fleet.nowMs);
+      logReadCoordinator.recordRead('operator', {era: 0, offset: 5}, fleet.nowMs);
     }
   });
   return fleet;
@@ -71,7 +71,7 @@
           const index = (fleet.nowMs / 2_000) % gatewayCount;
           fleet.gateways[index].isRunning = false;
           const restarted = fleet.addGateway(index, fleet.nowMs);
-          restarted.logReadCoordinator.recordRead('operator', 5, 0);
+          restarted.logReadCoordinator.recordRead('operator', {era: 0, offset: 5}, 0);
         });
         const newestMs = Math.max(...getBelievedMs(fleet));
         t.ok(
@@ -122,7 +122,7 @@
           oldestAgeMs = Math.max(oldestAgeMs, ...ages);
           if (fleet.nowMs % READ_INTERVAL_MS !== 0) return;
           for (const {logReadCoordinator} of fleet.gateways.slice(0, READERS)) {
-            logReadCoordinator.recordRead('operator', 5, fleet.nowMs);
+            logReadCoordinator.recordRead('operator', {era: 0, offset: 5}, fleet.nowMs);
           }
         });
         t.ok(oldestAgeMs <= REFUSED_AFTER_MS, `seed ${seed}: ${Math.round(oldestAgeMs)} ms`);
--- a/tests/gateway/rollouts.test.ts
+++ b/tests/gateway/rollouts.test.ts
@@ -70,6 +70,18 @@
   if (sinceOrderMs === 16_000) fleet.store.isAway = false;
 };
 
+/** The store comes back from a copy without the verdict, and the duty holder is killed soon afterwards. */
+const restoredStore: Disturbance = (fleet, sinceOrderMs) => {
+  if (sinceOrderMs === 11_000) fleet.store.isAway = true;
+  if (sinceOrderMs === 12_000) {
+    fleet.store.isAway = false;
+    fleet.store.restore();
+    for (const {gateway} of fleet.gateways) gateway.handleStoreRestored();
+  }
+  if (sinceOrderMs === 20_000) killedHolder(fleet, 4_000);
+  if (sinceOrderMs === 22_000) restartStopped(fleet);
+};
+
 /** A third of the gateways are killed, and are back some seconds later. */
 const killedGateways: Disturbance = (fleet, sinceOrderMs) => {
   if (sinceOrderMs === 5_000) {
@@ -196,6 +208,7 @@
   doTest('failing beside crashing servers', 7, failing, crashingServers, [1, 2, 3]);
   doTest('failing while the duty holder is killed', 7, failing, killedHolder, [1, 2, 3]);
   doTest('failing while the store is away', 7, failing, storeAway, [1, 2, 3]);
+  doTest('failing while the store is restored from a copy', 7, failing, restoredStore, [1, 2, 3]);
   doTest('failing while gateways are killed', 7, failing, killedGateways, [1, 2, 3]);
   doTest('failing while gateways are killed', 91, failing, killedGateways);
 });
--- a/tests/platform/StoreDutyLog.test.ts
+++ b/tests/platform/StoreDutyLog.test.ts
@@ -47,6 +47,25 @@
     t.ok((second?.claim.token ?? 0) > (first?.claim.token ?? 0));
   });
 
+  t.test('gives no token twice when a restored store has lost the claim', async t => {
+    const {store, createLog} = await createFixture(t);
+    const tokens: number[] = [];
+    for (const holder of ['g1', 'g2', 'g3', 'g4']) {
+      const claimed = await createLog().claim(holder);
+      if (!claimed) {
+        t.fail(`${holder} has no claim`);
+        return;
+      }
+      t.equal(claimed.hasLostRecords, holder === 'g4', holder);
+      tokens.push(claimed.claim.token);
+      if (holder === 'g3') store.restore({'keyed.duties': 2});
+    }
+    t.same(
+      tokens,
+      [...new Set(tokens)].sort((a, b) => a - b),
+    );
+  });
+
   t.test('rejects reports of an earlier duty holder', async t => {
     const {createLog} = await createFixture(t);
     const earlier = createLog();
--- a/tests/platform/StoreFeed.test.ts
+++ b/tests/platform/StoreFeed.test.ts
@@ -30,6 +30,15 @@
   store.getRecords(SERVERS).push(encodeKeyedRecord(id, Buffer.from(JSON.stringify(value))));
 }
 
+function configure(store: StoreStandIn, version: number): void {
+  const value = {version, routes: [], services: [], tenants: []};
+  store.getRecords(OPERATOR).push(encodeKeyedRecord('config', Buffer.from(JSON.stringify(value))));
+}
+
+function evacuate(store: StoreStandIn, domain: string, value = '{}'): void {
+  store.getRecords(OPERATOR).push(encodeKeyedRecord(`evacuate/${domain}`, Buffer.from(value)));
+}
+
 /** Appends a record without a value, which deletes the key. */
 function removeRegistration(store: StoreStandIn, id: string): void {
   store.getRecords(SERVERS).push(encodeKeyedRecord(id, Buffer.alloc(0)));
@@ -125,6 +134,49 @@
     },
   );
 
+  t.test('a configuration that is acknowledged by a restored store comes into force', async t => {
+    const {store, catalog} = await startFeed(t, ['s1']);
+    const getVersion = () => catalog.routeTable?.configuration.version;
+    for (const version of [1, 2, 3, 4]) configure(store, version);
+    await waitFor(() => getVersion() === 4);
+    store.restore({[OPERATOR]: 3, [SERVERS]: 0});
+    configure(store, 4);
+    configure(store, 5);
+    await waitFor(() => getVersion() === 5);
+    configure(store, 6);
+    await waitFor(() => getVersion() === 6);
+  });
+
+  t.test('what was confirmed does not come back older from a restored store', async t => {
+    const {store, catalog, getOpenIds} = await startFeed(t, ['s1', 's2', 's3']);
+    const getEvacuated = () => [...catalog.evacuatedDomains].sort().join();
+    configure(store, 1);
+    evacuate(store, 'b');
+    await waitFor(() => getEvacuated() === 'b');
+    configure(store, 2);
+    evacuate(store, 'b', '');
+    evacuate(store, 'c');
+    evacuate(store, 'd');
+    register(store, 's2', 'draining');
+    removeRegistration(store, 's3');
+    await waitFor(() => getEvacuated() === 'c,d' && getOpenIds().join() === 's1');
+    store.restore({[OPERATOR]: 4, [SERVERS]: 2});
+    evacuate(store, 'c');
+    const endAtMs = getNowMs() + 3_000;
+    while (getNowMs() < endAtMs) {
+      await pause(POLL_MS);
+      t.equal(catalog.routeTable?.configuration.version, 2);
+      if (getEvacuated() !== 'c,d' || getOpenIds().join() !== 's1') {
+        t.fail(`evacuated: ${getEvacuated()}, open: ${getOpenIds().join()}`);
+        return;
+      }
+    }
+    evacuate(store, 'b', '');
+    register(store, 's3');
+    await waitFor(() => getOpenIds().join() === 's1,s3');
+    await waitFor(() => getEvacuated() === 'c');
+  });
+
   t.test('removes a server with its registration if there was no outage', async t => {
     const {store, getOpenIds} = await startFeed(t, ['s1', 's2']);
     await pause(2_500);
@@ -140,7 +192,7 @@
       const nowMs = getNowMs();
       for (const other of others) members.applySender(other, nowMs);
       const registrations = {
-        offset: logReadCoordinator.getKnownOffset('registrations'),
+        position: logReadCoordinator.getKnownPosition('registrations'),
         ageMs: 0,
         digest: catalog.servers.getDigest(),
         changed: [],
@@ -149,7 +201,7 @@
       };
       readNumber += 1;
       const operator = {
-        offset: logReadCoordinator.getKnownOffset('operator'),
+        position: logReadCoordinator.getKnownPosition('operator'),
         read: {readerKey: 1, readNumber, ageMs: 0},
       };
       logReadCoordinator.apply(createGossipState(others[0], registrations, operator), nowMs);
--- a/tests/platform/StoreStandIn.ts
+++ b/tests/platform/StoreStandIn.ts
@@ -21,6 +21,8 @@
 /** Log in memory with one partition for each topic. */
 export class StoreStandIn {
   mode: StandInMode = 'works';
+  /** Rises with each restoration; in all responses. */
+  private era = 1;
   private readonly topics = new Map<string, Buffer[]>();
   private readonly readCounts = new Map<string, number>();
   private readonly writers = new Map<string, WriterState>();
@@ -50,6 +52,19 @@
     return found;
   }
 
+  /**
+   * Comes back from a copy: all topics lose their newest records.
+   * @param lostRecords - Number of records that a topic loses, by topic.
+   */
+  restore(lostRecords: Readonly<Record<string, number>>): void {
+    this.era += 1;
+    this.writers.clear();
+    for (const [topic, count] of Object.entries(lostRecords)) {
+      const records = this.getRecords(topic);
+      records.length -= count;
+    }
+  }
+
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store');
     const chunks: Buffer[] = [];
@@ -57,6 +72,7 @@
     if (this.mode === 'silent') return;
     if (this.mode === 'refuses') return end(response, 503, '');
     const topic = url.searchParams.get('topic') ?? '';
+    response.setHeader('Store-Era', this.era);
     if (url.pathname.endsWith('append')) {
       const [status, body] = this.append(topic, url.searchParams, Buffer.concat(chunks));
       if (this.mode !== 'loses-responses') end(response, status, body);
@@ -125,6 +141,7 @@
 
   private read(topic: string, from: number, response: ServerResponse): void {
     const log = this.getRecords(topic);
+    if (from > log.length) return end(response, 410, JSON.stringify({first: 0}));
     const header = Buffer.alloc(16);
     header.writeBigUInt64BE(BigInt(log.length));
     const records = log.slice(from).flatMap(bytes => {
--- a/tests/support/GossipFleet.ts
+++ b/tests/support/GossipFleet.ts
@@ -48,10 +48,15 @@
 
 class FakeDuties {
   claim: DutyClaim = {token: 0, holderId: ''};
+  reportedUsageWindow = 0;
 
   applyClaim(claim: DutyClaim): void {
     if (claim.token > this.claim.token) this.claim = claim;
   }
+
+  applyReportedUsageWindow(window: number): void {
+    this.reportedUsageWindow = Math.max(this.reportedUsageWindow, window);
+  }
 }
 
 /** The parts of one gateway that take part in gossip. */
--- a/tests/support/ServingFleet.ts
+++ b/tests/support/ServingFleet.ts
@@ -97,11 +97,19 @@
   isAway: boolean;
   verdicts = new Map<string, RolloutVerdict>();
   private newest: DutyClaim = {token: 0, holderId: ''};
+  private lostToken = 0;
 
   constructor(isAway: boolean) {
     this.isAway = isAway;
   }
 
+  /** Comes back from a copy without any verdict and claim; later tokens are higher all the same. */
+  restore(): void {
+    this.verdicts = new Map();
+    this.lostToken = this.newest.token;
+    this.newest = {token: 0, holderId: ''};
+  }
+
   async read() {
     return this.isAway ? undefined : {claim: this.newest, reports: []};
   }
@@ -109,8 +117,8 @@
   async claim(holderId: string) {
     if (this.isAway) return undefined;
     const previous = this.newest;
-    this.newest = {token: previous.token + 1, holderId};
-    return {claim: this.newest, previous};
+    this.newest = {token: Math.max(previous.token, this.lostToken) + 1, holderId};
+    return {claim: this.newest, previous, hasLostRecords: false};
   }
 
   async writeReports() {
@@ -410,7 +418,7 @@
   }
 
   private markCurrent({catalog, gateway}: SimulatedGateway): void {
-    gateway.logReadCoordinator.recordRead('operator', 1, this.nowMs);
+    gateway.logReadCoordinator.recordRead('operator', {era: 0, offset: 1}, this.nowMs);
     catalog.markRegistrationsCurrent(this.nowMs);
   }
 
