--- a/tests/platform/records.test.ts
+++ b/tests/platform/records.test.ts
@@ -139,6 +139,26 @@
   doTest('a missing address', json({...REGISTRATION, addr: undefined}));
   doTest('a value of the wrong type', json({...REGISTRATION, slots: '128'}));
   doTest('an array', json([REGISTRATION]));
+  doTest('a port out of range', json({...REGISTRATION, addr: '10.128.0.9:65536'}));
+  doTest('port 0', json({...REGISTRATION, addr: '10.128.0.9:0'}));
+  doTest('an address that is none', json({...REGISTRATION, addr: '10.128.0.256:8080'}));
+  doTest('a start before the Unix epoch', json({...REGISTRATION, born: -1}));
+  doTest('a start that no clock can show', json({...REGISTRATION, born: 8.64e15 + 1}));
+  doTest('more slots than a server can have', json({...REGISTRATION, slots: 2 ** 32}));
+  doTest('an infinite number', Buffer.from(JSON.stringify(REGISTRATION).replace('1500', '1e999')));
+  doTest('a cold time without end', json({...REGISTRATION, cold_left_ms: 1e300}));
+  doTest('an endless service name', json({...REGISTRATION, service: 'x'.repeat(70_000)}));
+  doTest('deep nesting', Buffer.from('['.repeat(100_000)));
+  doTest(
+    'deep nesting in a field',
+    Buffer.from(`{"service":${'['.repeat(100_000)}${']'.repeat(100_000)}}`),
+  );
+  t.test('ignores deep nesting in a field that it does not know', t => {
+    const nested = `${'['.repeat(50_000)}${']'.repeat(50_000)}`;
+    const text = JSON.stringify(REGISTRATION).replace('{', `{"other":${nested},`);
+    t.match(decodeRegistration('i-1', Buffer.from(text)), {id: 'i-1'});
+    t.end();
+  });
   t.end();
 });
 
