Don't believe a refusal without an id on a kept connection

What operators of systems like ours saw: a faulty server wrote an earlier refusal once more on a kept connection; callers were told that their request hadn't run, though it had, or it ran at a second server. Cause here: a refusal with the id of another request was caught, but one without an id was taken for that of the present request.

--- a/tests/platform/BackendConnections.test.ts
+++ b/tests/platform/BackendConnections.test.ts
@@ -125,6 +125,37 @@
       t.match(result.failure, {kind: 'garbled', isSent: true});
     },
   );
+  t.test(
+    'does not take an earlier refusal on a kept connection for a refusal of a later request',
+    async t => {
+      const refusal = (id: string) =>
+        `HTTP/1.1 503 x\r\n${id}x-buckthorngw-not-executed: 1\r\ncontent-length: 0\r\n\r\n`;
+      const answerTwice = async (id: string) => {
+        let requests = 0;
+        const server = await listen(socket => {
+          requests += 1;
+          socket.write(refusal(requests === 1 ? 'x-buckthorngw-attempt-id: q1\r\n' : id));
+        });
+        t.teardown(() => server.close());
+        const connections = new BackendConnections(silentEvents);
+        t.match(await send(connections, getPort(server), 'q1'), {heads: [{isNotRun: true}]});
+        const second = await send(connections, getPort(server), 'q2');
+        connections.removeServers(() => false);
+        return second;
+      };
+      t.match(await answerTwice('x-buckthorngw-attempt-id: q1\r\n'), {
+        heads: [],
+        failure: {kind: 'garbled', isSent: true},
+      });
+      t.match(
+        await answerTwice(''),
+        {heads: [], failure: {kind: 'garbled', isSent: true}},
+        'nor one without an id',
+      );
+      t.match(await answerTwice('x-buckthorngw-attempt-id: q2\r\n'), {heads: [{isNotRun: true}]});
+    },
+  );
+
   doTest(
     'reports bytes that are no HTTP response as a failure',
     socket => socket.write('hello\r\n\r\n'),
