Test that a broken stream never continues with an error of the next server

Operators of systems like ours saw an error's text in the middle of streams, or streams that ended as if they were complete. Ruled out here: after a stream has begun, an error, a refusal, an unsigned response or a redirect of the next server aborts the response, and nothing of it is passed on.

--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -1,5 +1,6 @@
 /** Tests of `ExchangeRun`: what callers and backend servers receive when attempts succeed or fail. */
 import t from 'tap';
+import type {BackendHead} from '../../src/exchange/index.js';
 import {NOT_RUN, RunHarness, SUCCESS, type SentAttempt} from './exchangeFixtures.js';
 
 const BROKEN = {kind: 'broken', isSent: true, message: 'reset'} as const;
@@ -174,6 +175,31 @@
     t.end();
   });
 
+  const doTestSecondServer = (name: string, head: BackendHead) => {
+    t.test(`a stream that broke off does not continue with ${name} of the next server`, t => {
+      const harness = new RunHarness({kind: 'stream', isResumable: true}, ['s1', 's2']);
+      harness.run.start();
+      const [first] = harness.sentAttempts;
+      first.handler.onHead(SUCCESS);
+      first.handler.onData(createEvent(1));
+      first.handler.onFailure(BROKEN);
+      const [, second] = harness.sentAttempts;
+      second.handler.onHead(head);
+      second.handler.onData(Buffer.from('HTTP/1.1 500 x\r\n\r\nid: 2\ndata: error\n\n'));
+      second.handler.onEnd();
+      t.equal(harness.text, createEvent(1).toString());
+      t.equal(harness.isResponseEnded, false);
+      t.equal(harness.isResponseAborted, true);
+      t.equal(harness.startedResponses.length, 1);
+      t.end();
+    });
+  };
+  doTestSecondServer('an error', {...SUCCESS, status: 500});
+  doTestSecondServer('an error of the request', {...SUCCESS, status: 404});
+  doTestSecondServer('a refusal', NOT_RUN);
+  doTestSecondServer('an unsigned response', {...SUCCESS, isSigned: false});
+  doTestSecondServer('a redirect', {...SUCCESS, status: 302});
+
   t.test('does not retry when the retry budget is exhausted', t => {
     const harness = new RunHarness({}, ['s1', 's2']);
     harness.remainingRetries = 0;
