Keep to what servers say of themselves: leaving, and not now

What callers saw: requests that went to servers which had said that they leave, and requests that were refused again and again by servers that had named when to come back. Cause: neither Server-Leaving nor a server's Retry-After was read; a refusal led to a backoff of 0.1 s, and a server in backoff gets requests if there is no other. Change: both are decoded once and kept by the server's start. A leaving server is draining at once at the gateway that hears it, and by gossip at the others; a registration that still says ready doesn't undo it. A paused server gets nothing from that gateway until the time has passed; if all are paused, callers are refused at once with the soonest time, spread by 30 %. The four filters of choosePlacement became one function with a fixed order, which the pause comes first in. A time that is no number of seconds is logged and dropped, one over an hour is cut.

--- a/src/controllers/placement/choosePlacement.ts
+++ b/src/controllers/placement/choosePlacement.ts
@@ -2,6 +2,11 @@
 import type {KnownServer} from '../../catalog/index.js';
 import {rankByRendezvous} from '../../utils/index.js';
 import type {ServerLoad} from './ServerLoads.js';
+import {
+  getAvailability,
+  type AvailabilityView,
+  type ServerAvailability,
+} from './getAvailability.js';
 
 /** Segment of a prompt that may be in a backend server's prefix cache. */
 export interface PromptPart {
@@ -19,19 +24,13 @@
 }
 
 /** State of the backend servers, as this gateway sees it. */
-export interface PlacementView {
+export interface PlacementView extends AvailabilityView {
   /** Servers that may run the request. */
   readonly servers: readonly KnownServer[];
   /** Returns the load that all gateways put on a server. */
   getLoad(serverId: string): ServerLoad;
   /** Returns the failure rate of recent attempts, from 0 to 1. */
   getFailureRate(serverId: string): number;
-  /** Returns whether a server is in backoff after a failure. */
-  isInBackoff(serverId: string): boolean;
-  /** Returns whether the limit that a server has named allows a request now; true for a server without a limit. */
-  hasLimitCapacity(server: KnownServer): boolean;
-  /** Returns whether the rate limit of a cold server allows a request now; true for a server that isn't cold. */
-  hasColdCapacity(server: KnownServer): boolean;
 }
 
 /** The chosen backend server, or why none was chosen. */
@@ -45,12 +44,14 @@
       readonly expectedWaitMs: number;
     }
   /**
-   * `all-tried`: all servers had an earlier attempt; `cold`: the others are cold and at their rate limit; `limited`: the
-   * others have named a limit that is used up.
+   * `all-tried`: all servers had an earlier attempt; `cold`, `limited`: some others are at their rate limit; `paused`: the
+   * others want no requests for some time.
    */
   | {
       readonly kind: 'none';
-      readonly reason: 'no-server' | 'all-tried' | 'cold' | 'limited' | 'full';
+      readonly reason: 'no-server' | 'all-tried' | 'cold' | 'limited' | 'paused';
+      /** Time after which the first of the paused servers wants requests again; undefined for other reasons. */
+      readonly retryAfterMs?: number;
     };
 
 /** Assumed prefill speed of a model engine. */
@@ -66,6 +67,9 @@
 /** Upper bound of the random part of a score, which keeps gateways with the same view from choosing the same server. */
 const JITTER_MS = 4;
 
+/** Part of a pause over which the callers' returns are spread. */
+const RETURN_SPREAD = 0.3;
+
 interface Candidate {
   readonly server: KnownServer;
   readonly uncachedTokens: number;
@@ -73,8 +77,8 @@
 }
 
 /**
- * Chooses the backend server with the lowest score among those not attempted yet. Servers at their rate limit are
- * left out; servers in backoff are used only if there is no healthy one.
+ * Chooses the backend server with the lowest score among those not attempted yet that may get a request now; servers in
+ * backoff are used only if there is no healthy one.
  * @param random - Returns a uniform random number in [0, 1).
  */
 export function choosePlacement(
@@ -85,12 +89,9 @@
   if (view.servers.length === 0) return {kind: 'none', reason: 'no-server'};
   const untried = view.servers.filter(({entry}) => !request.attemptedServerIds.has(entry.id));
   if (untried.length === 0) return {kind: 'none', reason: 'all-tried'};
-  const warm = untried.filter(server => view.hasColdCapacity(server));
-  if (warm.length === 0) return {kind: 'none', reason: 'cold'};
-  const available = warm.filter(server => view.hasLimitCapacity(server));
-  if (available.length === 0) return {kind: 'none', reason: 'limited'};
-  const healthy = available.filter(({entry}) => !view.isInBackoff(entry.id));
-  const candidates = healthy.length > 0 ? healthy : available;
+  const byAvailability = groupByAvailability(view, untried);
+  const candidates = byAvailability.get('available') ?? byAvailability.get('backoff');
+  if (!candidates) return explainNone(view, byAvailability, random);
   const preferredIds = rankByCacheAffinity(candidates, request.promptParts);
   const [best] = candidates
     .map(server => estimateCandidate(view, request, server, preferredIds))
@@ -99,6 +100,33 @@
   return {kind: 'chosen', ...best.candidate};
 }
 
+function groupByAvailability(
+  view: PlacementView,
+  servers: readonly KnownServer[],
+): ReadonlyMap<ServerAvailability, readonly KnownServer[]> {
+  const groups = new Map<ServerAvailability, KnownServer[]>();
+  for (const server of servers) {
+    const availability = getAvailability(view, server);
+    const group = groups.get(availability);
+    if (group) group.push(server);
+    else groups.set(availability, [server]);
+  }
+  return groups;
+}
+
+/** Says why no server may get the request; callers of paused servers come back spread over some time. */
+function explainNone(
+  view: PlacementView,
+  byAvailability: ReadonlyMap<ServerAvailability, readonly KnownServer[]>,
+  random: () => number,
+): PlacementDecision {
+  if (byAvailability.has('limited')) return {kind: 'none', reason: 'limited'};
+  if (byAvailability.has('cold')) return {kind: 'none', reason: 'cold'};
+  const pausesMs = (byAvailability.get('paused') ?? []).map(server => view.getPauseMs(server));
+  const retryAfterMs = Math.min(...pausesMs) * (1 + random() * RETURN_SPREAD);
+  return {kind: 'none', reason: 'paused', retryAfterMs};
+}
+
 function getScoreMs(
   view: PlacementView,
   {server, expectedWaitMs, uncachedTokens}: Candidate,
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -146,7 +146,9 @@
       return this.fail('quarantined', undefined, quarantine.retryAfterMs);
     }
     const decision = services.choose(admitted, this.attemptedServerIds, nowMs);
-    if (decision.kind === 'none') return this.fail('no-server', decision.reason);
+    if (decision.kind === 'none') {
+      return this.fail('no-server', decision.reason, decision.retryAfterMs);
+    }
     const {server, uncachedTokens} = decision;
     this.attempts += 1;
     this.attemptedServerIds.add(server.entry.id);
--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -104,6 +104,10 @@
   readonly isFramed: boolean;
   /** Whether the response comes from another server than the intended one. */
   readonly isMisdirected: boolean;
+  /** Whether the server states that it is leaving: it wants no new requests. */
+  readonly isLeaving: boolean;
+  /** Time for which the server, refusing the request, wants none from this gateway; undefined if it names none. */
+  readonly pauseMs: number | undefined;
   /** Time for which the server reports that it will stay cold; undefined if it doesn't report one. */
   readonly coldMs: number | undefined;
   /** Requests per second that the server takes from all gateways together; undefined if it names no limit. */
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -155,6 +155,7 @@
       evidence: this.evidence,
       events,
       recheck: admitted => this.recheck(admitted),
+      onServerLeaving: () => this.gossip.broadcast(),
       isFleetKnown,
       getGatewayIds,
       getNowMs,
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -5,6 +5,7 @@
   ServerRateLimiter,
   ServerRateShares,
   ServerHealth,
+  ServerPauses,
   choosePlacement,
   type RateShare,
   type HealthOutcome,
@@ -50,6 +51,8 @@
   readonly events: EventLogger;
   /** Returns why a request that was admitted isn't any more; undefined if it still is. */
   readonly recheck: (admitted: AdmittedRequest) => RefusalKind | undefined;
+  /** Called when a server has said that it is leaving, which the other gateways should learn at once. */
+  readonly onServerLeaving: () => void;
   /** Returns the ids of the gateways that may be sending requests, including this one. */
   readonly getGatewayIds: (nowMs: number) => readonly string[];
   /** Returns whether this gateway has had time to learn of the other gateways since its start. */
@@ -85,6 +88,7 @@
 export class GatewayRunServices implements RunServices {
   private readonly options: GatewayRunServicesOptions;
   private readonly health = new ServerHealth();
+  private readonly pauses = new ServerPauses();
   private readonly coldLimiter = new ServerRateLimiter(USED_COLD_FRACTION);
   private readonly coldShares: ServerRateShares;
   private readonly retryBudgets = new Map<string, RetryBudget>();
@@ -127,6 +131,7 @@
         servers,
         getLoad: serverId => loads.getLoad(serverId, nowMs),
         getFailureRate: serverId => this.health.getFailureRate(serverId, nowMs),
+        getPauseMs: ({entry}) => this.pauses.getRemainingMs(entry, nowMs),
         isInBackoff: serverId => this.health.isInBackoff(serverId, nowMs),
         hasColdCapacity: server => this.hasColdCapacity(server, service, nowMs),
         hasLimitCapacity: server => this.options.serverLimits.hasCapacity(server, nowMs),
@@ -179,6 +184,8 @@
 
   onHead(server: KnownServer, head: BackendHead, nowMs: number): void {
     this.applyRequestLimit(server, head, nowMs);
+    this.applyPause(server, head, nowMs);
+    this.applyLeaving(server, head, nowMs);
     if (head.isMisdirected) this.options.catalog.servers.removeServer(server.entry.id, nowMs);
     else if (head.coldMs !== undefined && head.coldMs > 0) {
       this.options.catalog.servers.markCold(server.entry.id, nowMs + head.coldMs, nowMs);
@@ -257,6 +264,23 @@
     this.options.loads.removeRequest(server.entry.id);
   }
 
+  private applyPause({entry}: KnownServer, {pauseMs}: BackendHead, nowMs: number): void {
+    if (pauseMs === undefined) return;
+    this.pauses.addPause(entry, pauseMs, nowMs);
+    const {id: server, service} = entry;
+    this.options.events.log('server paused', {server, service, pauseMs: Math.round(pauseMs)});
+  }
+
+  private applyLeaving({entry}: KnownServer, {isLeaving}: BackendHead, nowMs: number): void {
+    if (!isLeaving) return;
+    const {catalog, events, onServerLeaving} = this.options;
+    const change = catalog.servers.applyDeparture(entry, 'draining', nowMs);
+    if (change === 'same') return;
+    const {id: server, service, failureDomain} = entry;
+    events.log('backend server', {server, change, service, failureDomain, toldBy: server});
+    onServerLeaving();
+  }
+
   /** A response of a server that rejected the request says nothing if it names no limit. */
   private applyRequestLimit(server: KnownServer, head: BackendHead, nowMs: number): void {
     if (head.isMisdirected) return;
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -18,6 +18,8 @@
 const REQUEST_EVENTS_PER_SECOND = 300;
 /** Rate limit of events that are caused by changes of the deployment. */
 const STATE_CHANGES_PER_SECOND = 50;
+/** What servers say of themselves when they refuse requests. */
+const HINTS_PER_SECOND = 5;
 /** Steps of roll-outs, of which a gateway sees a few per service. */
 const ROLLOUT_EVENTS_PER_SECOND = 5;
 /** Rate limit of events that repeat while a fault persists. */
@@ -151,6 +153,18 @@
     fields: ['service', 'targetVersion'],
     maxPerSecond: STATE_CHANGES_PER_SECOND,
   },
+  'server paused': {
+    level: 'info',
+    meaning: 'A backend server refused a request and wants none from this gateway for some time.',
+    fields: ['server', 'service', 'pauseMs'],
+    maxPerSecond: HINTS_PER_SECOND,
+  },
+  'server pause not usable': {
+    level: 'warn',
+    meaning: 'A time that a refusing server named is no number of seconds, or is cut to an hour.',
+    fields: ['server', 'text'],
+    maxPerSecond: HINTS_PER_SECOND,
+  },
   'roll-out step': {
     level: 'info',
     meaning:
--- a/tests/controllers/placement/placement.test.ts
+++ b/tests/controllers/placement/placement.test.ts
@@ -5,6 +5,7 @@
   ServerRateLimiter,
   ServerHealth,
   ServerLoads,
+  ServerPauses,
   choosePlacement,
   type PlacementView,
   type PromptPart,
@@ -20,6 +21,7 @@
     servers: SERVERS,
     getLoad: () => ({openRequests: 0, pendingPromptTokens: 0}),
     getFailureRate: () => 0,
+    getPauseMs: () => 0,
     isInBackoff: () => false,
     hasColdCapacity: () => true,
     hasLimitCapacity: () => true,
@@ -46,6 +48,33 @@
 }
 
 t.test('choosePlacement', t => {
+  t.test('a paused server gets nothing, whatever else holds for it', t => {
+    const pausesMs: Readonly<Record<string, number>> = {s1: 900, s2: 400};
+    const getPauseMs = ({entry}: KnownServer) => pausesMs[entry.id] ?? 0;
+    t.match(chooseId(createView({getPauseMs})), /s[34]/);
+    const isInBackoff = () => true;
+    t.match(chooseId(createView({getPauseMs, isInBackoff})), /s[34]/, 'not even before a backoff');
+    const servers = SERVERS.slice(0, 2);
+    const none = choosePlacement(
+      createView({servers, getPauseMs}),
+      {promptParts: [], attemptedServerIds: NONE},
+      () => 0,
+    );
+    t.same(none, {kind: 'none', reason: 'paused', retryAfterMs: 400}, 'the soonest return');
+    t.equal(chooseId(createView({getPauseMs, hasLimitCapacity: () => false})), 'limited');
+    t.end();
+  });
+
+  t.test('the pause of a server does not bind its next start', t => {
+    const pauses = new ServerPauses();
+    pauses.addPause({id: 's1', startedAtMs: 1}, 500, 1_000);
+    pauses.addPause({id: 's1', startedAtMs: 1}, 100, 1_000);
+    t.equal(pauses.getRemainingMs({id: 's1', startedAtMs: 1}, 1_200), 300);
+    t.equal(pauses.getRemainingMs({id: 's1', startedAtMs: 2}, 1_200), 0);
+    t.equal(pauses.getRemainingMs({id: 's1', startedAtMs: 1}, 1_500), 0);
+    t.end();
+  });
+
   t.test('sends requests with the same shared segments to the same server', t => {
     const view = createView();
     const ids = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(subject =>
--- a/tests/controllers/placement/serverRateShares.test.ts
+++ b/tests/controllers/placement/serverRateShares.test.ts
@@ -69,6 +69,7 @@
     rollouts: new RolloutGate({catalog, events: silentEvents}),
     evidence: new FleetEvidence(),
     recheck: () => undefined,
+    onServerLeaving: () => undefined,
     getGatewayIds: () => fleet,
     isFleetKnown: () => isFleetKnown,
     getNowMs: () => 0,
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -27,6 +27,8 @@
   isSigned: true,
   isFramed: true,
   isMisdirected: false,
+  isLeaving: false,
+  pauseMs: undefined,
   coldMs: undefined,
   requestLimit: undefined,
 };
--- a/tests/gateway/retrySlack.test.ts
+++ b/tests/gateway/retrySlack.test.ts
@@ -32,6 +32,7 @@
       rollouts: new RolloutGate({catalog: new Catalog(), events: silentEvents}),
       evidence: new FleetEvidence(),
       recheck: () => undefined,
+      onServerLeaving: () => undefined,
       getGatewayIds: nowMs => (nowMs < DISCOVERY_MS ? [id] : fleet),
       isFleetKnown: nowMs => nowMs >= DISCOVERY_MS,
       getNowMs: () => 0,
--- a/tests/platform/BackendConnections.test.ts
+++ b/tests/platform/BackendConnections.test.ts
@@ -156,6 +156,25 @@
     },
   );
 
+  const doTestPause = (text: string, pauseMs: number | undefined, status = 503) => {
+    doTest(
+      `reads a refusal's time ${text} in a response with status ${status}`,
+      socket =>
+        socket.write(
+          `HTTP/1.1 ${status} x\r\n${SIGNED}x-buckthorngw-not-executed: 1\r\nretry-after: ${text}\r\nserver-leaving: 1\r\ncontent-length: 0\r\n\r\n`,
+        ),
+      result => t.match(result.heads, [{pauseMs, isLeaving: true}]),
+    );
+  };
+  doTestPause('2', 2_000);
+  doTestPause('0.35', 350);
+  doTestPause('0', undefined);
+  doTestPause('-1', undefined);
+  doTestPause('Sat, 05 Dec 2026 04:00:00 GMT', undefined);
+  doTestPause('1e9', undefined);
+  doTestPause('7200', 3_600_000);
+  doTestPause('2', undefined, 429);
+
   doTest(
     'reports bytes that are no HTTP response as a failure',
     socket => socket.write('hello\r\n\r\n'),
