Judge a version by no more requests than its verdict needs

A low request rate let a bad version get up to half of a service's requests within the exposure limits, whose fixed part is meant for counting errors. The share is now at most the limit's, or what gives 24 results until the ramp begins. The request rate of a roll-out that is longer than the kept results is computed from their span. decideRollout.test.ts: 25 exposed requests of 59 allowed at 5 a second (34 before), 54 to 1,468 at 25 to 1,000 a second as before; rollouts.test.ts passes (155 checks).

--- a/src/controllers/moves/decideRollout.ts
+++ b/src/controllers/moves/decideRollout.ts
@@ -52,9 +52,11 @@
 const MIN_DRAIN_MS = 500;
 /** Results of the target version without which its quality is unknown. */
 const MIN_SAMPLES = 12;
+/** Results of the target version for which its share is raised above the exposure limit's, if the rate is low. */
+const ENOUGH_SAMPLES = 2 * MIN_SAMPLES;
 /** Results of the target version that each step of the ramp needs. */
 const MIN_STEP_SAMPLES = 3;
-/** The first share, until the request rate is known, and the limits of the later ones. */
+/** The first share, until the request rate is known, and the largest one at which the version is judged. */
 const FIRST_PERCENT = 4;
 const MAX_FIRST_PERCENT = 50;
 /** Share of the exposure limits that is planned for; the rest covers gateways that differ and requests in flight. */
@@ -112,21 +114,34 @@
   {step, evidence, limits, deadlineAtMs, isStreamed}: RolloutView,
   nowMs: number,
 ): number {
-  const elapsedMs = nowMs - step.startedAtMs;
-  if (elapsedMs < MIN_RATE_MS) return FIRST_PERCENT;
-  const requests = evidence.reduce((total, row) => total + row.requests, 0);
-  const perMs = Math.max(1, requests) / elapsedMs;
+  if (nowMs - step.startedAtMs < MIN_RATE_MS) return FIRST_PERCENT;
+  const perMs = getRequestsPerMs(evidence, step.startedAtMs, nowMs);
   const durationMs = deadlineAtMs - step.startedAtMs;
+  const judgedMs = Math.max(1, getRampStartMs(durationMs, isStreamed));
   const allowed = PLANNED_EXPOSURE * (limits.share * perMs * durationMs + limits.slack);
   const rampMs = RAMP_PERCENTS.reduce(
     (total, percent) => total + (percent / WHOLE_PERCENT) * RAMP_STEP_MS,
     0,
   );
   const left = allowed - (rampMs + getDrainMs(isStreamed)) * perMs;
-  const percent =
-    (WHOLE_PERCENT * left) / (perMs * Math.max(1, getRampStartMs(durationMs, isStreamed)));
-  const least = LEAST_SHARE_OF_LIMIT * limits.share * WHOLE_PERCENT;
-  return Math.min(Math.max(percent, least), MAX_FIRST_PERCENT);
+  const allowedPercent = (WHOLE_PERCENT * left) / (perMs * judgedMs);
+  const neededPercent = (WHOLE_PERCENT * ENOUGH_SAMPLES) / (perMs * judgedMs);
+  const usefulPercent = Math.max(neededPercent, limits.share * WHOLE_PERCENT);
+  const leastPercent = LEAST_SHARE_OF_LIMIT * limits.share * WHOLE_PERCENT;
+  const percent = Math.min(allowedPercent, usefulPercent, MAX_FIRST_PERCENT);
+  return Math.max(percent, leastPercent);
+}
+
+/** Returns the rate of results since the start, or since the oldest kept ones. */
+function getRequestsPerMs(
+  evidence: readonly EvidenceRow[],
+  startedAtMs: number,
+  nowMs: number,
+): number {
+  const requests = evidence.reduce((total, row) => total + row.requests, 0);
+  const oldestMs = Math.min(...evidence.map(getRowStartMs), nowMs);
+  const sinceMs = nowMs - Math.max(startedAtMs, oldestMs);
+  return Math.max(1, requests) / Math.max(MIN_RATE_MS, sinceMs);
 }
 
 /** Ends the roll-out once the other versions' requests have ended, or when the verdict is due. */
