Show versions and shares of roll-outs in logs and metrics

On-call engineers could see the verdict of a roll-out, but not which version a request ran on, nor the share that a gateway knows. The log line of a request of a service with an order names the software version, so explain prints it; two metrics tell the share and count the verdicts.

--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -54,6 +54,8 @@
   readonly attempts: number;
   /** Server of the last attempt; undefined if there was no attempt. */
   readonly serverId: string | undefined;
+  /** Software version of that server. */
+  readonly softwareVersion: string | undefined;
   /** Whether a backend server has or may have run the request. */
   readonly hasRun: boolean;
   /** Time from the request's arrival to the first event or response head; undefined if there was none. */
@@ -102,6 +104,7 @@
   private firstEventMs: number | undefined;
   private status: number | undefined;
   private serverId: string | undefined;
+  private softwareVersion: string | undefined;
 
   constructor(options: ExchangeRunOptions) {
     this.options = options;
@@ -141,6 +144,7 @@
     this.attempts += 1;
     this.attemptedServerIds.add(server.entry.id);
     this.serverId = server.entry.id;
+    this.softwareVersion = server.entry.softwareVersion;
     services.onSent(admitted, server, uncachedTokens, this.attempts, nowMs);
     const attempt = createAttempt(server, uncachedTokens, nowMs);
     this.current = attempt;
@@ -410,6 +414,7 @@
       refusal,
       attempts: this.attempts,
       serverId: this.serverId,
+      softwareVersion: this.softwareVersion,
       hasRun: this.hasRun,
       firstEventMs: this.firstEventMs,
       totalMs: getNowMs() - admitted.request.receivedAtMs,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -120,7 +120,11 @@
       isFleetKnown,
       getWallMs: () => clock.getWallMs(),
     });
-    const rollouts = new RolloutGate({catalog, events});
+    const rollouts = new RolloutGate({
+      catalog,
+      events,
+      onStep: step => options.metrics.addRolloutStep(step),
+    });
     this.services = new GatewayRunServices({
       settings,
       catalog,
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -1,5 +1,6 @@
 /** Counters, gauges and latency histograms of a gateway, in the Prometheus text exposition format. */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {isFinalStep, type RolloutStep} from '../controllers/moves/index.js';
 import type {RefusalKind, RunOutcome} from '../exchange/index.js';
 import type {GossipTraffic} from '../gossip/index.js';
 
@@ -102,6 +103,19 @@
     registers: [this.registry],
   });
 
+  private readonly rolloutShares = new Gauge({
+    name: 'buckthorn_rollout_share_percent',
+    help: 'Share of the new requests of a service that may go to the version that it is moved to.',
+    labelNames: ['service', 'version'],
+    registers: [this.registry],
+  });
+  private readonly rolloutVerdicts = new Counter({
+    name: 'buckthorn_rollout_verdicts_total',
+    help: 'Roll-outs that this gateway knows to have ended, by their verdict.',
+    labelNames: ['service', 'version', 'verdict'],
+    registers: [this.registry],
+  });
+
   /**
    * Counts an admitted request and records its latencies.
    * @param route - Name of the route.
@@ -136,6 +150,12 @@
     this.storeCalls.inc({call, result});
   }
 
+  /** Records the share of a roll-out, and counts it if it has ended. */
+  addRolloutStep({service, targetVersion: version, phase, sharePercent}: RolloutStep): void {
+    this.rolloutShares.set({service, version}, sharePercent);
+    if (isFinalStep({phase})) this.rolloutVerdicts.inc({service, version, verdict: phase});
+  }
+
   /**
    * Registers the gauges; call it once.
    * @param getGauges - Returns the current values; called for each gauge at each scrape.
--- a/src/gateway/RequestHandler.ts
+++ b/src/gateway/RequestHandler.ts
@@ -168,6 +168,7 @@
     }
     this.options.metrics.addOutcome(route.name, workspace?.name, outcome);
     const {kind, status, refusal, attempts, serverId, firstEventMs, totalMs, detail} = outcome;
+    const isMoved = route.shares.some(({service}) => this.options.catalog.rollouts.has(service));
     this.options.events.log('request', {
       request: request.id,
       route: route.name,
@@ -177,6 +178,7 @@
       refusal,
       attempts,
       server: serverId,
+      softwareVersion: isMoved ? outcome.softwareVersion : undefined,
       firstEventMs: round(firstEventMs),
       totalMs: round(totalMs),
       detail,
--- a/src/gateway/RolloutGate.ts
+++ b/src/gateway/RolloutGate.ts
@@ -7,6 +7,8 @@
 export interface RolloutGateOptions {
   readonly catalog: Catalog;
   readonly events: EventLogger;
+  /** Called when the phase or the share of a roll-out has changed. */
+  readonly onStep?: (step: RolloutStep) => void;
 }
 
 /** A request whose version is chosen. */
@@ -169,8 +171,10 @@
     this.steps.delete(key);
     this.steps.set(key, {step, renewedAtMs: nowMs, learnedAtMs});
     this.dropOldest();
-    if (isNews) this.logStep(step);
-    return isNews;
+    if (!isNews) return false;
+    this.logStep(step);
+    this.options.onStep?.(step);
+    return true;
   }
 
   private dropOldest(): void {
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -70,6 +70,7 @@
       'refusal',
       'attempts',
       'server',
+      'softwareVersion',
       'firstEventMs',
       'totalMs',
       'detail',
