Don't let the clock that counts suspensions run fast

What callers would have seen: refusals for an outdated configuration, earlier than needed, at busy gateways. Cause: the clock added the larger progress of two clocks at each reading. The wall clock moves in whole milliseconds, so reading the clock every 0.3 ms let it gain 10.5 s in 15 s. The fleet daemon's lease, which the logic comes from, reads it rarely. Change: it follows the monotonic clock and adds what the wall clock gains over it, once that is 20 ms. A suspension of less than that is counted with the next one; the lease's margin is a tenth of its term.

--- a/src/utils/SuspendAwareClock.ts
+++ b/src/utils/SuspendAwareClock.ts
@@ -9,29 +9,35 @@
 }
 
 /**
- * Advances by the larger of the wall clock's and the monotonic clock's progress. A step of the wall clock can therefore
- * only make things look older than they are, never newer.
+ * Smallest lead of the wall clock that counts as a suspension. The clocks have different resolutions and are read one
+ * after the other; counting each difference would make this clock run fast when it is read often.
+ */
+const MIN_LEAD_MS = 20;
+
+/**
+ * Advances with the monotonic clock, and by each lead that the wall clock gains over it. A step of the wall clock can
+ * therefore only make things look older than they are, never newer.
  */
 export class SuspendAwareClock {
   private readonly options: SuspendAwareClockOptions;
-  private lastWallMs: number;
-  private lastMonotonicMs: number;
-  private currentMs: number;
+  /** Difference between the wall clock and the monotonic clock that is explained. */
+  private knownOffsetMs: number;
+  private suspendedMs = 0;
 
   constructor(options: SuspendAwareClockOptions) {
     this.options = options;
-    this.lastWallMs = options.getWallMs();
-    this.lastMonotonicMs = options.getMonotonicMs();
-    this.currentMs = this.lastMonotonicMs;
+    this.knownOffsetMs = options.getWallMs() - options.getMonotonicMs();
   }
 
   /** Returns the time in milliseconds; the first value is that of the monotonic clock. */
   getNowMs(): number {
-    const wallMs = this.options.getWallMs();
     const monotonicMs = this.options.getMonotonicMs();
-    this.currentMs += Math.max(wallMs - this.lastWallMs, monotonicMs - this.lastMonotonicMs);
-    this.lastWallMs = wallMs;
-    this.lastMonotonicMs = monotonicMs;
-    return this.currentMs;
+    const offsetMs = this.options.getWallMs() - monotonicMs;
+    const leadMs = offsetMs - this.knownOffsetMs;
+    if (Math.abs(leadMs) >= MIN_LEAD_MS) {
+      this.knownOffsetMs = offsetMs;
+      this.suspendedMs += Math.max(0, leadMs);
+    }
+    return monotonicMs + this.suspendedMs;
   }
 }
--- a/tests/utils/SuspendAwareClock.test.ts
+++ b/tests/utils/SuspendAwareClock.test.ts
@@ -20,3 +20,17 @@
   t.equal(pass(50, 2_050), 7_710, 'and forward again');
   t.end();
 });
+
+t.test('the clock does not run fast when it is read often', t => {
+  let trueMs = 0;
+  const clock = new SuspendAwareClock({
+    getWallMs: () => 1_780_000_000_000 + Math.floor(trueMs),
+    getMonotonicMs: () => trueMs,
+  });
+  for (let read = 0; read < 50_000; read += 1) {
+    trueMs += 0.3;
+    clock.getNowMs();
+  }
+  t.ok(Math.abs(clock.getNowMs() - trueMs) < 20, `${clock.getNowMs() - trueMs} ms too fast`);
+  t.end();
+});
