--- a/src/gateway/RolloutDuty.ts
+++ b/src/gateway/RolloutDuty.ts
@@ -58,11 +58,6 @@
     this.callLog(claim);
   }
 
-  /** Reads the verdicts again, since the store has lost writes. */
-  forgetWritten(): void {
-    this.written = undefined;
-  }
-
   private advance(order: RolloutOrder, claim: DutyClaim): void {
     const step = this.getStep(order);
     if (!step || isFinalStep(step)) return;
