Order no servers while a service is moved to another version

Cause: servers crashed during a roll-out of the model service, and the duty holder ordered what was missing. The platform carries out an order without regard to versions: within a tenth of a second servers of the version that stays began to drain. Change: while servers of two versions are there, and 6 s after, nothing is ordered; before, only returns waited. The new case of duties.test.ts fails without the change for missing servers.

--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -86,9 +86,9 @@
       reclaimable: countServers(servers, failureDomain, true),
     }));
     const {neededServers, isKnown} = this.updateNeed(service, servers, nowMs);
+    if (!this.hasOneVersion(service.name, nowMs)) return 'done';
     for (const order of decideFleetSize({bounds, domains, neededServers})) {
-      const mayReturnServers = isKnown && this.hasOneVersion(service.name, nowMs);
-      const need: DomainNeed = {...order, mayReturnServers};
+      const need: DomainNeed = {...order, mayReturnServers: isKnown};
       const result = await this.orderForDomain(service.name, need, servers, claim, nowMs);
       if (result === 'superseded') return result;
     }
@@ -112,7 +112,10 @@
     return {neededServers: need.update(view, nowMs), isKnown: need.isKnown(nowMs)};
   }
 
-  /** Returns whether a service's servers have had a single version for some time: which ones leave isn't known before. */
+  /**
+   * Returns whether a service's servers have had a single version for some time. The platform carries out an order without
+   * regard to versions, so one that is sent before may take away the servers that are to stay.
+   */
   private hasOneVersion(service: string, nowMs: number): boolean {
     if (this.options.isMoving(service)) this.movedAtMs.set(service, nowMs);
     return nowMs - (this.movedAtMs.get(service) ?? -Infinity) >= MOVED_SETTLING_MS;
--- a/tests/gateway/duties.test.ts
+++ b/tests/gateway/duties.test.ts
@@ -176,20 +176,24 @@
   });
   const platform = new DutyPlatform();
   let load: ServiceLoad = {openRequests: 0, promptTokensPerSecond: 0};
+  let isMoving = false;
   const duty = new FleetDuty({
     catalog,
     calls: platform,
     events,
     failureDomains: ['a', 'b'],
     getLoad: () => load,
-    isMoving: () => false,
+    isMoving: () => isMoving,
   });
+  const setMoving = (moving: boolean) => {
+    isMoving = moving;
+  };
   const setLoad = (openRequests: number, promptTokensPerSecond: number) => {
     load = {openRequests, promptTokensPerSecond};
   };
   const add = (id: string, fields: Partial<ServerEntry>) =>
     catalog.servers.applyEntry({...createServer(id).entry, ...fields}, 0);
-  return {platform, duty, add, setLoad};
+  return {platform, duty, add, setLoad, setMoving};
 }
 
 /** Returns the sum of the latest orders of all failure domains and types. */
@@ -207,6 +211,21 @@
 }
 
 t.test('FleetDuty', t => {
+  t.test('orders nothing while servers of two versions are there, and some time after', async t => {
+    const {platform, duty, add, setLoad, setMoving} = createFleet();
+    for (const id of ['o1', 'o2', 'o3']) add(id, {failureDomain: 'a'});
+    await settle(duty);
+    const count = platform.orders.length;
+    setMoving(true);
+    setLoad(60, 0);
+    for (let nowMs = 5_000; nowMs <= 30_000; nowMs += 400) await duty.run(CLAIM, nowMs);
+    setMoving(false);
+    await duty.run(CLAIM, 33_000);
+    t.equal(platform.orders.length, count, 'neither surplus nor missing servers');
+    for (let nowMs = 36_000; nowMs <= 40_000; nowMs += 400) await duty.run(CLAIM, nowMs);
+    t.ok(platform.orders.length > count);
+  });
+
   t.test('orders reclaimable servers and keeps on-demand ones until those serve', async t => {
     const {platform, duty, add} = createFleet();
     for (const id of ['o1', 'o2', 'o3']) add(id, {failureDomain: 'a'});
