--- a/bench/bin/run-bench.ts
+++ b/bench/bin/run-bench.ts
@@ -13,6 +13,7 @@
   runMovesExperiment,
 } from '../experiments/index.js';
 import {measureMissingBackend, measureTableSwap} from '../related/index.js';
+import {measureRollouts} from '../rollouts/index.js';
 import {
   createHtmlReport,
   createMarkdownReport,
@@ -76,6 +77,28 @@
       args: {},
       handler: runRelated,
     }),
+    rollouts: command({
+      name: 'rollouts',
+      description: 'Plays short roll-outs of good and bad versions over simulated fleets',
+      args: {
+        seed: seedOption,
+        seeds: option({type: number, long: 'seeds', defaultValue: () => 20}),
+        gateways: option({type: number, long: 'gateways', defaultValue: () => 7}),
+      },
+      handler: async ({seed, seeds, gateways}) => {
+        const rows = await measureRollouts({gatewayCount: gateways, firstSeed: seed, seeds});
+        writeLine(
+          '| version | wrong verdicts, not by the deadline | over the limits | exposed, median-most | bad responses, median-most |',
+        );
+        writeLine('|---|---|---|---|---|');
+        for (const row of rows) {
+          const verdicts = `${row.wrong}, ${row.notByDeadline} of ${row.plays}`;
+          const exposed = `${row.exposedMedian}-${row.exposedMost}`;
+          const bad = `${row.badMedian}-${row.badMost}`;
+          writeLine(`| ${row.name} | ${verdicts} | ${row.overLimit} | ${exposed} | ${bad} |`);
+        }
+      },
+    }),
     moves: command({
       name: 'moves',
       description: 'Compares moves by evidence with a linear ramp, for good and faulty versions',
--- /dev/null
+++ b/bench/rollouts/index.ts
@@ -0,0 +1,1 @@
+export {measureRollouts, type RolloutRow} from './measureRollouts.js';
