--- a/bench/rollouts/measureRollouts.ts
+++ b/bench/rollouts/measureRollouts.ts
@@ -11,7 +11,7 @@
   playRollout,
   slow,
   storeAway,
-  type Badness,
+  type VersionBehaviour,
   type Disturbance,
   type RolloutResult,
 } from '../../tests/support/RolloutPlay.js';
@@ -40,22 +40,22 @@
 
 interface Kind {
   readonly name: string;
-  readonly badness: Badness;
+  readonly behaviour: VersionBehaviour;
   readonly disturb: Disturbance;
 }
 
 const KINDS: readonly Kind[] = [
-  {name: 'fails half of its requests', badness: failing, disturb: nothing},
-  {name: 'fails them from midway on', badness: failingLater, disturb: nothing},
-  {name: 'takes four times as long', badness: slow, disturb: nothing},
-  {name: 'fails, old servers limited', badness: failing, disturb: limitedServers},
-  {name: 'fails, old servers crash', badness: failing, disturb: crashingServers},
-  {name: 'fails, duty holder killed', badness: failing, disturb: killedHolder},
-  {name: 'fails, store away', badness: failing, disturb: storeAway},
-  {name: 'fails, a third of the gateways killed', badness: failing, disturb: killedGateways},
-  {name: 'good', badness: good, disturb: nothing},
-  {name: 'good, old servers crash', badness: good, disturb: crashingServers},
-  {name: 'good, old servers limited', badness: good, disturb: limitedServers},
+  {name: 'fails half of its requests', behaviour: failing, disturb: nothing},
+  {name: 'fails them from midway on', behaviour: failingLater, disturb: nothing},
+  {name: 'takes four times as long', behaviour: slow, disturb: nothing},
+  {name: 'fails, old servers limited', behaviour: failing, disturb: limitedServers},
+  {name: 'fails, old servers crash', behaviour: failing, disturb: crashingServers},
+  {name: 'fails, duty holder killed', behaviour: failing, disturb: killedHolder},
+  {name: 'fails, store away', behaviour: failing, disturb: storeAway},
+  {name: 'fails, a third of the gateways killed', behaviour: failing, disturb: killedGateways},
+  {name: 'good', behaviour: good, disturb: nothing},
+  {name: 'good, old servers crash', behaviour: good, disturb: crashingServers},
+  {name: 'good, old servers limited', behaviour: good, disturb: limitedServers},
 ];
 
 /** Plays all kinds of versions, one after the other. */
@@ -68,14 +68,14 @@
 }
 
 async function measureKind(
-  {name, badness, disturb}: Kind,
+  {name, behaviour, disturb}: Kind,
   {gatewayCount, firstSeed, seeds}: MeasureRolloutsOptions,
 ): Promise<RolloutRow> {
   const results: RolloutResult[] = [];
   for (let seed = firstSeed; seed < firstSeed + seeds; seed += 1) {
-    results.push(await playRollout({gatewayCount, seed, badness, disturb}));
+    results.push(await playRollout({gatewayCount, seed, behaviour, disturb}));
   }
-  const expected = badness === good ? 'done' : 'rolled-back';
+  const expected = behaviour === good ? 'done' : 'rolled-back';
   const exposed = results.map(result => result.exposed);
   const bad = results.map(result => result.badResponses);
   const isOver = ({exposed, allowed, tooLate}: RolloutResult) => exposed > allowed || tooLate > 0;
@@ -84,7 +84,7 @@
     plays: results.length,
     wrong: results.filter(({finalVerdict}) => finalVerdict?.phase !== expected).length,
     notByDeadline: results.filter(({verdict}) => verdict?.phase !== expected).length,
-    overLimit: badness === good ? 0 : results.filter(isOver).length,
+    overLimit: behaviour === good ? 0 : results.filter(isOver).length,
     exposedMedian: getMedian(exposed),
     exposedMost: Math.max(...exposed),
     badMedian: getMedian(bad),
--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -12,7 +12,7 @@
   readonly learnedAtMs: number;
 }
 
-/** Time in which a gateway reads a configuration that another one has told of. */
+/** Time in which a gateway reads a configuration that another one has reported. */
 const CONFIGURATION_READ_MS = 1_500;
 
 /** Replicated state of the deployment, as read from the operators' records and the registrations. */
@@ -22,9 +22,9 @@
   private readonly evacuatedDomainNames = new Set<string>();
   private readonly endedEvacuations = new Set<string>();
   private readonly rolloutOrders = new Map<string, RolloutOrder>();
-  /** Highest version of the configuration that another gateway has in force, and when it was first told. */
-  private toldVersion = 0;
-  private toldAtMs = -Infinity;
+  /** Highest version of the configuration that another gateway has in force, and when it was first reported. */
+  private reportedVersion = 0;
+  private reportedAtMs = -Infinity;
   /** Version of the first configuration that this process has read. */
   private firstVersion: number | undefined;
   private operatorRecordsCurrentAtMs = -Infinity;
@@ -61,10 +61,10 @@
    * Records the version of the configuration that another gateway has in force.
    * @param nowMs - Current monotonic time in milliseconds.
    */
-  applyToldVersion(version: number, nowMs: number): void {
-    if (version <= this.toldVersion) return;
-    this.toldVersion = version;
-    this.toldAtMs = nowMs;
+  applyReportedVersion(version: number, nowMs: number): void {
+    if (version <= this.reportedVersion) return;
+    this.reportedVersion = version;
+    this.reportedAtMs = nowMs;
   }
 
   /**
@@ -74,8 +74,8 @@
    */
   isConfigurationOutdated(nowMs: number): boolean {
     const version = this.currentRouteTable?.configuration.version ?? -Infinity;
-    if (version >= this.toldVersion) return false;
-    return version === this.firstVersion || nowMs - this.toldAtMs >= CONFIGURATION_READ_MS;
+    if (version >= this.reportedVersion) return false;
+    return version === this.firstVersion || nowMs - this.reportedAtMs >= CONFIGURATION_READ_MS;
   }
 
   /**
--- a/src/controllers/reading/ReadProof.ts
+++ b/src/controllers/reading/ReadProof.ts
@@ -5,7 +5,7 @@
  */
 
 /** What a datagram says about the proof of its sender, for one recipient. */
-export interface ToldProof {
+export interface ReportedProof {
   /** Key of the sender's start. */
   readonly peerKey: number;
   /** Age of the sender's proof when it sent the datagram. */
@@ -47,18 +47,13 @@
     this.provenMs = Math.max(this.provenMs, provenAtMs);
   }
 
-  /** Drops the proof, since the log may have other records than the copy. */
-  reset(): void {
-    this.provenMs = -Infinity;
-  }
-
   /**
    * Applies a peer's datagram.
    * @param isSameLog - Whether the peer's copy has the same records; otherwise only its stamp is kept.
    * @param nowMs - Current time.
    */
   apply(
-    {peerKey, ageMs, stampMs, returnedStampMs}: ToldProof,
+    {peerKey, ageMs, stampMs, returnedStampMs}: ReportedProof,
     isSameLog: boolean,
     nowMs: number,
   ): void {
--- a/src/controllers/reading/index.ts
+++ b/src/controllers/reading/index.ts
@@ -11,5 +11,5 @@
   getLaterPosition,
   type LogPosition,
 } from './LogPosition.js';
-export {ReadProof, type ToldProof} from './ReadProof.js';
+export {ReadProof, type ReportedProof} from './ReadProof.js';
 export {ReadOrigins, type RelayedRead} from './ReadOrigins.js';
--- a/src/gateway/DutyRunner.ts
+++ b/src/gateway/DutyRunner.ts
@@ -59,7 +59,7 @@
   /** Reports that this gateway wrote under its latest claim. */
   private ownReports: readonly UsageReport[] = [];
   /** Newest usage window that another gateway knows to have been written. */
-  private toldUsageWindow = 0;
+  private peerUsageWindow = 0;
 
   constructor(options: DutyRunnerOptions) {
     this.options = options;
@@ -90,12 +90,12 @@
 
   /** Newest usage window that is known to have been written to the duty log, and may have been reported; 0 for none. */
   get reportedUsageWindow(): number {
-    return Math.max(this.toldUsageWindow, this.duties?.usage.newestWindow ?? 0);
+    return Math.max(this.peerUsageWindow, this.duties?.usage.newestWindow ?? 0);
   }
 
   /** Records the newest usage window that a peer knows to have been written. */
   applyReportedUsageWindow(window: number): void {
-    this.toldUsageWindow = Math.max(this.toldUsageWindow, window);
+    this.peerUsageWindow = Math.max(this.peerUsageWindow, window);
   }
 
   /** Claims the duties again if they are held: a restored store may have lost the claim and the reports. */
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -324,7 +324,7 @@
     const relation = this.exchange.apply(state, nowMs);
     duties.applyClaim(state.dutyClaim);
     duties.applyReportedUsageWindow(state.reportedUsageWindow);
-    catalog.applyToldVersion(state.configurationVersion, nowMs);
+    catalog.applyReportedVersion(state.configurationVersion, nowMs);
     clock.applyPeerReport(sender.id, state.wallMs);
     const before = {
       digest: catalog.servers.getDigest(),
--- a/tests/catalog/Catalog.test.ts
+++ b/tests/catalog/Catalog.test.ts
@@ -21,7 +21,7 @@
 t.test('a restarted gateway does not serve an older configuration of a restored store', t => {
   const catalog = createCatalog(8);
   t.equal(catalog.isConfigurationOutdated(0), false);
-  catalog.applyToldVersion(14, 0);
+  catalog.applyReportedVersion(14, 0);
   t.equal(catalog.isConfigurationOutdated(0), true);
   apply(catalog, 14);
   t.equal(catalog.isConfigurationOutdated(0), false);
@@ -31,7 +31,7 @@
 t.test('a gateway has time to read a configuration that another one tells of', t => {
   const catalog = createCatalog(8);
   apply(catalog, 9);
-  catalog.applyToldVersion(10, 1_000);
+  catalog.applyReportedVersion(10, 1_000);
   t.equal(catalog.isConfigurationOutdated(2_400), false);
   t.equal(catalog.isConfigurationOutdated(2_600), true);
   t.end();
--- a/tests/gateway/rollouts.test.ts
+++ b/tests/gateway/rollouts.test.ts
@@ -13,7 +13,7 @@
   restoredStore,
   slow,
   storeAway,
-  type Badness,
+  type VersionBehaviour,
   type Disturbance,
 } from '../support/RolloutPlay.js';
 
@@ -21,13 +21,13 @@
   const doTest = (
     name: string,
     gatewayCount: number,
-    badness: Badness,
+    behaviour: VersionBehaviour,
     disturb: Disturbance,
     seeds: readonly number[] = [1],
   ) => {
     t.test(`${name}, ${gatewayCount} gateways`, async t => {
       for (const seed of seeds) {
-        const result = await playRollout({gatewayCount, seed, badness, disturb});
+        const result = await playRollout({gatewayCount, seed, behaviour, disturb});
         const {exposed, allowed, tooLate, targetAfterwards, verdict, finalVerdict} = result;
         const note = `seed ${seed}: ${exposed} of ${Math.floor(allowed)}, ${result.badResponses} bad`;
         t.ok(exposed <= allowed, note);
@@ -63,7 +63,7 @@
         const {verdict, exposed} = await playRollout({
           gatewayCount,
           seed,
-          badness: good,
+          behaviour: good,
           disturb,
           afterwardsMs: 0,
         });
--- a/tests/support/RolloutPlay.ts
+++ b/tests/support/RolloutPlay.ts
@@ -24,7 +24,7 @@
 const TARGET = 'v2';
 
 /** How a version behaves, given the time since the order. */
-export type Badness = (
+export type VersionBehaviour = (
   behaviour: ServerBehaviour,
   sinceOrderMs: number,
   fleet: ServingFleet,
@@ -34,15 +34,18 @@
 export type Disturbance = (fleet: ServingFleet, sinceOrderMs: number) => void;
 
 /** A version without faults. */
-export const good: Badness = behaviour => behaviour;
+export const good: VersionBehaviour = behaviour => behaviour;
 /** A version that fails half of its requests. */
-export const failing: Badness = (behaviour, _sinceOrderMs, {random}) =>
+export const failing: VersionBehaviour = (behaviour, _sinceOrderMs, {random}) =>
   random() < 0.5 ? {...behaviour, head: FAILED} : behaviour;
 /** A version that begins to fail midway. */
-export const failingLater: Badness = (behaviour, sinceOrderMs, fleet) =>
+export const failingLater: VersionBehaviour = (behaviour, sinceOrderMs, fleet) =>
   sinceOrderMs < DURATION_MS / 2 ? behaviour : failing(behaviour, sinceOrderMs, fleet);
 /** A version that takes four times as long. */
-export const slow: Badness = behaviour => ({...behaviour, prefillMs: behaviour.prefillMs * 4});
+export const slow: VersionBehaviour = behaviour => ({
+  ...behaviour,
+  prefillMs: behaviour.prefillMs * 4,
+});
 
 /** Nothing happens. */
 export const nothing: Disturbance = () => undefined;
@@ -122,7 +125,7 @@
 export interface RolloutPlayOptions {
   readonly gatewayCount: number;
   readonly seed: number;
-  readonly badness: Badness;
+  readonly behaviour: VersionBehaviour;
   readonly disturb: Disturbance;
   /** Time for which the fleet is watched after the deadline. */
   readonly afterwardsMs?: number;
@@ -146,7 +149,7 @@
 export async function playRollout({
   gatewayCount,
   seed,
-  badness,
+  behaviour,
   disturb,
   afterwardsMs = AFTERWARDS_MS,
 }: RolloutPlayOptions): Promise<RolloutResult> {
@@ -163,10 +166,10 @@
   });
   const badAtMs: number[] = [];
   let orderedAtMs = Infinity;
-  fleet.behave = (server, behaviour) => {
-    if (server.known.entry.softwareVersion !== TARGET) return behaviour;
-    const changed = badness(behaviour, fleet.nowMs - orderedAtMs, fleet);
-    if (changed !== behaviour) badAtMs.push(fleet.nowMs + changed.prefillMs);
+  fleet.behave = (server, normal) => {
+    if (server.known.entry.softwareVersion !== TARGET) return normal;
+    const changed = behaviour(normal, fleet.nowMs - orderedAtMs, fleet);
+    if (changed !== normal) badAtMs.push(fleet.nowMs + changed.prefillMs);
     return changed;
   };
   const step = () => {
