Don't send requests on whose callers left while the loop was busy

Cause: a busy process reads a request and serves it in the same turn of the loop, although the end of its connection is already queued behind it.

--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,3 +1,4 @@
+export {afterNextPoll} from './afterNextPoll.js';
 export {
   BLOCK_TOKENS,
   hashBlocks,
--- /dev/null
+++ b/tests/platform/CallerServer.test.ts
@@ -0,0 +1,112 @@
+/** Tests of `CallerServer` with callers that write raw bytes, in front of a gateway that records its requests. */
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+import t, {type Test} from 'tap';
+import {CallerServer} from '../../platform/CallerServer.js';
+import type {ResponseSink, ServingRequest} from '../../src/exchange/index.js';
+import type {Gateway} from '../../src/gateway/index.js';
+import {silentEvents} from '../../src/logging/index.js';
+
+interface AcceptedRequest {
+  readonly request: ServingRequest;
+  readonly sink: ResponseSink;
+  isAbandoned: boolean;
+}
+
+interface StartedServer {
+  readonly port: number;
+  readonly callers: CallerServer;
+  readonly accepted: AcceptedRequest[];
+}
+
+const WAIT_MS = 2_000;
+const POLL_MS = 5;
+/** Loop turns after which a request that is served at all has been passed to the gateway. */
+const SETTLE_MS = 100;
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
+
+async function startServer(t: Test): Promise<StartedServer> {
+  const accepted: AcceptedRequest[] = [];
+  const gateway = {
+    isLeaving: false,
+    accept: (request: ServingRequest, sink: ResponseSink) => {
+      const entry = {request, sink, isAbandoned: false};
+      accepted.push(entry);
+      return {abandon: () => (entry.isAbandoned = true)};
+    },
+  };
+  const callers = new CallerServer({
+    gateway: gateway as unknown as Gateway,
+    events: silentEvents,
+    getNowMs: () => performance.now(),
+  });
+  const port = await findFreePort();
+  await callers.listen(`127.0.0.1:${port}`);
+  t.teardown(() => callers.close());
+  return {port, callers, accepted};
+}
+
+async function openConnection(t: Test, port: number): Promise<Socket> {
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  t.teardown(() => socket.destroy());
+  await new Promise<void>(resolve => socket.once('connect', resolve));
+  return socket;
+}
+
+function wait(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
+async function waitFor(check: () => boolean): Promise<void> {
+  const endAtMs = performance.now() + WAIT_MS;
+  while (!check()) {
+    if (performance.now() > endAtMs) throw new Error('the condition did not become true in time');
+    await wait(POLL_MS);
+  }
+}
+
+const REQUEST = 'POST /a/1 HTTP/1.1\r\nhost: h\r\nx-buckthorngw-attempt-id: q1\r\ncontent-length: 2\r\n\r\nhi';
+
+t.test('CallerServer', t => {
+  t.test('passes a request on with its body', async t => {
+    const {port, accepted} = await startServer(t);
+    const socket = await openConnection(t, port);
+    socket.write(REQUEST);
+    await waitFor(() => accepted.length === 1);
+    t.equal(accepted[0].request.body.toString(), 'hi');
+    t.equal(accepted[0].isAbandoned, false);
+  });
+
+  for (const how of ['closed', 'reset'] as const) {
+    t.test(`never passes on a request whose caller has ${how} before it was read`, async t => {
+      const {port, accepted} = await startServer(t);
+      const sockets = await Promise.all([1, 2, 3, 4].map(() => openConnection(t, port)));
+      // Written and ended in one turn of the loop, so that the server finds both when it polls.
+      for (const socket of sockets) {
+        socket.write(REQUEST);
+        if (how === 'closed') socket.destroy();
+        else socket.resetAndDestroy();
+      }
+      await wait(SETTLE_MS);
+      t.same(accepted, []);
+    });
+  }
+
+  t.test('abandons a request whose caller leaves later', async t => {
+    const {port, accepted} = await startServer(t);
+    const socket = await openConnection(t, port);
+    socket.write(REQUEST);
+    await waitFor(() => accepted.length === 1);
+    socket.destroy();
+    await waitFor(() => accepted[0].isAbandoned);
+  });
+
+  t.end();
+});
