Answer every request before a planned stop ends, and refuse those that can't end

Reported by other operators, and possible here: a stopping gateway accepted requests until it exited, and exited without a response to those still open, among them requests that may not be repeated (LOST). Cause: the stop only waited for open requests; nothing compared the time that a request needs with the time left, and the exit didn't wait for responses that were still being sent.

--- a/src/controllers/drain/index.ts
+++ b/src/controllers/drain/index.ts
@@ -5,3 +5,5 @@
   type DrainView,
   type OpenRequestView,
 } from './decideDrain.js';
+export {canEndBeforeStop, type StopAdmissionView} from './canEndBeforeStop.js';
+export {RouteDurations} from './RouteDurations.js';
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -125,6 +125,14 @@
     this.finish('abandoned', undefined, undefined);
   }
 
+  /** Ends the run because the process stops; a response that has been started is aborted. */
+  stop(): void {
+    if (this.isDone) return;
+    if (this.current !== undefined) this.hasRun = true;
+    this.closeAttempt('abandoned');
+    this.fail('stopping', 'the gateway stopped before the response was complete');
+  }
+
   private sendNext(): void {
     const {admitted, services, transport, getNowMs} = this.options;
     const nowMs = getNowMs();
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -238,12 +238,22 @@
     this.gossip.broadcast();
   }
 
-  /** Announces to the other gateways that this one is leaving; requests in progress continue. */
-  beginStop(): void {
+  /**
+   * Announces to the other gateways that this one is leaving. Requests in progress continue, and new ones are accepted
+   * if they can end in time.
+   * @param endsRequestsAtMs - Monotonic time at which `endOpenRequests` will be called.
+   */
+  beginStop(endsRequestsAtMs: number): void {
     this.isStopping = true;
+    this.requests.beginStop(endsRequestsAtMs);
     this.gossip.broadcast();
   }
 
+  /** Ends all requests in progress with an error, since the process is about to exit. */
+  endOpenRequests(): void {
+    this.requests.endOpenRequests();
+  }
+
   /** Stops the timers and closes the gossip socket. */
   close(): void {
     clearInterval(this.dutyTimer);
@@ -281,11 +291,6 @@
     this.duties.handleStoreRestored();
   }
 
-  /** Returns the number of requests in progress. */
-  getOpenRequests(): number {
-    return this.requests.openRequests;
-  }
-
   /** Returns whether this gateway serves new callers: it isn't stopping, and its catalog is recent enough. */
   isReady(): boolean {
     const {catalog, getNowMs} = this.options;
--- a/src/gateway/RequestHandler.ts
+++ b/src/gateway/RequestHandler.ts
@@ -1,5 +1,6 @@
 /** Admits or refuses callers' requests, runs them at backend servers, and logs what became of them. */
 import type {Catalog, Route, Workspace} from '../catalog/index.js';
+import {RouteDurations, canEndBeforeStop} from '../controllers/drain/index.js';
 import type {QuotaLedger} from '../controllers/quotas/index.js';
 import {
   ExchangeRun,
@@ -47,6 +48,8 @@
  * Age of the operators' records, as a share of `revocationMs`, above which requests are refused: keys may be revoked.
  */
 const MAX_CONFIGURATION_AGE_SHARE = 0.95;
+/** Short, since the callers of a stopping gateway can go to another one. */
+const RETRY_ELSEWHERE_MS = 100;
 const REFUSED_REQUEST: OpenRequest = {abandon: () => undefined};
 
 /** All requests of one gateway that are in progress. */
@@ -54,6 +57,9 @@
   private readonly options: RequestHandlerOptions;
   private readonly runs = new Set<ExchangeRun>();
   private readonly startGate: StartGate;
+  private readonly durations = new RouteDurations();
+  /** Monotonic time at which open requests are ended because the process stops; undefined if it isn't stopping. */
+  private stopsAtMs: number | undefined;
 
   constructor(options: RequestHandlerOptions) {
     this.options = options;
@@ -75,6 +81,19 @@
     return this.getConfigurationAgeMs() <= this.getMaxConfigurationAgeMs();
   }
 
+  /**
+   * Refuses from now on requests that can't end before the process stops.
+   * @param stopsAtMs - Monotonic time at which `endOpenRequests` will be called.
+   */
+  beginStop(stopsAtMs: number): void {
+    this.stopsAtMs = stopsAtMs;
+  }
+
+  /** Ends all requests in progress with an error, since the process is about to exit. */
+  endOpenRequests(): void {
+    for (const run of [...this.runs]) run.stop();
+  }
+
   /**
    * Serves a request, or holds it for a short time if the process has just started.
    * @param request - Admitted or refused by the configuration in force when the request is served.
@@ -113,10 +132,28 @@
   }
 
   private check(request: ServingRequest): RequestCheck {
-    return checkRequest(this.options.catalog, request, {
+    const check = checkRequest(this.options.catalog, request, {
       configurationAgeMs: this.getConfigurationAgeMs(),
       maxConfigurationAgeMs: this.getMaxConfigurationAgeMs(),
     });
+    if (check.kind === 'refused' || this.canEnd(request, check.route)) return check;
+    const refusal = {
+      kind: 'stopping',
+      isNotRun: true,
+      retryAfterMs: RETRY_ELSEWHERE_MS,
+    } as const;
+    return {kind: 'refused', refusal};
+  }
+
+  /** Returns whether a request can end before the process stops. */
+  private canEnd(request: ServingRequest, route: Route): boolean {
+    if (this.stopsAtMs === undefined) return true;
+    const view = {
+      stopsAtMs: this.stopsAtMs,
+      longestExpectedMs: this.durations.getLongestExpectedMs(route.name),
+      maxWaitMs: getMaxWaitMs(request, route),
+    };
+    return canEndBeforeStop(view, this.options.getNowMs());
   }
 
   /** Returns why a request that was admitted earlier isn't any more; undefined if it still is. */
@@ -133,7 +170,6 @@
     sink: ResponseSink,
   ): OpenRequest {
     const {transport, services, getNowMs, random} = this.options;
-    const maxWaitMs = Math.min(request.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     const run: ExchangeRun = new ExchangeRun({
       admitted: {
         request,
@@ -142,7 +178,7 @@
         workspace: workspace?.name,
         priority: workspace?.priority ?? route.priority,
         homeRegions: [route.homeRegions, workspace?.homeRegions ?? []],
-        deadlineAtMs: request.receivedAtMs + maxWaitMs,
+        deadlineAtMs: request.receivedAtMs + getMaxWaitMs(request, route),
       },
       sink,
       transport,
@@ -163,6 +199,7 @@
     outcome: RunOutcome,
   ): void {
     this.runs.delete(run);
+    if (outcome.hasRun) this.durations.addDuration(route.name, outcome.totalMs);
     if (workspace?.quota && !outcome.hasRun) {
       this.options.quotaLedger.refund(workspace.name, getCost(workspace, request));
     }
@@ -244,6 +281,11 @@
   return route.shares[route.shares.length - 1].service;
 }
 
+/** Returns the time from its arrival after which a request is given up. */
+function getMaxWaitMs({deadlineMs}: ServingRequest, {timeoutMs}: Route): number {
+  return Math.min(deadlineMs ?? timeoutMs, timeoutMs);
+}
+
 /** Returns the cost of a request in the unit of its workspace's quota. */
 function getCost({quota}: Workspace, {tokens}: ServingRequest): number {
   if (!quota || quota.unit === 'requests') return 1;
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -265,6 +265,21 @@
     t.end();
   });
 
+  t.test('at a stop, a request that was sent may have run, and one that was refused has not', t => {
+    const sent = new RunHarness({}, ['s1']);
+    sent.run.start();
+    sent.run.stop();
+    t.ok(sent.sentAttempts[0].isCancelled);
+    t.match(sent.refusals, [{kind: 'stopping', isNotRun: false, retryAfterMs: undefined}]);
+    t.equal(sent.openCount, 0);
+    const started = new RunHarness({kind: 'stream'}, ['s1']);
+    started.run.start();
+    started.sentAttempts[0].handler.onHead(SUCCESS);
+    started.sentAttempts[0].handler.onData(Buffer.from('id: 1\ndata: x\n\n'));
+    started.run.stop();
+    t.ok(started.isResponseAborted, 'a stream that has begun is broken off');
+    t.end();
+  });
   t.test('cancels the attempt when the caller disconnects', t => {
     const harness = new RunHarness({}, ['s1']);
     harness.run.start();
--- a/tests/platform/CallerServer.test.ts
+++ b/tests/platform/CallerServer.test.ts
@@ -72,7 +72,8 @@
   }
 }
 
-const REQUEST = 'POST /a/1 HTTP/1.1\r\nhost: h\r\nx-buckthorngw-attempt-id: q1\r\ncontent-length: 2\r\n\r\nhi';
+const REQUEST =
+  'POST /a/1 HTTP/1.1\r\nhost: h\r\nx-buckthorngw-attempt-id: q1\r\ncontent-length: 2\r\n\r\nhi';
 
 t.test('CallerServer', t => {
   t.test('passes a request on with its body', async t => {
--- a/tests/platform/gatewayProcess.test.ts
+++ b/tests/platform/gatewayProcess.test.ts
@@ -18,6 +18,16 @@
 const OWN_IP = `127.${50 + (process.pid % 100)}.${Math.floor(process.pid / 100) % 250}.1`;
 const PORTS = {traffic: 8_221, ready: 8_224, directory: 8_220, gossip: 7_600, metrics: 7_601};
 
+/** Route whose requests the backend server never answers. */
+const SLOW_ROUTE = {
+  name: 'slow',
+  host: 'h.example',
+  path_prefix: '/slow/',
+  kind: 'unsafe',
+  timeout_ms: 30_000,
+  service: 'app',
+};
+
 execFileSync(process.execPath, ['scripts/bundle.mjs', 'dist/platform/main.js', BINARY]);
 t.teardown(() => rmSync(FOLDER, {recursive: true}));
 
@@ -66,6 +76,7 @@
 
 async function startBackend(t: Test): Promise<number> {
   const server = createServer((request, response) => {
+    if (request.url?.startsWith('/slow/')) return;
     response.setHeader('x-buckthorngw-replica-stamp', 'signature');
     response.end(`${request.url} for ${String(request.headers['x-buckthorngw-tenant'])}`);
   });
@@ -97,6 +108,7 @@
         timeout_ms: 2_000,
         service: 'app',
       },
+      SLOW_ROUTE,
     ],
     services: [{name: 'app', max_conns: 10}],
     tenants: [{name: 'w', api_keys: ['k1']}],
@@ -126,7 +138,7 @@
       },
       port_range: [PORTS.gossip, PORTS.metrics],
       bootstrap: true,
-      bounds: {},
+      bounds: {grace_s: 5},
       provider: {addr: storeAddress},
     }),
   );
@@ -192,6 +204,7 @@
           timeout_ms: 2_000,
           service: 'app',
         },
+        SLOW_ROUTE,
       ],
       services: [{name: 'app'}],
       tenants: [{name: 'w', api_keys: ['k3']}],
@@ -224,12 +237,22 @@
   await t.test(
     'shuts down on SIGTERM: not ready, still serving, closing connections, exit status 0',
     async t => {
+      const caller = {...CALLER, authorization: 'Bearer k3'};
+      const patient = {...caller, 'x-buckthorngw-deadline-ms': '30000'};
       const ended = new Promise(resolve => gateway.process.on('close', resolve));
+      const open = sendRequest(traffic, '/slow/1', patient);
+      await waitFor(async () =>
+        (await sendRequest(metrics, '/metrics')).body.includes('buckthorn_open_requests 1'),
+      );
       gateway.process.kill('SIGTERM');
       await waitFor(async () => (await sendRequest(ready, '/v1/readyz')).status === 503);
-      const response = await sendRequest(traffic, '/a/1', {...CALLER, authorization: 'Bearer k3'});
+      const response = await sendRequest(traffic, '/a/1', caller);
       t.equal(response.status, 200);
       t.equal(response.headers.connection, 'close');
+      const late = await sendRequest(traffic, '/slow/2', patient);
+      t.equal(late.status, 503, 'a request that cannot end in time is refused at once');
+      t.ok(Number(late.headers['retry-after']) < 1);
+      t.equal((await open).status, 502, 'a request that is still open at the end gets a response');
       t.equal(await ended, 0);
       t.match(gateway.getOutput(), /"msg":"stopping"[\s\S]*"msg":"stopped"/);
     },
