Stop using kept connections that may have gone silent

Cause: only the product's own interface notices silence; the platform's path waited for the deadline, and then took the next kept connection. Change: an attempt on a kept connection without a response for twice the longest of the last 100 first events of its route, and at least four times the route's target, makes the gateway close all idle connections opened before it. An idempotent plain request is then sent again, if the retry budget allows. Streams and non-idempotent requests wait, since they may be running. The bound: usual time to the first event x 2, at least target x 4.

--- a/src/controllers/drain/index.ts
+++ b/src/controllers/drain/index.ts
@@ -6,4 +6,3 @@
   type OpenRequestView,
 } from './decideDrain.js';
 export {canEndBeforeStop, type StopAdmissionView} from './canEndBeforeStop.js';
-export {RouteDurations} from './RouteDurations.js';
--- a/src/exchange/Attempt.ts
+++ b/src/exchange/Attempt.ts
@@ -19,6 +19,8 @@
   events: number;
   isMeasured: boolean;
   send: BackendAttempt | undefined;
+  /** Runs until the first event or head; undefined before the attempt is sent. */
+  stallTimer: NodeJS.Timeout | undefined;
   head: BackendHead | undefined;
   /** Time of its first event or of the head of its response; undefined before. */
   firstEventAtMs: number | undefined;
@@ -44,6 +46,7 @@
     events: 0,
     isMeasured: false,
     send: undefined,
+    stallTimer: undefined,
     head: undefined,
     firstEventAtMs: undefined,
   };
@@ -55,7 +58,7 @@
 /** Returns what a failed attempt says about its server. */
 export function getResult({kind, status}: AttemptFailure): AttemptResult {
   if (kind === 'unreachable' || kind === 'not-run') return 'not-run';
-  if (kind === 'broken') return 'lost';
+  if (kind === 'broken' || kind === 'stalled') return 'lost';
   return kind === 'answered-failure' && !isServerError(status ?? 0) ? 'good' : 'failed';
 }
 
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -10,7 +10,11 @@
   type Attempt,
   type AttemptResult,
 } from './Attempt.js';
-import {decideAfterFailure, type AttemptFailure} from './decideAfterFailure.js';
+import {
+  decideAfterFailure,
+  type AttemptFailure,
+  type FailureDecision,
+} from './decideAfterFailure.js';
 import type {
   ResponseSink,
   BackendFailure,
@@ -169,6 +173,26 @@
       },
       this.createHandler(attempt),
     );
+    attempt.stallTimer = setTimeout(() => this.handleStall(attempt), services.getStallMs(admitted));
+  }
+
+  /**
+   * Handles an attempt that is overdue. One on a kept connection is sent again if it is idempotent: the connection may
+   * have gone silent. Any other one is waited for, since it may be running.
+   */
+  private handleStall(attempt: Attempt): void {
+    const {admitted, services, getNowMs} = this.options;
+    if (this.current !== attempt || attempt.head) return;
+    services.onStalled(admitted, attempt.server, getNowMs());
+    const mayBeSilent = attempt.send?.reportStall() ?? false;
+    if (!mayBeSilent || admitted.route.kind !== 'idempotent') return;
+    const end = {kind: 'stalled', status: undefined} as const;
+    if (this.decideAfter(end, true).kind !== 'retry') return;
+    if (!services.consumeRetry(admitted.service, getNowMs())) return;
+    this.hasRun = true;
+    this.settleAttempt(attempt, end);
+    attempt.send?.cancel();
+    this.sendNext();
   }
 
   private createHandler(attempt: Attempt): BackendResponseHandler {
@@ -191,6 +215,7 @@
 
   private handleHead(attempt: Attempt, head: BackendHead): void {
     attempt.head = head;
+    clearTimeout(attempt.stallTimer);
     const {services, getNowMs} = this.options;
     services.onHead(attempt.server, head, getNowMs());
     if (head.isNotRun) return;
@@ -309,28 +334,38 @@
 
   private failAttempt(attempt: Attempt, end: AttemptFailure): void {
     const {admitted, services, getNowMs} = this.options;
-    const nowMs = getNowMs();
-    services.onAttemptEnd(attempt.server, getHealthOutcome(end), nowMs);
+    this.settleAttempt(attempt, end);
+    const decision = this.decideAfter(end, this.hasRun);
+    if (decision.kind === 'retry' && services.consumeRetry(admitted.service, getNowMs())) {
+      return this.sendNext();
+    }
+    if (end.kind === 'answered-failure' && attempt.head && !this.isResponseStarted) {
+      return this.deliver(attempt, attempt.head);
+    }
+    this.fail(decision.refusal, end.message ?? `${end.kind} ${end.status ?? ''}`);
+  }
+
+  /** Reports a failed attempt, which then no longer counts as open. */
+  private settleAttempt(attempt: Attempt, end: AttemptFailure): void {
+    const {services, getNowMs} = this.options;
+    services.onAttemptEnd(attempt.server, getHealthOutcome(end), getNowMs());
     this.measure(attempt, getResult(end));
     this.closeAttempt('ended');
-    const decision = decideAfterFailure({
+  }
+
+  private decideAfter(end: AttemptFailure, mayHaveRun: boolean): FailureDecision {
+    const {admitted, getNowMs} = this.options;
+    return decideAfterFailure({
       end,
       kind: admitted.route.kind,
       isResumable: admitted.route.isResumable,
       isResponseStarted: this.isResponseStarted,
       canResume: this.lastEventId !== undefined || !this.isResponseStarted,
-      mayHaveRun: this.hasRun,
+      mayHaveRun,
       attempts: this.attempts,
       maxAttempts: admitted.route.maxAttempts,
-      remainingMs: admitted.deadlineAtMs - nowMs,
+      remainingMs: admitted.deadlineAtMs - getNowMs(),
     });
-    if (decision.kind === 'retry' && services.consumeRetry(admitted.service, nowMs)) {
-      return this.sendNext();
-    }
-    if (end.kind === 'answered-failure' && attempt.head && !this.isResponseStarted) {
-      return this.deliver(attempt, attempt.head);
-    }
-    this.fail(decision.refusal, end.message ?? `${end.kind} ${end.status ?? ''}`);
   }
 
   private startResponse(head: BackendHead): void {
@@ -373,6 +408,7 @@
     const attempt = this.current;
     if (!attempt) return;
     this.current = undefined;
+    clearTimeout(attempt.stallTimer);
     const {services, getNowMs} = this.options;
     if (reason !== 'ended') attempt.send?.cancel();
     if (reason === 'timeout') {
--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -134,4 +134,10 @@
 export interface BackendAttempt {
   /** Cancels the attempt; the handler isn't called any more. */
   cancel(): void;
+  /**
+   * Reports that the response is long overdue, as if the connection had gone silent. The attempt goes on, but idle
+   * connections that were opened before the attempt are no longer used: they may have gone silent too.
+   * @returns Whether the attempt's connection was kept from an earlier one, so that it may have gone silent.
+   */
+  reportStall(): boolean;
 }
--- a/src/exchange/decideAfterFailure.ts
+++ b/src/exchange/decideAfterFailure.ts
@@ -10,9 +10,10 @@
  * - `answered-failure`: the server ran the request and responded with an error status.
  * - `unsigned`: the response has no signature of a backend server.
  * - `broken`: the response is incomplete; the request may have run.
+ * - `stalled`: there is no response although it is long overdue; the request may have run.
  */
 export interface AttemptFailure {
-  readonly kind: 'unreachable' | 'not-run' | 'answered-failure' | 'unsigned' | 'broken';
+  readonly kind: 'unreachable' | 'not-run' | 'answered-failure' | 'unsigned' | 'broken' | 'stalled';
   /** Status of the response; undefined if there was none. */
   readonly status: number | undefined;
   /** Error message of the transport; undefined if the failure is described by kind and status. */
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -31,7 +31,7 @@
 } from '../exchange/index.js';
 import type {QuarantineCheck, SuspectRequest} from '../controllers/quarantine/index.js';
 import type {EventLogger} from '../logging/index.js';
-import {getTextKey} from '../utils/index.js';
+import {RecentDurations, getTextKey} from '../utils/index.js';
 import type {GatewaySettings} from './GatewaySettings.js';
 import type {RequestQuarantine} from './RequestQuarantine.js';
 import type {RolloutGate} from './RolloutGate.js';
@@ -74,6 +74,10 @@
 const USED_COLD_FRACTION = 0.9;
 /** Time after its registration in which a server is slower than later, whatever its version. */
 const WARM_UP_MS = 4_000;
+/** Callers give up waiting for a first event after this multiple of the latency target. */
+const STALL_TARGET_FACTOR = 4;
+/** For routes without a latency target. */
+const MIN_STALL_MS = 400;
 const DEFAULT_MAX_CONNECTIONS = 100;
 /** Base of the delay before a caller retries; a random part of up to the same length is added to spread the retries. */
 const RETRY_AFTER_BASE_MS: Readonly<Partial<Record<RefusalKind, number>>> = {
@@ -91,6 +95,8 @@
   private readonly pauses = new ServerPauses();
   private readonly coldLimiter = new ServerRateLimiter(USED_COLD_FRACTION);
   private readonly coldShares: ServerRateShares;
+  /** By route: times from the sending of an attempt to its first event or head. */
+  private readonly firstEventDurations = new RecentDurations();
   private readonly retryBudgets = new Map<string, RetryBudget>();
 
   constructor(options: GatewayRunServicesOptions) {
@@ -196,7 +202,22 @@
     this.options.loads.removePrompt(server.entry.id, promptTokens);
   }
 
+  getStallMs({route}: AdmittedRequest): number {
+    const usualMs = this.firstEventDurations.getLongestExpectedMs(route.name) ?? 0;
+    return Math.max(MIN_STALL_MS, usualMs, route.latencyTargetMs * STALL_TARGET_FACTOR);
+  }
+
+  onStalled(admitted: AdmittedRequest, {entry}: KnownServer): void {
+    this.options.events.log('attempt overdue', {
+      request: admitted.request.id,
+      server: entry.id,
+      service: admitted.service,
+      stallMs: Math.round(this.getStallMs(admitted)),
+    });
+  }
+
   onRunning(admitted: AdmittedRequest, sentAtMs: number, nowMs: number): void {
+    this.firstEventDurations.addDuration(admitted.route.name, nowMs - sentAtMs);
     if (admitted.workspace === undefined) return;
     const runningForMs = admitted.route.kind === 'stream' ? 0 : nowMs - sentAtMs;
     this.options.usageLedger.addRequest(
--- a/src/gateway/RequestHandler.ts
+++ b/src/gateway/RequestHandler.ts
@@ -1,6 +1,6 @@
 /** Admits or refuses callers' requests, runs them at backend servers, and logs what became of them. */
 import type {Catalog, Route, Workspace} from '../catalog/index.js';
-import {RouteDurations, canEndBeforeStop} from '../controllers/drain/index.js';
+import {canEndBeforeStop} from '../controllers/drain/index.js';
 import type {QuotaLedger} from '../controllers/quotas/index.js';
 import {
   ExchangeRun,
@@ -17,6 +17,7 @@
 import type {MemberTable} from '../gossip/index.js';
 import type {EventLogger} from '../logging/index.js';
 import type {GatewayMetrics} from './GatewayMetrics.js';
+import {RecentDurations} from '../utils/index.js';
 import {StartGate} from './StartGate.js';
 
 /** Constructor options of `RequestHandler`. */
@@ -57,7 +58,8 @@
   private readonly options: RequestHandlerOptions;
   private readonly runs = new Set<ExchangeRun>();
   private readonly startGate: StartGate;
-  private readonly durations = new RouteDurations();
+  /** By route: times from the arrival of a request to the end of its response. */
+  private readonly durations = new RecentDurations();
   /** Monotonic time at which open requests are ended because the process stops; undefined if it isn't stopping. */
   private stopsAtMs: number | undefined;
 
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -83,6 +83,20 @@
     fields: ['request', 'path', 'workspace', 'refusal', 'version', 'configurationAgeMs'],
     maxPerSecond: REQUEST_EVENTS_PER_SECOND,
   },
+  'attempt overdue': {
+    level: 'info',
+    meaning:
+      'An attempt has had no response for unusually long. If it was sent on a kept connection, that may have gone silent.',
+    fields: ['request', 'server', 'service', 'stallMs'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
+  'kept connections closed': {
+    level: 'info',
+    meaning:
+      'Idle connections to backend servers were closed: they were opened before an attempt that is overdue on a kept connection.',
+    fields: ['closed'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
   'attempt lost': {
     level: 'info',
     meaning:
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -18,4 +18,5 @@
   type WindowRow,
   type WindowValues,
 } from './FleetWindows.js';
+export {RecentDurations} from './RecentDurations.js';
 export {SuspendAwareClock, type SuspendAwareClockOptions} from './SuspendAwareClock.js';
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -1,5 +1,6 @@
 /** Tests of `ExchangeRun`: what callers and backend servers receive when attempts succeed or fail. */
 import t from 'tap';
+import type {RouteKind} from '../../src/catalog/index.js';
 import type {BackendHead} from '../../src/exchange/index.js';
 import {NOT_RUN, RunHarness, SUCCESS, type SentAttempt} from './exchangeFixtures.js';
 
@@ -280,6 +281,56 @@
     t.ok(started.isResponseAborted, 'a stream that has begun is broken off');
     t.end();
   });
+  const doTestStall = (
+    name: string,
+    {kind, isKept, retries}: {kind: RouteKind; isKept: boolean; retries: number},
+    attempts: number,
+  ) => {
+    t.test(name, async t => {
+      const harness = new RunHarness({kind}, ['s1', 's2']);
+      harness.stallMs = 1;
+      harness.isConnectionKept = isKept;
+      harness.remainingRetries = retries;
+      harness.run.start();
+      await new Promise(resolve => setTimeout(resolve, 20));
+      t.ok(harness.sentAttempts[0].isStalled);
+      t.equal(harness.sentAttempts[0].isCancelled, attempts > 1);
+      t.equal(harness.sentAttempts.length, attempts);
+      t.equal(harness.openCount, 1);
+      t.same(harness.refusals, [], 'the caller is not refused');
+      harness.run.abandon();
+    });
+  };
+  doTestStall(
+    'sends an overdue idempotent request again if its connection was kept',
+    {kind: 'idempotent', isKept: true, retries: 1},
+    2,
+  );
+  doTestStall(
+    'waits for an overdue request on a new connection',
+    {kind: 'idempotent', isKept: false, retries: 1},
+    1,
+  );
+  doTestStall(
+    'waits for an overdue request if no retry is allowed',
+    {kind: 'idempotent', isKept: true, retries: 0},
+    1,
+  );
+  doTestStall(
+    'never sends an overdue request again that may run at most once',
+    {kind: 'at-most-once', isKept: true, retries: 1},
+    1,
+  );
+  doTestStall('waits for an overdue stream', {kind: 'stream', isKept: true, retries: 1}, 1);
+  t.test('an attempt with a response is not overdue', async t => {
+    const harness = new RunHarness({}, ['s1', 's2']);
+    harness.stallMs = 5;
+    harness.run.start();
+    harness.sentAttempts[0].handler.onHead(SUCCESS);
+    await new Promise(resolve => setTimeout(resolve, 20));
+    t.notOk(harness.sentAttempts[0].isStalled);
+    harness.run.abandon();
+  });
   t.test('cancels the attempt when the caller disconnects', t => {
     const harness = new RunHarness({}, ['s1']);
     harness.run.start();
