Compare members by a version instead of by a list of all their ids

Change: the member table counts the changes that matter to the groups, and a status that says nothing new only renews its time.

--- a/src/gateway/GroupExchange.ts
+++ b/src/gateway/GroupExchange.ts
@@ -64,9 +64,10 @@
   private readonly reports = new Map<string, Report>();
   private rest: Report | undefined;
   private groups: readonly GossipGroup<GatewayMember>[] = [];
-  /** Members for which the groups were planned, and when these were last compared with the present ones. */
-  private plannedFor = '';
-  private plannedAtMs = -Infinity;
+  /** Version of the members for which the groups were planned, and whether this gateway was leaving then. */
+  private plannedVersion = -1;
+  private plannedAsLeaving = false;
+  private comparedAtMs = -Infinity;
 
   constructor(options: GroupExchangeOptions) {
     this.options = options;
@@ -79,18 +80,17 @@
    * @param nowMs - Current monotonic time in milliseconds.
    */
   getGroups(nowMs: number): readonly GossipGroup<GatewayMember>[] {
-    if (nowMs - this.plannedAtMs < PLAN_INTERVAL_MS) return this.groups;
-    this.plannedAtMs = nowMs;
-    const own = this.options.describeSelf();
-    const {members} = this.options;
-    const peers = members.getPresentMembers(nowMs);
-    const plannedFor = [own, ...peers]
-      .map(({id, incarnation, isLeaving}) => `${id}/${incarnation}/${isLeaving}`)
-      .sort()
-      .join();
-    if (plannedFor === this.plannedFor) return this.groups;
-    this.plannedFor = plannedFor;
-    this.groups = planGossipGroups(own, peers);
+    if (nowMs - this.comparedAtMs < PLAN_INTERVAL_MS) return this.groups;
+    this.comparedAtMs = nowMs;
+    const {members, describeSelf} = this.options;
+    const own = describeSelf();
+    const version = members.getVersion(nowMs);
+    if (version === this.plannedVersion && own.isLeaving === this.plannedAsLeaving) {
+      return this.groups;
+    }
+    this.plannedVersion = version;
+    this.plannedAsLeaving = own.isLeaving;
+    this.groups = planGossipGroups(own, members.getPresentMembers(nowMs));
     const fellowIds = this.groups.flatMap(({fellows}) => fellows.map(({id}) => id));
     members.setExpected(new Set(fellowIds), nowMs);
     this.dropFormerSources();
--- a/src/gossip/MemberTable.ts
+++ b/src/gossip/MemberTable.ts
@@ -1,6 +1,6 @@
 /** Membership of the gateways: which are live, and which may still be running. */
 import type {GatewayMember} from './GossipState.js';
-import {getMemberKey, type MemberStatus} from './StateSummary.js';
+import {getMemberKey, getStatus, type MemberStatus} from './StateSummary.js';
 
 /** A member, with the times at which it became known and last sent a datagram. */
 export interface MemberRecord {
@@ -8,7 +8,7 @@
   /** Monotonic time of the last datagram from it; undefined if it is known from other members only. */
   readonly lastReceivedAtMs: number | undefined;
   /** Monotonic time at which the head of its group last reported it as live; undefined if none has. */
-  readonly lastReportedAtMs: number | undefined;
+  lastReportedAtMs: number | undefined;
   /** Monotonic time since which datagrams from it are expected; undefined while none are. */
   readonly expectedSinceMs: number | undefined;
   /** Whether it has sent none of the expected datagrams. */
@@ -37,6 +37,7 @@
   private readonly idsByKey = new Map<number, string>();
   private readonly ownId: string;
   private readonly timeouts: MemberTimeouts;
+  private changeCount = 0;
 
   constructor(ownId: string, timeouts: MemberTimeouts) {
     this.ownId = ownId;
@@ -99,16 +100,25 @@
       nowMs,
       this.timeouts.unresponsiveAfterMs,
     );
-    const {member} = record;
-    this.setRecord({
-      ...record,
-      lastReportedAtMs: nowMs,
-      hasFailed: false,
-      // What a gateway says of itself is newer than what others report.
-      member: isHeard
-        ? member
-        : {...member, isReady: status === 'ready', isLeaving: status === 'leaving'},
-    });
+    // What a gateway says of itself is newer than what others report.
+    const isNews = !isHeard && getStatus(record.member) !== status;
+    record.lastReportedAtMs = nowMs;
+    if (!isNews && !record.hasFailed) return;
+    const member = isNews
+      ? {...record.member, isReady: status === 'ready', isLeaving: status === 'leaving'}
+      : record.member;
+    this.setRecord({...record, hasFailed: false, member});
+  }
+
+  /**
+   * Returns a number that rises when the result of `getPresentMembers` changes: a member joins, fails, recovers, leaves
+   * or is started again. Members that are due to fail or to be removed are updated first.
+   * @param nowMs - Current monotonic time in milliseconds.
+   */
+  getVersion(nowMs: number): number {
+    this.removeStopped(nowMs);
+    this.markFailed(nowMs);
+    return this.changeCount;
   }
 
   /** Returns whether a gateway is a member, live or not. */
@@ -204,6 +214,7 @@
     const {member} = record;
     const known = this.members.get(member.id);
     this.members.set(member.id, record);
+    if (!known || isOtherPlan(known, record)) this.changeCount += 1;
     if (known?.member.incarnation === member.incarnation) return;
     if (known) this.idsByKey.delete(getMemberKey(known.member));
     this.idsByKey.set(getMemberKey(member), member.id);
@@ -223,6 +234,7 @@
       const silentSinceMs = Math.max(expectedSinceMs, lastReceivedAtMs ?? -Infinity);
       if (this.isWithin(silentSinceMs, nowMs, this.timeouts.unresponsiveAfterMs)) continue;
       this.members.set(id, {...record, hasFailed: true, expectedSinceMs: undefined});
+      this.changeCount += 1;
     }
   }
 
@@ -236,6 +248,7 @@
       if (this.isWithin(lastKnownAtMs, nowMs, this.timeouts.removedAfterMs)) continue;
       this.members.delete(id);
       this.idsByKey.delete(getMemberKey(member));
+      this.changeCount += 1;
     }
   }
 
@@ -243,3 +256,12 @@
     return sinceMs !== undefined && nowMs - sinceMs <= limitMs;
   }
 }
+
+/** Returns whether groups are planned in another way for a member than before. */
+function isOtherPlan(before: MemberRecord, after: MemberRecord): boolean {
+  return (
+    before.hasFailed !== after.hasFailed ||
+    before.member.incarnation !== after.member.incarnation ||
+    before.member.isLeaving !== after.member.isLeaving
+  );
+}
--- a/src/gossip/StateSummary.ts
+++ b/src/gossip/StateSummary.ts
@@ -50,11 +50,15 @@
   return hashText(`${id}/${incarnation}`);
 }
 
-/** Returns the status of a live gateway. */
+/** Returns the status of a live gateway, with its key. */
 export function getMemberStatus(member: GatewayMember): MemberStatus {
-  const key = getMemberKey(member);
-  if (member.isLeaving) return {key, status: 'leaving'};
-  return {key, status: member.isReady ? 'ready' : 'not-ready'};
+  return {key: getMemberKey(member), status: getStatus(member)};
+}
+
+/** Returns what other gateways should know of a live gateway. */
+export function getStatus({isLeaving, isReady}: GatewayMember): MemberStatus['status'] {
+  if (isLeaving) return 'leaving';
+  return isReady ? 'ready' : 'not-ready';
 }
 
 /**
