Size the fleet by how long prompts wait, and return servers gradually

Cause: after 30 s of load the duty holder sized the fleet by an assumed prefill rate of 100,000 tokens/s and returned all other servers at once. These engines prefill 56,600, and with the servers their cached prompt parts are lost, so the rest must prefill more than before. Change: the tokens that wait for their first event, divided by the rate at which tokens arrive, are the mean wait (Little's law). Above 0.4 of the route's target no server is returned, above 0.6 three in ten are added. The need falls by at most 5 % a second, so that the next step down is decided by what the last one did. The speed of the engines need not be known.

--- a/src/controllers/fleetSize/NeededServers.ts
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -1,11 +1,15 @@
 /** Estimates from the load of a service how many backend servers it needs. */
 
+import {PromptWait} from './PromptWait.js';
+
 /** Load of a service over all gateways. */
 export interface ServiceLoad {
   /** Requests that are open at its servers, queued ones included. */
   readonly openRequests: number;
   /** Prompt tokens per second that its servers are expected to prefill. */
   readonly promptTokensPerSecond: number;
+  /** Prompt tokens of its requests whose first event is still awaited. */
+  readonly pendingPromptTokens: number;
 }
 
 /** Load and servers of one service. */
@@ -17,6 +21,8 @@
   readonly availableServers: number;
   /** Failure domains among which the servers are divided. */
   readonly failureDomains: number;
+  /** Target time to the first event of its requests; 0 if there is none. */
+  readonly latencyTargetMs: number;
 }
 
 /** Prompt tokens that a model engine prefills in a second. */
@@ -32,16 +38,26 @@
 /** Time without new servers after which those provided at first are taken to be complete. */
 const REGISTRATION_MS = 2_500;
 
+/** Factor on the servers while requests wait too long. */
+const TOO_FEW_FACTOR = 1.3;
+/** Share by which the need falls in a second: the rest must show first that it carries the load with its own caches. */
+const DECLINE_PER_SECOND = 0.05;
+const MS_PER_SECOND = 1_000;
+
 /** Tracks the need of one service. */
 export class NeededServers {
   private providedServers = 0;
   private providedAtMs: number | undefined;
   private loadedSinceMs: number | undefined;
   private samples: {readonly atMs: number; readonly needed: number}[] = [];
+  private readonly promptWait = new PromptWait();
+  /** The need returned last, which falls only gradually. */
+  private latest: {readonly atMs: number; readonly needed: number} | undefined;
 
   /**
    * Returns the number of servers that the service needs to carry its load, without spares. Until the load has been
-   * observed for some time, these are the servers that were provided, less the spares for the loss of one domain.
+   * observed for some time, these are the servers that were provided, less the spares for the loss of one domain. After
+   * that the estimate is corrected by how long prompts wait, since the speed of the servers isn't known.
    * @param view - Current load and servers.
    * @param nowMs - Current monotonic time in milliseconds.
    */
@@ -49,9 +65,37 @@
     const {load, availableServers, failureDomains} = view;
     if (load.openRequests > 0) this.loadedSinceMs ??= nowMs;
     this.samples = this.samples.filter(({atMs}) => nowMs - atMs <= PEAK_RETENTION_MS);
-    this.samples.push({atMs: nowMs, needed: estimateNeeded(view)});
+    this.samples.push({atMs: nowMs, needed: this.estimateNeeded(view, nowMs)});
     const peak = Math.max(...this.samples.map(({needed}) => needed));
-    if (this.isObserved(nowMs)) return peak;
+    const needed = this.isObserved(nowMs)
+      ? Math.max(peak, this.getLeastNeeded(nowMs))
+      : this.getProvided(view, peak, nowMs);
+    this.latest = {atMs: nowMs, needed};
+    return needed;
+  }
+
+  /** Returns the estimate by the load, or by the present servers if requests wait for long. */
+  private estimateNeeded(view: NeedView, nowMs: number): number {
+    const {load, availableServers, failureDomains, latencyTargetMs} = view;
+    const pressure = this.promptWait.update({...load, latencyTargetMs}, nowMs);
+    const byLoad = estimateByLoad(view);
+    if (pressure === 'unknown-or-more' || !this.isObserved(nowMs)) return byLoad;
+    const present = availableServers * getUsableShare(failureDomains);
+    return Math.max(byLoad, pressure === 'too-few' ? present * TOO_FEW_FACTOR : present);
+  }
+
+  /** Returns the lowest need to which the latest one may fall by now. */
+  private getLeastNeeded(nowMs: number): number {
+    if (!this.latest) return 0;
+    const seconds = (nowMs - this.latest.atMs) / MS_PER_SECOND;
+    return this.latest.needed * (1 - DECLINE_PER_SECOND) ** seconds;
+  }
+
+  private getProvided(
+    {availableServers, failureDomains}: NeedView,
+    peak: number,
+    nowMs: number,
+  ): number {
     const hasMore = availableServers > this.providedServers && !this.isKnown(nowMs);
     if (this.providedAtMs === undefined || hasMore) {
       this.providedServers = availableServers;
@@ -80,7 +124,7 @@
   return failureDomains <= 1 ? 1 : (failureDomains - 1) / failureDomains;
 }
 
-function estimateNeeded({load, slotsPerServer}: NeedView): number {
+function estimateByLoad({load, slotsPerServer}: NeedView): number {
   const {openRequests, promptTokensPerSecond} = load;
   return Math.max(
     openRequests / (Math.max(1, slotsPerServer) * SLOT_UTILIZATION),
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -108,10 +108,20 @@
       slotsPerServer: engine?.slots ?? servers[0]?.entry.slots ?? 1,
       availableServers: servers.length,
       failureDomains: this.options.failureDomains.length,
+      latencyTargetMs: this.getLatencyTargetMs(name),
     };
     return {neededServers: need.update(view, nowMs), isKnown: need.isKnown(nowMs)};
   }
 
+  /** Returns the longest target of the service's routes: the longest prompts make up most of the tokens that wait. */
+  private getLatencyTargetMs(service: string): number {
+    const routes = this.options.catalog.routeTable?.configuration.routes ?? [];
+    const targets = routes
+      .filter(({shares}) => shares.some(share => share.service === service))
+      .map(({latencyTargetMs}) => latencyTargetMs);
+    return Math.max(0, ...targets);
+  }
+
   /**
    * Returns whether a service's servers have had a single version for some time. The platform carries out an order without
    * regard to versions, so one that is sent before may take away the servers that are to stay.
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -356,6 +356,7 @@
       .map(({entry}) => this.loads.getLoad(entry.id, nowMs));
     return {
       openRequests: serverLoads.reduce((sum, {openRequests}) => sum + openRequests, 0),
+      pendingPromptTokens: serverLoads.reduce((sum, load) => sum + load.pendingPromptTokens, 0),
       promptTokensPerSecond: this.gossip.getPromptRate(service, nowMs),
     };
   }
--- a/tests/gateway/DutyRunner.test.ts
+++ b/tests/gateway/DutyRunner.test.ts
@@ -69,7 +69,7 @@
     events,
     isReady: () => true,
     getNowMs: () => clock.nowMs,
-    getServiceLoad: () => ({openRequests: 0, promptTokensPerSecond: 0}),
+    getServiceLoad: () => ({openRequests: 0, promptTokensPerSecond: 0, pendingPromptTokens: 0}),
     isMoving: () => false,
     getWallMs: () => 1_000_000 + clock.nowMs,
   });
--- a/tests/gateway/duties.test.ts
+++ b/tests/gateway/duties.test.ts
@@ -175,7 +175,7 @@
     limits: {maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
   });
   const platform = new DutyPlatform();
-  let load: ServiceLoad = {openRequests: 0, promptTokensPerSecond: 0};
+  let load: ServiceLoad = {openRequests: 0, promptTokensPerSecond: 0, pendingPromptTokens: 0};
   let isMoving = false;
   const duty = new FleetDuty({
     catalog,
@@ -189,7 +189,7 @@
     isMoving = moving;
   };
   const setLoad = (openRequests: number, promptTokensPerSecond: number) => {
-    load = {openRequests, promptTokensPerSecond};
+    load = {openRequests, promptTokensPerSecond, pendingPromptTokens: 0};
   };
   const add = (id: string, fields: Partial<ServerEntry>) =>
     catalog.servers.applyEntry({...createServer(id).entry, ...fields}, 0);
