--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -18,6 +18,13 @@
     Object.assign(Dispatcher.prototype, api);
     export {default as Client} from './node_modules/undici/lib/dispatcher/client.js';
     export {default as buildConnector} from './node_modules/undici/lib/core/connect.js';`,
+  // Without the JSON schemas, and with a single language for messages.
+  zod: `
+    import {config} from './node_modules/zod/v4/core/core.js';
+    import en from './node_modules/zod/v4/locales/en.js';
+    config(en());
+    export * from './node_modules/zod/v4/classic/schemas.js';
+    export * as z from './node_modules/zod/v4/classic/schemas.js';`,
   'prom-client': `
     export {default as Counter} from './node_modules/prom-client/lib/counter.js';
     export {default as Gauge} from './node_modules/prom-client/lib/gauge.js';
@@ -27,7 +34,7 @@
 const reducedIndexPlugin = {
   name: 'used-modules',
   setup({onResolve, onLoad}) {
-    onResolve({filter: /^(undici|prom-client)$/}, ({path}) => ({path, namespace: 'used'}));
+    onResolve({filter: /^(undici|prom-client|zod)$/}, ({path}) => ({path, namespace: 'used'}));
     onLoad({filter: /.*/, namespace: 'used'}, ({path}) => ({
       contents: REDUCED_INDEX_MODULES[path],
       resolveDir: process.cwd(),
