--- a/bench/bin/run-bench.ts
+++ b/bench/bin/run-bench.ts
@@ -12,6 +12,7 @@
   runLeavingDomain,
   runMovesExperiment,
 } from '../experiments/index.js';
+import {measureGossip} from '../gossip/index.js';
 import {measureMissingBackend, measureTableSwap} from '../related/index.js';
 import {measureRollouts} from '../rollouts/index.js';
 import {
@@ -23,6 +24,7 @@
 } from '../../src/load/index.js';
 import {runCommandLine, type RunnableCommand} from '../../src/settings/index.js';
 
+const GOSSIP_FLEET_SIZES = [7, 18, 91, 195, 300];
 const PAGE_PATH = 'docs/CAPACITY.md';
 
 async function runRelated(): Promise<void> {
@@ -39,6 +41,21 @@
   }
 }
 
+function runGossip(): void {
+  writeLine('gateways | datagrams/s | bytes/s | most datagrams/s | most bytes/s | processor ms/s');
+  for (const size of GOSSIP_FLEET_SIZES) {
+    const row = measureGossip(size);
+    const rates = [
+      row.datagramsPerSecond,
+      row.bytesPerSecond,
+      row.maxDatagramsPerSecond,
+      row.maxBytesPerSecond,
+    ];
+    const columns = [size, ...rates.map(Math.round), row.processorMsPerSecond.toFixed(2)];
+    writeLine(columns.join(' | '));
+  }
+}
+
 function writeLine(line: string): void {
   process.stdout.write(`${line}\n`);
 }
@@ -70,6 +87,12 @@
           writeLine,
         }),
     }),
+    gossip: command({
+      name: 'gossip',
+      description: 'Plays the gossip of fleets of several sizes in virtual time',
+      args: {},
+      handler: runGossip,
+    }),
     related: command({
       name: 'related',
       description:
--- /dev/null
+++ b/bench/gossip/index.ts
@@ -0,0 +1,1 @@
+export {measureGossip, type GossipMeasurement} from './measureGossip.js';
