Read what arrived during a suspension before a request times out

Seen by callers (by test): after a suspension or a long turn of the loop, timers are called before sockets are read, so a response that had arrived was dropped for a timeout. Change: the deadline and the stall limit of an attempt apply after the loop has polled once more. The test blocks the loop past both limits while a response is pending; before, the caller got a timeout.

--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -1,5 +1,6 @@
 /** Runs one admitted request: sends attempts to backend servers until the caller has a response or an error. */
 import type {Route} from '../catalog/index.js';
+import {afterNextPoll} from '../utils/index.js';
 import {
   createAttempt,
   getHealthOutcome,
@@ -114,7 +115,9 @@
     this.options = options;
     this.lastEventId = options.admitted.request.lastEventId;
     const remainingMs = Math.max(0, options.admitted.deadlineAtMs - options.getNowMs());
-    this.deadlineTimer = setTimeout(() => this.endAtDeadline(), remainingMs);
+    // After a suspension, timers are called before the responses that have arrived meanwhile are read.
+    const end = () => afterNextPoll(() => this.endAtDeadline());
+    this.deadlineTimer = setTimeout(end, remainingMs);
   }
 
   /** Sends the request to a backend server, or refuses it. */
@@ -173,7 +176,8 @@
       },
       this.createHandler(attempt),
     );
-    attempt.stallTimer = setTimeout(() => this.handleStall(attempt), services.getStallMs(admitted));
+    const handleStall = () => afterNextPoll(() => this.handleStall(attempt));
+    attempt.stallTimer = setTimeout(handleStall, services.getStallMs(admitted));
   }
 
   /**
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import type {RouteKind} from '../../src/catalog/index.js';
 import type {BackendHead} from '../../src/exchange/index.js';
-import {NOT_RUN, RunHarness, SUCCESS, type SentAttempt} from './exchangeFixtures.js';
+import {NOT_RUN, REQUEST, RunHarness, SUCCESS, type SentAttempt} from './exchangeFixtures.js';
 
 const BROKEN = {kind: 'broken', isSent: true, message: 'reset'} as const;
 const UNREACHABLE = {kind: 'unreachable', isSent: false, message: 'refused'} as const;
@@ -322,6 +322,24 @@
     1,
   );
   doTestStall('waits for an overdue stream', {kind: 'stream', isKept: true, retries: 1}, 1);
+  t.test('reads what has arrived during a suspension before time limits are applied', async t => {
+    const deadlineMs = 5;
+    const harness = new RunHarness({}, ['s1', 's2'], {...REQUEST, deadlineMs}, deadlineMs);
+    harness.stallMs = deadlineMs;
+    harness.run.start();
+    const {handler} = harness.sentAttempts[0];
+    const suspendedUntilMs = performance.now() + 4 * deadlineMs;
+    while (performance.now() < suspendedUntilMs);
+    setImmediate(() => {
+      handler.onHead(SUCCESS);
+      handler.onData(Buffer.from('late'));
+      handler.onEnd();
+    });
+    await new Promise(resolve => setTimeout(resolve, 20));
+    t.equal(harness.text, 'late');
+    t.equal(harness.outcome?.kind, 'answered');
+    t.notOk(harness.sentAttempts[0].isStalled);
+  });
   t.test('an attempt with a response is not overdue', async t => {
     const harness = new RunHarness({}, ['s1', 's2']);
     harness.stallMs = 5;
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -108,7 +108,12 @@
   runningCount = 0;
   readonly run: ExchangeRun;
 
-  constructor(route: Partial<Route>, serverIds: readonly string[], request = REQUEST) {
+  constructor(
+    route: Partial<Route>,
+    serverIds: readonly string[],
+    request = REQUEST,
+    deadlineAtMs = 1_000,
+  ) {
     this.run = new ExchangeRun({
       admitted: {
         request,
@@ -117,7 +122,7 @@
         workspace: 'w',
         priority: 1,
         homeRegions: [],
-        deadlineAtMs: 1_000,
+        deadlineAtMs,
       },
       sink: {
         start: (status, headers) => this.startedResponses.push({status, headers}),
