--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -23,6 +23,7 @@
     import {config} from './node_modules/zod/v4/core/core.js';
     import en from './node_modules/zod/v4/locales/en.js';
     config(en());
+    export {config};
     export * from './node_modules/zod/v4/classic/schemas.js';
     export * as z from './node_modules/zod/v4/classic/schemas.js';`,
   'prom-client': `
