--- a/src/controllers/fleetSize/NeededServers.ts
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -62,7 +62,7 @@
    * @param nowMs - Current monotonic time in milliseconds.
    */
   update(view: NeedView, nowMs: number): number {
-    const {load, availableServers, failureDomains} = view;
+    const {load} = view;
     if (load.openRequests > 0) this.loadedSinceMs ??= nowMs;
     this.samples = this.samples.filter(({atMs}) => nowMs - atMs <= PEAK_RETENTION_MS);
     this.samples.push({atMs: nowMs, needed: this.estimateNeeded(view, nowMs)});
