--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -88,14 +88,14 @@
     meaning:
       'An attempt has had no response for unusually long. If it was sent on a kept connection, that may have gone silent.',
     fields: ['request', 'server', 'service', 'stallMs'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: HINTS_PER_SECOND,
   },
   'kept connections closed': {
     level: 'info',
     meaning:
       'Idle connections to backend servers were closed: they were opened before an attempt that is overdue on a kept connection.',
     fields: ['closed'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: HINTS_PER_SECOND,
   },
   'attempt lost': {
     level: 'info',
