Let gateways broadcast at the same moments, heads after the others

Change: broadcasts are due at multiples of the interval of the fleet's clock, spread over 8 ms; heads follow 70 ms later for each level, so that they pass on the states of the same interval. The simulated fleet uses the same schedule.

--- a/src/controllers/gossip/index.ts
+++ b/src/controllers/gossip/index.ts
@@ -4,3 +4,4 @@
   type GossipGroup,
   type GossipPeer,
 } from './planGossipGroups.js';
+export {BROADCAST_INTERVAL_MS, getBroadcastDelayMs} from './scheduleBroadcast.js';
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -1,6 +1,6 @@
 /** Exchanges state with other gateways in datagrams, and applies what they send. */
 import type {Catalog} from '../catalog/index.js';
-import type {GossipGroup} from '../controllers/gossip/index.js';
+import {getBroadcastDelayMs, type GossipGroup} from '../controllers/gossip/index.js';
 import type {QuotaLedger} from '../controllers/quotas/index.js';
 import type {UsageLedger} from '../controllers/duties/index.js';
 import type {FleetEvidence} from '../controllers/moves/index.js';
@@ -54,7 +54,6 @@
   readonly getNowMs: () => number;
 }
 
-const BROADCAST_INTERVAL_MS = 250;
 /** Every n-th broadcast carries what the others leave out: all workspaces, cold servers and usage windows. */
 const FULL_STATE_INTERVAL = 8;
 /** Every n-th broadcast carries the usage windows that still change. */
@@ -134,12 +133,12 @@
   async start(): Promise<void> {
     await this.channel.open();
     this.broadcast();
-    this.timer = setInterval(() => this.broadcast(), BROADCAST_INTERVAL_MS);
+    this.scheduleBroadcast();
   }
 
   /** Stops broadcasting and closes the channel. */
   close(): void {
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
     this.channel.close();
   }
 
@@ -151,6 +150,24 @@
     this.recipients.setSeeds(addresses);
   }
 
+  /**
+   * Returns the time until this gateway's state is due again.
+   * @param random - Returns a random number from 0 to less than 1.
+   */
+  getBroadcastDelayMs(random: () => number): number {
+    const {clock, getNowMs} = this.options;
+    const level = this.exchange.getGroups(getNowMs()).length - 1;
+    return getBroadcastDelayMs(level, clock.getWallMs(), random);
+  }
+
+  private scheduleBroadcast(): void {
+    const broadcast = () => {
+      this.broadcast();
+      this.scheduleBroadcast();
+    };
+    this.timer = setTimeout(broadcast, this.getBroadcastDelayMs(Math.random));
+  }
+
   /** Sends this gateway's state to its groups, and an announcement to gateways that may not know this one. */
   broadcast(): void {
     const nowMs = this.options.getNowMs();
--- a/tests/support/GossipFleet.ts
+++ b/tests/support/GossipFleet.ts
@@ -23,6 +23,7 @@
   type GossipChannel,
   type GossipState,
 } from '../../src/gossip/index.js';
+import {BROADCAST_INTERVAL_MS} from '../../src/controllers/gossip/index.js';
 import {silentEvents} from '../../src/logging/index.js';
 import {createSeededRandom} from '../../src/utils/index.js';
 import {createServer} from '../exchange/exchangeFixtures.js';
@@ -40,8 +41,7 @@
   readonly maxTransitMs?: number;
 }
 
-/** Interval at which gateways broadcast, and the time that one step simulates. */
-const BROADCAST_INTERVAL_MS = 250;
+/** Time that one step simulates. */
 const STEP_MS = 10;
 const SEED_COUNT = 3;
 const WALL_START_MS = 1_780_000_000_000;
@@ -75,7 +75,7 @@
   readonly evidence = new FleetEvidence();
   readonly gossip: GatewayGossip;
   readonly member: GatewayMember;
-  readonly phaseMs: number;
+  nextBroadcastAtMs: number;
   isRunning = true;
   sentBytes = 0;
   sentDatagrams = 0;
@@ -84,11 +84,11 @@
   constructor(
     member: GatewayMember,
     seeds: readonly string[],
-    phaseMs: number,
+    firstBroadcastAtMs: number,
     fleet: GossipFleet,
   ) {
     this.member = member;
-    this.phaseMs = phaseMs;
+    this.nextBroadcastAtMs = firstBroadcastAtMs;
     const getNowMs = () => fleet.nowMs;
     const getWallMs = () => fleet.wallMs;
     const describeSelf = () => this.member;
@@ -170,6 +170,7 @@
   private readonly random: () => number;
   /** Apart from the other random numbers, so that times in transit don't change which datagrams are lost. */
   private readonly transitRandom: () => number;
+  private readonly phaseRandom: () => number;
   private readonly byAddress = new Map<string, GossipGateway>();
   private inFlight: {
     readonly bytes: Uint8Array;
@@ -181,6 +182,7 @@
     this.options = options;
     this.random = createSeededRandom(options.seed);
     this.transitRandom = createSeededRandom(options.seed + 1_000);
+    this.phaseRandom = createSeededRandom(options.seed + 2_000);
     for (let index = 0; index < options.gatewayCount; index += 1) this.addGateway(index, 1);
   }
 
@@ -203,7 +205,7 @@
     };
     const seeds = Array.from({length: SEED_COUNT}, (_, seed) => getAddress(seed, 7_600));
     const phaseMs = Math.floor((this.random() * BROADCAST_INTERVAL_MS) / STEP_MS) * STEP_MS;
-    const gateway = new GossipGateway(member, seeds, phaseMs, this);
+    const gateway = new GossipGateway(member, seeds, this.nowMs + phaseMs, this);
     for (let server = 0; server < this.options.serverCount; server += 1) {
       gateway.catalog.servers.applyEntry(createServer(`i-server${server}`).entry, -10_000);
     }
@@ -231,8 +233,10 @@
       onStep();
       this.deliverDatagrams();
       for (const gateway of this.gateways) {
-        const isDue = this.nowMs % BROADCAST_INTERVAL_MS === gateway.phaseMs;
-        if (gateway.isRunning && isDue) gateway.gossip.broadcast();
+        if (!gateway.isRunning || this.nowMs < gateway.nextBroadcastAtMs) continue;
+        gateway.gossip.broadcast();
+        const delayMs = gateway.gossip.getBroadcastDelayMs(this.phaseRandom);
+        gateway.nextBroadcastAtMs = this.nowMs + delayMs;
       }
     }
   }
