Ask for the members that others know and this gateway doesn't

Seen in the simulation: a gateway that missed the announcements of another one's start learned of it only when its turn came, up to 12 s later with 91 gateways; until then it counted too few gateways, and sent callers past that one. Change: the heads' reports name all live gateways by key; while one of them is unknown, every second broadcast asks a fellow for members, in turn.

--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -18,6 +18,7 @@
 import type {EventLogger} from '../logging/index.js';
 import type {DutyRunner} from './DutyRunner.js';
 import type {GatewaySettings} from './GatewaySettings.js';
+import {takeInTurn} from '../utils/index.js';
 import {GossipRecipients} from './GossipRecipients.js';
 import {GroupExchange} from './GroupExchange.js';
 import type {RequestQuarantine} from './RequestQuarantine.js';
@@ -66,6 +67,8 @@
 const REST_INTERVAL = 2;
 /** Every n-th broadcast carries one of all member records in turn, besides the new ones. */
 const MEMBERS_INTERVAL = 4;
+/** Every n-th broadcast asks for members while some are unknown. */
+const INQUIRY_INTERVAL = 2;
 /** Member records in the answer to a gateway of another group, which may know few others yet. */
 const MEMBERS_IN_REPLY = 12;
 /** Shortest interval between two replies to one gateway. */
@@ -179,7 +182,7 @@
       const state = this.buildState(group, members, admitted, nowMs);
       this.channel.send(state, getAddresses(group.fellows));
     }
-    const others = this.getOtherRecipients(nowMs);
+    const others = [...this.getOtherRecipients(nowMs), ...this.getInformants(groups)];
     if (others.length > 0) {
       const state = {...this.buildAnnouncement(members, [], nowMs), requestsMembers: true};
       this.channel.send(state, others);
@@ -324,6 +327,13 @@
     return [...new Set([...newMembers, ...this.recipients.getLiveMembers(1, nowMs)])];
   }
 
+  /** Returns the address of a fellow to ask for members, if some of those that others know are unknown here. */
+  private getInformants(groups: readonly GossipGroup<GatewayMember>[]): readonly string[] {
+    if (!this.exchange.hasUnknownMembers || !this.isDue(INQUIRY_INTERVAL)) return [];
+    const fellows = groups.flatMap(group => group.fellows);
+    return getAddresses(takeInTurn(fellows, this.broadcastCount, 1));
+  }
+
   /** Returns the addresses of gateways that may not know this one. */
   private getOtherRecipients(nowMs: number): readonly string[] {
     const isAlone = this.options.members.getMembers(nowMs).length === 0;
--- a/src/gateway/GroupExchange.ts
+++ b/src/gateway/GroupExchange.ts
@@ -10,6 +10,7 @@
 import type {QuotaLedger} from '../controllers/quotas/index.js';
 import {
   getComposition,
+  getMemberKey,
   getMemberStatus,
   mergeSummaries,
   type AgedSummary,
@@ -63,6 +64,7 @@
   private readonly options: GroupExchangeOptions;
   private readonly reports = new Map<string, Report>();
   private rest: Report | undefined;
+  private hasUnknown = false;
   private groups: readonly GossipGroup<GatewayMember>[] = [];
   /** Version of the members for which the groups were planned, and whether this gateway was leaving then. */
   private plannedVersion = -1;
@@ -120,6 +122,11 @@
     return 'fellow';
   }
 
+  /** Whether the latest summary told of live gateways that this one doesn't know. */
+  get hasUnknownMembers(): boolean {
+    return this.hasUnknown;
+  }
+
   /**
    * Returns the state of all gateways that this gateway represents at a level: itself at level 0, its group of level n
    * at level n + 1.
@@ -183,7 +190,9 @@
     this.applyLoads(report, previous, nowMs);
     if (summary.usage.length > 0) usageLedger.applyCombinedUsage(sourceId, summary.usage);
     this.options.evidence.applyCombined(sourceId, summary.rolloutResults);
-    for (const status of summary.members) members.applyStatus(status, nowMs);
+    const ownKey = getMemberKey(this.options.describeSelf());
+    const unknown = summary.members.filter(status => !members.applyStatus(status, nowMs));
+    this.hasUnknown = unknown.some(({key, status}) => key !== ownKey && status !== 'leaving');
   }
 
   private applyLoads(
--- a/src/gossip/MemberTable.ts
+++ b/src/gossip/MemberTable.ts
@@ -91,10 +91,11 @@
    * Records that the head of another group reports a gateway as live; an unknown start has no effect.
    * @param status - The reported gateway.
    * @param nowMs - Current monotonic time in milliseconds.
+   * @returns Whether this start of the gateway is a member.
    */
-  applyStatus({key, status}: MemberStatus, nowMs: number): void {
+  applyStatus({key, status}: MemberStatus, nowMs: number): boolean {
     const record = this.members.get(this.idsByKey.get(key) ?? '');
-    if (!record) return;
+    if (!record) return false;
     const isHeard = this.isWithin(
       record.lastReceivedAtMs,
       nowMs,
@@ -103,11 +104,12 @@
     // What a gateway says of itself is newer than what others report.
     const isNews = !isHeard && getStatus(record.member) !== status;
     record.lastReportedAtMs = nowMs;
-    if (!isNews && !record.hasFailed) return;
+    if (!isNews && !record.hasFailed) return true;
     const member = isNews
       ? {...record.member, isReady: status === 'ready', isLeaving: status === 'leaving'}
       : record.member;
     this.setRecord({...record, hasFailed: false, member});
+    return true;
   }
 
   /**
