--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -23,6 +23,16 @@
   return Buffer.from(`id: ${id}\ndata: x\n\n`);
 }
 
+const WAIT_MS = 5_000;
+
+async function waitFor(check: () => boolean): Promise<void> {
+  const endAtMs = performance.now() + WAIT_MS;
+  while (!check()) {
+    if (performance.now() > endAtMs) throw new Error('the condition did not become true in time');
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
 t.test('ExchangeRun', t => {
   t.test('delivers a plain response only when it is complete', t => {
     const harness = new RunHarness({}, ['s1', 's2']);
@@ -292,8 +302,7 @@
       harness.isConnectionKept = isKept;
       harness.remainingRetries = retries;
       harness.run.start();
-      await new Promise(resolve => setTimeout(resolve, 20));
-      t.ok(harness.sentAttempts[0].isStalled);
+      await waitFor(() => harness.sentAttempts[0].isStalled);
       t.equal(harness.sentAttempts[0].isCancelled, attempts > 1);
       t.equal(harness.sentAttempts.length, attempts);
       t.equal(harness.openCount, 1);
@@ -335,7 +344,7 @@
       handler.onData(Buffer.from('late'));
       handler.onEnd();
     });
-    await new Promise(resolve => setTimeout(resolve, 20));
+    await waitFor(() => harness.outcome !== undefined);
     t.equal(harness.text, 'late');
     t.equal(harness.outcome?.kind, 'answered');
     t.notOk(harness.sentAttempts[0].isStalled);
