--- a/src/exchange/RunServices.ts
+++ b/src/exchange/RunServices.ts
@@ -2,7 +2,7 @@
 import type {KnownServer} from '../catalog/index.js';
 import type {HealthOutcome, PlacementDecision} from '../controllers/placement/index.js';
 import type {QuarantineCheck} from '../controllers/quarantine/index.js';
-import type {AdmittedRequest} from './ExchangeRun.js';
+import type {AdmittedRequest} from './RunTypes.js';
 import type {BackendHead, RefusalKind} from './ExchangeTypes.js';
 
 /** An attempt whose connection ended before its response was complete. */
--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -1,10 +1,6 @@
 export {EventFramer, type FramedEvent} from './EventFramer.js';
-export {
-  ExchangeRun,
-  type AdmittedRequest,
-  type ExchangeRunOptions,
-  type RunOutcome,
-} from './ExchangeRun.js';
+export {ExchangeRun, type ExchangeRunOptions} from './ExchangeRun.js';
+export type {AdmittedRequest, RunOutcome} from './RunTypes.js';
 export type {
   ResponseSink,
   BackendCall,
--- a/src/gateway/GatewayGossip.ts
+++ b/src/gateway/GatewayGossip.ts
@@ -20,6 +20,7 @@
 import type {GatewaySettings} from './GatewaySettings.js';
 import {takeInTurn} from '../utils/index.js';
 import {GossipRecipients} from './GossipRecipients.js';
+import {GossipTrafficLog} from './GossipTrafficLog.js';
 import {GroupExchange} from './GroupExchange.js';
 import type {RequestQuarantine} from './RequestQuarantine.js';
 import type {RolloutGate} from './RolloutGate.js';
@@ -93,8 +94,7 @@
   private announcedAtMs = -Infinity;
   private sentAdmitted: ReadonlyMap<string, number> = new Map();
   private readonly repliedAtMs = new Map<string, number>();
-  private loggedTraffic: GossipTraffic;
-  private loggedAtMs: number;
+  private readonly trafficLog: GossipTrafficLog;
 
   constructor(options: GatewayGossipOptions) {
     this.options = options;
@@ -109,8 +109,8 @@
       ...options,
       getWallMs: () => options.clock.getWallMs(),
     });
-    this.loggedTraffic = this.channel.traffic;
-    this.loggedAtMs = options.getNowMs();
+    const getTraffic = () => this.channel.traffic;
+    this.trafficLog = new GossipTrafficLog({...options, getTraffic}, options.getNowMs());
     const announceNews = () => this.announce(options.getNowMs(), undefined);
     options.logReadCoordinator.setReadListener(announceNews);
     options.quarantine.setNewsListener(announceNews);
@@ -187,27 +187,7 @@
       const state = {...this.buildAnnouncement(members, [], nowMs), requestsMembers: true};
       this.channel.send(state, others);
     }
-    if (this.broadcastCount % TRAFFIC_LOG_INTERVAL === 0) this.logTraffic(nowMs);
-  }
-
-  /** Logs the traffic since the previous line, and how recent and complete the gossiped state is. */
-  private logTraffic(nowMs: number): void {
-    const {members, catalog, events} = this.options;
-    const {traffic} = this.channel;
-    events.log('gossip', {
-      intervalMs: Math.round(nowMs - this.loggedAtMs),
-      sentDatagrams: traffic.sentDatagrams - this.loggedTraffic.sentDatagrams,
-      sentBytes: traffic.sentBytes - this.loggedTraffic.sentBytes,
-      receivedDatagrams: traffic.receivedDatagrams - this.loggedTraffic.receivedDatagrams,
-      receivedBytes: traffic.receivedBytes - this.loggedTraffic.receivedBytes,
-      groups: this.exchange.getGroups(nowMs).length,
-      heard: members.getLiveMembers(nowMs).length,
-      known: members.getKnownCount(nowMs),
-      registrationsAgeMs: Math.round(catalog.getRegistrationsAgeMs(nowMs)),
-      configurationAgeMs: Math.round(this.options.logReadCoordinator.getOperatorProofAgeMs()),
-    });
-    this.loggedTraffic = traffic;
-    this.loggedAtMs = nowMs;
+    if (this.isDue(TRAFFIC_LOG_INTERVAL)) this.trafficLog.write(groups.length, nowMs);
   }
 
   private buildState(
