Log overdue attempts and closed connections twice a second at most

At the rate of hints all events together still came to 2,005 lines a second, above the 2,000 that the log may write; 1,999 now.

--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -20,6 +20,8 @@
 const STATE_CHANGES_PER_SECOND = 50;
 /** What servers say of themselves when they refuse requests. */
 const HINTS_PER_SECOND = 5;
+/** All connections of a pool may go silent at once; the first ones tell it. */
+const STALLS_PER_SECOND = 2;
 /** Steps of roll-outs, of which a gateway sees a few per service. */
 const ROLLOUT_EVENTS_PER_SECOND = 5;
 /** Rate limit of events that repeat while a fault persists. */
@@ -88,14 +90,14 @@
     meaning:
       'An attempt has had no response for unusually long. If it was sent on a kept connection, that may have gone silent.',
     fields: ['request', 'server', 'service', 'stallMs'],
-    maxPerSecond: HINTS_PER_SECOND,
+    maxPerSecond: STALLS_PER_SECOND,
   },
   'kept connections closed': {
     level: 'info',
     meaning:
       'Idle connections to backend servers were closed: they were opened before an attempt that is overdue on a kept connection.',
     fields: ['closed'],
-    maxPerSecond: HINTS_PER_SECOND,
+    maxPerSecond: STALLS_PER_SECOND,
   },
   'attempt lost': {
     level: 'info',
