--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,34 +1,37 @@
 /**
- * Two gateways serve; a third one is added whose seeds are all stale: its three addresses belong to machines that are
- * gone. All three reach the store and the platform. The duty of ordering replicas belongs to one of them at a time.
+ * The replicas of a service are replaced one after the other by a new version of their software, which numbers the
+ * events of its streams from a large number on: the time of the run's start and a count in one 64-bit integer. Consumers
+ * must get every event.
  */
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {Consumer} from '../common/consumer.mjs';
 import {Replica} from '../common/replica.mjs';
-import {Cloud, Store} from '../common/store.mjs';
+import {Store} from '../common/store.mjs';
 import {HAS_TROUBLE, runCase, sleep} from '../common/world.mjs';
 
-const LEASE_MS = 3000;
-const WINDOW_MS = 5000;
-/** The usage of a window is reported this long after its end. */
-const REPORT_MS = 3500;
-const PLAY_MS = 30_000;
-const ZONES = ['z1', 'z2', 'z3'];
-const SCALE = {min: 1, max: 6, boot_s: 4, spot_price: 0.15, zone_prices: {z1: 1, z2: 0.8, z3: 1.25}};
-const SLOTS = 4;
-const SERVICES = ['a', 'b', 'c', 'd', 'e', 'f'].map(name => `engine-${name}`);
+const EVENTS = 20;
+const EVENT_MS = 20;
+const RELEASE_AT_MS = 3000;
+/** The site's `release`: x 1.0 at a time, gap_s 1.0, share up to 0.584. */
+const RELEASE_GAP_MS = 1000;
+const RELEASED = 2;
+const DRAIN_MS = 2000;
+const PLAY_MS = 12_000;
+/** Bits of an event's id that count the events of its run. */
+const COUNT_BITS = 16n;
+
 const ROUTE = {
-  host: 'h.example', kind: 'stream', resumable: false, attempts: 1, timeout_ms: 15000, goal_ms: 800, gap_aim_ms: 500,
-  priority: 1, sticky: true,
+  host: 'h.example', kind: 'stream', timeout_ms: 12000, goal_ms: 500, gap_aim_ms: 500, priority: 0,
+  service: 'model-pool', sticky: true,
 };
-
 const CONFIG = {
   version: 3,
-  routes: SERVICES.map(service => ({...ROUTE, name: service, path_prefix: `/${service}/`, service})),
-  services: SERVICES.map(name => ({
-    name, max_conns: 620, engine: {slots: SLOTS, kv_capacity: 832651}, scale: SCALE,
-  })),
+  routes: [
+    {...ROUTE, name: 'fault-chat', path_prefix: '/fault-chat/', resumable: true, attempts: 2},
+    {...ROUTE, name: 'audit-review', path_prefix: '/audit-review/', resumable: false, attempts: 1},
+  ],
+  services: [{name: 'model-pool', max_conns: 620}],
   limits: {max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000},
   tenants: [{name: 't1', api_keys: ['k1']}],
 };
@@ -38,118 +41,93 @@
   const storeAddress = await store.start(world.ip(1));
   world.closers.push(() => store.stop());
   store.put('keyed.op', 'config', CONFIG);
-  const replicas = new Set();
-  let replicaNumber = 0;
-  const boot = async (service, zone, spot) => {
-    replicaNumber += 1;
+  const replicas = [];
+  const boot = async (zone, version) => {
     const replica = await new Replica({
-      id: `i-${replicaNumber}`, service, zone, store, spot, slots: SLOTS,
-      work: (request, run) => replica.stream(run, {count: 5, gapMs: 200, firstMs: 50}),
+      id: `i-${replicas.length + 1}`, service: 'model-pool', zone, store, version, slots: 128,
+      work: (request, run) => writeStream(run, version),
     }).start(world.ip(2));
-    replicas.add(replica);
+    replicas.push(replica);
     world.closers.push(() => replica.stop());
+    return replica;
   };
-  /** The platform carries an order out: new replicas serve after `boot_s`, surplus ones drain and leave. */
-  const carryOut = ({service, zone, desired, spot = false}) => {
-    const present = [...replicas].filter(r => r.service === service && r.zone === zone && r.spot === spot && !r.isLeaving);
-    const booting = pending.filter(p => p === `${service} ${zone} ${spot}`).length;
-    for (let count = present.length + booting; count < desired; count += 1) {
-      const name = `${service} ${zone} ${spot}`;
-      pending.push(name);
-      setTimeout(() => {
-        pending.splice(pending.indexOf(name), 1);
-        if (!isOver) void boot(service, zone, spot);
-      }, SCALE.boot_s * 1000);
-    }
-    for (const replica of present.slice(desired)) {
-      replica.isLeaving = true;
-      replica.register('draining');
-      setTimeout(() => {
-        clearTimeout(replica.timer);
-        store.put('keyed.servers', replica.id, undefined);
-      }, 4000);
-    }
-  };
-  const pending = [];
-  let isOver = false;
-  const cloud = new Cloud((duty, body) => {
-    if (duty === 'scale') carryOut(body);
-    return undefined;
-  });
-  const cloudAddress = await cloud.start(world.ip(1));
-  world.closers.push(() => cloud.stop());
-  for (const service of SERVICES) {
-    for (const zone of ZONES) await boot(service, zone, true);
-  }
-  const gateways = await world.prepareGateways(3, {
-    storeAddress, cloudAddress,
-    seeds: (controls, index) => {
-      const [, port] = controls[0].split(':');
-      // Nothing listens at these addresses.
-      const stale = [201, 202, 203].map(number => `${world.ip(number)}:${port}`);
-      return index === 2 && HAS_TROUBLE ? stale : controls.slice(0, 2);
-    },
-  });
-  for (const gateway of gateways.slice(0, 2)) world.startGateway(gateway);
-  await world.waitReady(gateways.slice(0, 2));
+  const zones = ['z1', 'z2', 'z1', 'z2'];
+  for (const zone of zones) await boot(zone, '1');
+  const gateways = await world.prepareGateways(2, {storeAddress});
+  for (const gateway of gateways) world.startGateway(gateway);
+  await world.waitReady();
   const consumers = [];
-  for (let number = 0; number < 24; number += 1) {
-    const consumer = new Consumer(world, {name: 'h.example', zone: ZONES[number % 3], key: 'k1'});
+  for (let number = 0; number < 6; number += 1) {
+    const consumer = new Consumer(world, {name: 'h.example', zone: number % 2 ? 'z1' : 'z2', key: 'k1'});
     await consumer.start();
     consumers.push(consumer);
   }
+  /** The new replica starts first, then the old one drains and leaves. */
+  const release = async () => {
+    await sleep(RELEASE_AT_MS);
+    for (const old of replicas.slice(0, RELEASED)) {
+      await boot(old.zone, '2');
+      world.log(`${old.id} is replaced`);
+      old.register('draining');
+      setTimeout(() => {
+        clearTimeout(old.timer);
+        store.put('keyed.servers', old.id, undefined);
+      }, DRAIN_MS + 1000);
+      await sleep(RELEASE_GAP_MS);
+    }
+  };
+  const violations = [];
+  const ends = {};
   const open = new Set();
+  const ask = async consumer => {
+    const route = Math.random() < 0.5 ? 'fault-chat' : 'audit-review';
+    const answer = await consumer.ask({
+      path: `/${route}/1`, body: 'a prompt', deadlineMs: 12_000,
+      headers: {
+        'x-buckthorngw-model': 'm', 'x-buckthorngw-token-count': '500,120',
+        'x-buckthorngw-prompt-prefix': 'aa:400,bb:100',
+      },
+    });
+    const run = replicas.flatMap(({runs}) => runs).find(({id}) => id === answer.id);
+    const isComplete = answer.status === 200 && answer.error === undefined;
+    const got = answer.body.toString().split('\n\n').filter(Boolean);
+    const isWhole = isComplete && got.join() === run.written.join();
+    const kind = `version ${run?.replica.version}: ${isComplete ? (isWhole ? 'whole' : 'events missing') : answer.status}`;
+    ends[kind] = (ends[kind] ?? 0) + 1;
+    if (!isComplete || isWhole) return;
+    world.log(`${answer.id} (${route}): ${run.written.length} events written by ${run.replica.id}, ${got.length} received; ended as complete`);
+    violations.push(`${answer.id} (${route}) got ${got.length} of ${run.written.length} events in a stream that ended as complete`);
+  };
+  const released = HAS_TROUBLE ? release() : undefined;
   const startMs = Date.now();
-  const addAtMs = getNextReportMs(startMs + 6000) - 1500;
-  world.log(`the third gateway comes at ${((addAtMs - world.startedAtMs) / 1000).toFixed(3)} s`);
-  let isAdded = false;
   while (Date.now() - startMs < PLAY_MS) {
-    if (!isAdded && Date.now() >= addAtMs) {
-      isAdded = true;
-      world.startGateway(gateways[2]);
-    }
-    // More and more users come.
-    const share = Math.min(1, Math.max(0, (Date.now() - addAtMs) / 12_000));
-    for (const consumer of consumers) {
-      if (Math.random() > 0.08 + 0.7 * share) continue;
-      const asked = consumer.ask({
-        path: `/${SERVICES[Math.floor(Math.random() * SERVICES.length)]}/1`, body: 'a prompt',
-        headers: {
-          'x-buckthorngw-model': 'm', 'x-buckthorngw-token-count': '500,30',
-          'x-buckthorngw-prompt-prefix': 'aa:400,bb:100',
-        },
-      }).finally(() => open.delete(asked));
-      open.add(asked);
-    }
+    const asked = ask(consumers[Math.floor(Math.random() * consumers.length)]).finally(() => open.delete(asked));
+    open.add(asked);
     await sleep(100);
   }
-  isOver = true;
+  await released;
   await Promise.all(open);
-  return judge(world, cloud.calls);
-});
-
-/** Finds holders that act in the order A, B, A within the lease. Calls that the platform refused don't count. */
-function judge(world, calls) {
-  for (const {atMs, duty, subject, holder, token, status, isStale, body} of calls) {
-    const at = ((atMs - world.startedAtMs) / 1000).toFixed(3);
-    world.log(`call at ${at} s: ${duty}, ${holder}, token ${token}, ${subject}: ${status}${isStale ? ', lower token' : ''} ${JSON.stringify(body)}`);
-  }
-  const violations = [];
-  for (const duty of ['usage', 'scale']) {
-    const acts = calls.filter(call => call.duty === duty && call.status === 200);
-    acts.forEach((last, index) => {
-      const before = acts.slice(0, index).filter(({atMs}) => atMs > last.atMs - LEASE_MS);
-      const other = before.findLast(({holder}) => holder !== last.holder);
-      const first = other && before.slice(0, before.indexOf(other)).findLast(({holder}) => holder === last.holder);
-      if (!first) return;
-      const show = ({atMs, holder, token, subject}) => `${holder} (token ${token}, ${subject}, ${((atMs - world.startedAtMs) / 1000).toFixed(3)} s)`;
-      violations.push(`${duty}: ${show(first)}, ${show(other)}, ${show(last)}`);
-    });
-  }
+  world.log(`streams: ${JSON.stringify(ends)}`);
   return violations;
-}
+});
 
-/** Returns the first time from `atMs` on at which usage is reported. */
-function getNextReportMs(atMs) {
-  return Math.ceil((atMs - REPORT_MS) / WINDOW_MS) * WINDOW_MS + REPORT_MS;
+/** Writes the events of one run, with increasing ids; keeps what it wrote. */
+function writeStream(run, version) {
+  const {response, replica, headers} = run;
+  const base = version === '1' ? 0n : BigInt(run.atMs) << COUNT_BITS;
+  run.written = [];
+  response.writeHead(200, {...replica.getStamp(), 'content-type': 'text/event-stream'});
+  response.flushHeaders();
+  const step = number => {
+    if (run.isDropped) return;
+    if (number > EVENTS) {
+      response.end();
+      return;
+    }
+    const event = `id: ${base + BigInt(number)}\ndata: piece ${number} of ${EVENTS} of ${headers['x-buckthorngw-attempt-id']}`;
+    run.written.push(event);
+    response.write(`${event}\n\n`);
+    setTimeout(() => step(number + 1), EVENT_MS);
+  };
+  setTimeout(() => step(1), EVENT_MS);
 }
