Forward events with ids above 2^53

Cause: events that a resumed stream repeats were recognised by comparing ids as JavaScript numbers, in every stream. Above 2^53 neighbouring ids are equal, so events were left out that had never been forwarded.

The new tests of ExchangeRun failed before (4 of 54 in tests/exchange): a whole stream, a resumable one, a resumed one, and one whose ids don't increase.

Now only an attempt that resumes a stream leaves events out, up to the first newer one, and decimal ids are compared exactly. Other responses are forwarded unchanged, also with an empty id, which used to count as 0.

--- a/src/exchange/Attempt.ts
+++ b/src/exchange/Attempt.ts
@@ -4,6 +4,7 @@
 import type {AttemptFailure} from './decideAfterFailure.js';
 import {EventFramer} from './EventFramer.js';
 import type {BackendAttempt, BackendHead} from './ExchangeTypes.js';
+import {ResumePoint} from './ResumePoint.js';
 import type {AttemptMeasurement} from './RunServices.js';
 
 /** An attempt in progress. */
@@ -13,6 +14,7 @@
   readonly promptTokens: number;
   readonly sentAtMs: number;
   readonly framer: EventFramer;
+  readonly resumePoint: ResumePoint;
   /** Body received so far of a response that isn't streamed; it's delivered only when it is complete. */
   readonly chunks: Buffer[];
   bufferedBytes: number;
@@ -30,17 +32,25 @@
 const SUCCESS_CLASS = 2;
 const SERVER_ERROR_CLASS = 5;
 
+/** Properties of an attempt that are known before it is sent. */
+export interface AttemptOptions {
+  readonly promptTokens: number;
+  readonly sentAtMs: number;
+  /** Id of the event after which the server resumes the stream; undefined for a new stream. */
+  readonly resumeAfterEventId: string | undefined;
+}
+
 /** Returns an attempt that is about to be sent. */
 export function createAttempt(
   server: KnownServer,
-  promptTokens: number,
-  sentAtMs: number,
+  {promptTokens, sentAtMs, resumeAfterEventId}: AttemptOptions,
 ): Attempt {
   return {
     server,
     promptTokens,
     sentAtMs,
     framer: new EventFramer(),
+    resumePoint: new ResumePoint(resumeAfterEventId),
     chunks: [],
     bufferedBytes: 0,
     events: 0,
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -116,7 +116,11 @@
     this.serverId = server.entry.id;
     this.softwareVersion = server.entry.softwareVersion;
     services.onSent(admitted, server, uncachedTokens, this.attempts, nowMs);
-    const attempt = createAttempt(server, uncachedTokens, nowMs);
+    const attempt = createAttempt(server, {
+      promptTokens: uncachedTokens,
+      sentAtMs: nowMs,
+      resumeAfterEventId: admitted.route.isResumable ? this.lastEventId : undefined,
+    });
     this.current = attempt;
     attempt.send = transport.send(
       {
@@ -191,10 +195,10 @@
     for (const {bytes, eventId} of attempt.framer.add(chunk)) {
       this.markPrefillDone(attempt);
       attempt.events += 1;
-      if (this.isRepeated(eventId)) continue;
+      if (attempt.resumePoint.isRepeated(eventId)) continue;
       this.startResponse(head);
       this.options.sink.write(bytes);
-      if (eventId !== undefined) this.lastEventId = eventId;
+      if (eventId !== undefined) this.lastEventId = eventId === '' ? undefined : eventId;
     }
     if (attempt.framer.getIncompleteEvent().length > MAX_EVENT_BYTES) this.failOversized(attempt);
   }
@@ -219,12 +223,6 @@
     });
   }
 
-  /** A resumed stream may begin with events that were already forwarded to the caller. */
-  private isRepeated(id: string | undefined): boolean {
-    if (id === undefined || this.lastEventId === undefined) return false;
-    return Number(id) <= Number(this.lastEventId);
-  }
-
   private handleEnd(attempt: Attempt): void {
     const {head} = attempt;
     if (!head) {
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -19,7 +19,10 @@
   }
 }
 
-function createEvent(id: number): Buffer {
+/** An integer above 2^53: a Unix time in milliseconds, and 16 bits that count events. */
+const LARGE_EVENT_ID = 1_790_000_000_000n << 16n;
+
+function createEvent(id: number | bigint): Buffer {
   return Buffer.from(`id: ${id}\ndata: x\n\n`);
 }
 
@@ -264,6 +267,60 @@
     t.end();
   });
 
+  // Ids above 2^53 were compared as numbers, so that neighbours were equal and their events were left out.
+  const doTestLargeEventIds = (name: string, route: {isResumable: boolean}) => {
+    t.test(`forwards every event of ${name} whose ids exceed the safe integers`, t => {
+      const harness = new RunHarness({kind: 'stream', ...route}, ['s1']);
+      harness.run.start();
+      const [{handler}] = harness.sentAttempts;
+      const events = Array.from({length: 20}, (_, index) =>
+        createEvent(LARGE_EVENT_ID + BigInt(index)),
+      );
+      handler.onHead(SUCCESS);
+      for (const event of events) handler.onData(event);
+      handler.onEnd();
+      t.equal(harness.text, Buffer.concat(events).toString());
+      t.ok(harness.isResponseEnded);
+      t.end();
+    });
+  };
+  doTestLargeEventIds('a stream', {isResumable: false});
+  doTestLargeEventIds('a resumable stream', {isResumable: true});
+
+  // The same comparison left out the first events of a resumed stream.
+  t.test('resumes a stream whose ids exceed the safe integers without losing an event', t => {
+    const harness = new RunHarness({kind: 'stream', isResumable: true}, ['s1', 's2']);
+    harness.run.start();
+    const events = Array.from({length: 6}, (_, index) =>
+      createEvent(LARGE_EVENT_ID + BigInt(index)),
+    );
+    harness.sentAttempts[0].handler.onHead(SUCCESS);
+    for (const event of events.slice(0, 3)) harness.sentAttempts[0].handler.onData(event);
+    harness.sentAttempts[0].handler.onFailure(BROKEN);
+    t.equal(harness.sentAttempts[1].call.resumeAfterEventId, String(LARGE_EVENT_ID + 2n));
+    harness.sentAttempts[1].handler.onHead(SUCCESS);
+    for (const event of events.slice(1)) harness.sentAttempts[1].handler.onData(event);
+    harness.sentAttempts[1].handler.onEnd();
+    t.equal(harness.text, Buffer.concat(events).toString());
+    t.end();
+  });
+
+  // A response that isn't resumed has no repeated events, whatever its ids are.
+  t.test(
+    'forwards a stream that is not resumed unchanged, also with ids that do not increase',
+    t => {
+      const harness = new RunHarness({kind: 'stream'}, ['s1'], {...REQUEST, lastEventId: '9'});
+      harness.run.start();
+      const [{handler}] = harness.sentAttempts;
+      const received = 'id: 5\ndata: a\n\nid: 4\ndata: b\n\nid:\ndata: c\n\nid: 5\ndata: d\n\n';
+      handler.onHead(SUCCESS);
+      handler.onData(Buffer.from(received));
+      handler.onEnd();
+      t.equal(harness.text, received);
+      t.end();
+    },
+  );
+
   t.test('aborts a stream that cannot be resumed, so that it does not look complete', t => {
     const harness = new RunHarness({kind: 'stream'}, ['s1', 's2']);
     harness.run.start();
