Refuse late streams at a stop that may outlast it

Cause: a stopping gateway accepted what would end within twice the longest of the last 100 requests of the route. Nothing bounds a stream by that, a stream that has begun can only be broken off, and on a busy route a rare long request is forgotten within a second.

Now a stream that comes later than 2.5 s after the request to stop is accepted only if its deadline or timeout ends before the gateway does. Earlier streams and plain requests, which get an error at the stop, are accepted by prediction as before; it remembers the longest request of the last minute.

--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -136,7 +136,7 @@
       this.createHandler(attempt),
     );
     const handleStall = () => afterNextPoll(() => this.handleStall(attempt));
-    attempt.stallTimer = setTimeout(handleStall, services.getStallMs(admitted));
+    attempt.stallTimer = setTimeout(handleStall, services.getStallMs(admitted, nowMs));
   }
 
   /**
--- a/src/exchange/RunServices.ts
+++ b/src/exchange/RunServices.ts
@@ -57,7 +57,7 @@
   /** Returns the time after which a refused caller may retry. */
   getRetryAfterMs(refusal: RefusalKind, admitted: AdmittedRequest): number;
   /** Returns the time after which an attempt without a first event or head is overdue. */
-  getStallMs(admitted: AdmittedRequest): number;
+  getStallMs(admitted: AdmittedRequest, nowMs: number): number;
   /** Called once per attempt that is overdue. */
   onStalled(admitted: AdmittedRequest, server: KnownServer, nowMs: number): void;
   /** Called before an attempt is sent; `attempt` counts from 1, `promptTokens` are those expected to be prefilled. */
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -202,22 +202,22 @@
     this.options.loads.removePrompt(server.entry.id, promptTokens);
   }
 
-  getStallMs({route}: AdmittedRequest): number {
-    const usualMs = this.firstEventDurations.getLongestExpectedMs(route.name) ?? 0;
+  getStallMs({route}: AdmittedRequest, nowMs: number): number {
+    const usualMs = this.firstEventDurations.getLongestExpectedMs(route.name, nowMs) ?? 0;
     return Math.max(MIN_STALL_MS, usualMs, route.latencyTargetMs * STALL_TARGET_FACTOR);
   }
 
-  onStalled(admitted: AdmittedRequest, {entry}: KnownServer): void {
+  onStalled(admitted: AdmittedRequest, {entry}: KnownServer, nowMs: number): void {
     this.options.events.log('attempt overdue', {
       request: admitted.request.id,
       server: entry.id,
       service: admitted.service,
-      stallMs: Math.round(this.getStallMs(admitted)),
+      stallMs: Math.round(this.getStallMs(admitted, nowMs)),
     });
   }
 
   onRunning(admitted: AdmittedRequest, sentAtMs: number, nowMs: number): void {
-    this.firstEventDurations.addDuration(admitted.route.name, nowMs - sentAtMs);
+    this.firstEventDurations.addDuration(admitted.route.name, nowMs - sentAtMs, nowMs);
     if (admitted.workspace === undefined) return;
     const runningForMs = admitted.route.kind === 'stream' ? 0 : nowMs - sentAtMs;
     this.options.usageLedger.addRequest(
--- a/src/gateway/RequestHandler.ts
+++ b/src/gateway/RequestHandler.ts
@@ -49,19 +49,29 @@
  * Age of the operators' records, as a share of `revocationMs`, above which requests are refused: keys may be revoked.
  */
 const MAX_CONFIGURATION_AGE_SHARE = 0.95;
+/** Long enough to contain requests of a kind that is rare on its route. */
+const MIN_REMEMBERED_MS = 60_000;
 /** Short, since the callers of a stopping gateway can go to another one. */
 const RETRY_ELSEWHERE_MS = 100;
 const REFUSED_REQUEST: OpenRequest = {abandon: () => undefined};
 
+/** Monotonic times of a stop of the process. */
+interface PlannedStop {
+  /** When the process was asked to stop. */
+  readonly beganAtMs: number;
+  /** When open requests are ended. */
+  readonly endsRequestsAtMs: number;
+}
+
 /** All requests of one gateway that are in progress. */
 export class RequestHandler {
   private readonly options: RequestHandlerOptions;
   private readonly runs = new Set<ExchangeRun>();
   private readonly startGate: StartGate;
   /** By route: times from the arrival of a request to the end of its response. */
-  private readonly durations = new RecentDurations();
-  /** Monotonic time at which open requests are ended because the process stops; undefined if it isn't stopping. */
-  private stopsAtMs: number | undefined;
+  private readonly durations = new RecentDurations({minRememberedMs: MIN_REMEMBERED_MS});
+  /** Undefined if the process isn't stopping. */
+  private stop: PlannedStop | undefined;
 
   constructor(options: RequestHandlerOptions) {
     this.options = options;
@@ -85,10 +95,10 @@
 
   /**
    * Refuses from now on requests that can't end before the process stops.
-   * @param stopsAtMs - Monotonic time at which `endOpenRequests` will be called.
+   * @param endsRequestsAtMs - Monotonic time at which `endOpenRequests` will be called.
    */
-  beginStop(stopsAtMs: number): void {
-    this.stopsAtMs = stopsAtMs;
+  beginStop(endsRequestsAtMs: number): void {
+    this.stop = {beganAtMs: this.options.getNowMs(), endsRequestsAtMs};
   }
 
   /** Ends all requests in progress with an error, since the process is about to exit. */
@@ -149,13 +159,16 @@
 
   /** Returns whether a request can end before the process stops. */
   private canEnd(request: ServingRequest, route: Route): boolean {
-    if (this.stopsAtMs === undefined) return true;
+    if (this.stop === undefined) return true;
+    const nowMs = this.options.getNowMs();
     const view = {
-      stopsAtMs: this.stopsAtMs,
-      longestExpectedMs: this.durations.getLongestExpectedMs(route.name),
-      maxWaitMs: getMaxWaitMs(request, route),
+      stopBeganAtMs: this.stop.beganAtMs,
+      stopsAtMs: this.stop.endsRequestsAtMs,
+      isStream: route.kind === 'stream',
+      longestExpectedMs: this.durations.getLongestExpectedMs(route.name, nowMs),
+      maxWaitMs: request.receivedAtMs + getMaxWaitMs(request, route) - nowMs,
     };
-    return canEndBeforeStop(view, this.options.getNowMs());
+    return canEndBeforeStop(view, nowMs);
   }
 
   /** Returns why a request that was admitted earlier isn't any more; undefined if it still is. */
@@ -201,7 +214,9 @@
     outcome: RunOutcome,
   ): void {
     this.runs.delete(run);
-    if (outcome.hasRun) this.durations.addDuration(route.name, outcome.totalMs);
+    if (outcome.hasRun) {
+      this.durations.addDuration(route.name, outcome.totalMs, this.options.getNowMs());
+    }
     if (workspace?.quota && !outcome.hasRun) {
       this.options.quotaLedger.refund(workspace.name, getCost(workspace, request));
     }
--- a/tests/controllers/drain/plannedStops.test.ts
+++ b/tests/controllers/drain/plannedStops.test.ts
@@ -1,10 +1,12 @@
 /** Planned stops of a gateway in calm, simulated: which requests are accepted, and which are still open at the end. */
+import fc from 'fast-check';
 import t from 'tap';
 import {canEndBeforeStop} from '../../../src/controllers/drain/index.js';
 import {RecentDurations, createSeededRandom} from '../../../src/utils/index.js';
 
 interface SimulatedRoute {
   readonly name: string;
+  readonly isStream: boolean;
   readonly requestsPerSecond: number;
   readonly medianMs: number;
   /** Standard deviation of the logarithm of the durations. */
@@ -17,24 +19,43 @@
 const ROUTES: readonly SimulatedRoute[] = [
   {
     name: 'letter',
+    isStream: true,
     requestsPerSecond: 3,
     medianMs: 1_400,
     spread: 0.5,
     maxMs: 5_000,
     timeoutMs: 15_000,
   },
-  {name: 'chat', requestsPerSecond: 3, medianMs: 900, spread: 0.7, maxMs: 4_500, timeoutMs: 12_000},
+  {
+    name: 'chat',
+    isStream: true,
+    requestsPerSecond: 3,
+    medianMs: 900,
+    spread: 0.7,
+    maxMs: 4_500,
+    timeoutMs: 12_000,
+  },
   {
     name: 'triage',
+    isStream: false,
     requestsPerSecond: 4,
     medianMs: 160,
     spread: 0.9,
     maxMs: 1_200,
     timeoutMs: 3_000,
   },
-  {name: 'booking', requestsPerSecond: 3, medianMs: 86, spread: 0.5, maxMs: 600, timeoutMs: 4_000},
+  {
+    name: 'booking',
+    isStream: false,
+    requestsPerSecond: 3,
+    medianMs: 86,
+    spread: 0.5,
+    maxMs: 600,
+    timeoutMs: 4_000,
+  },
 ];
 const STOPS = 1_000;
+const SEED = 20_261_205;
 /** Time for which requests are observed before the stop. */
 const OBSERVED_MS = 60_000;
 /** Callers that cached the directory's response keep on sending this long. */
@@ -69,12 +90,14 @@
   const durations = new RecentDurations();
   for (const route of ROUTES) {
     forEachArrival(route, OBSERVED_MS, random, () =>
-      durations.addDuration(route.name, getDurationMs(route, random)),
+      durations.addDuration(route.name, getDurationMs(route, random), 0),
     );
     forEachArrival(route, LATE_CALLERS_MS, random, atMs => {
       const view = {
+        stopBeganAtMs: 0,
         stopsAtMs: STOPS_AFTER_MS,
-        longestExpectedMs: durations.getLongestExpectedMs(route.name),
+        isStream: route.isStream,
+        longestExpectedMs: durations.getLongestExpectedMs(route.name, 0),
         maxWaitMs: route.timeoutMs,
       };
       if (!canEndBeforeStop(view, atMs)) {
@@ -98,7 +121,13 @@
 });
 
 t.test('canEndBeforeStop', async t => {
-  const view = {stopsAtMs: 7_000, longestExpectedMs: 2_000, maxWaitMs: 10_000};
+  const view = {
+    stopBeganAtMs: 0,
+    stopsAtMs: 7_000,
+    isStream: false,
+    longestExpectedMs: 2_000,
+    maxWaitMs: 10_000,
+  };
   t.equal(canEndBeforeStop(view, 5_000), true, 'a request that ends in time is accepted');
   t.equal(canEndBeforeStop(view, 5_001), false, 'a request that may last longer is refused');
   t.equal(
@@ -111,4 +140,29 @@
     false,
     'without observations the deadline decides',
   );
+  const stream = {...view, isStream: true};
+  t.equal(canEndBeforeStop(stream, 2_499), true, 'an early stream is accepted by prediction');
+  t.equal(canEndBeforeStop(stream, 2_500), false, 'a late stream may last longer than predicted');
+  t.equal(
+    canEndBeforeStop({...stream, maxWaitMs: 2_000}, 5_000),
+    true,
+    'a late stream that must end in time is accepted',
+  );
+});
+
+// A stream many times as long as the last ones of its route was accepted late in a stop, and cut at its end.
+t.test('a stream accepted late in a stop ends before it, however long it lasts', async () => {
+  const arrival = fc.record({
+    atMs: fc.integer({min: 2_500, max: STOPS_AFTER_MS}),
+    maxWaitMs: fc.integer({min: 1, max: 15_000}),
+    longestExpectedMs: fc.option(fc.integer({min: 1, max: 15_000}), {nil: undefined}),
+  });
+  fc.assert(
+    fc.property(arrival, ({atMs, maxWaitMs, longestExpectedMs}) => {
+      const stop = {stopBeganAtMs: 0, stopsAtMs: STOPS_AFTER_MS, isStream: true};
+      const isAccepted = canEndBeforeStop({...stop, maxWaitMs, longestExpectedMs}, atMs);
+      return !isAccepted || atMs + maxWaitMs <= STOPS_AFTER_MS;
+    }),
+    {seed: SEED},
+  );
 });
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -161,7 +161,8 @@
     return [...this.openByServer.values()].reduce((sum, count) => sum + count, 0);
   }
 
-  private createServices(serverIds: readonly string[]): RunServices {
+  /** Returns services that choose the given servers in their order, and count in this harness. */
+  createServices(serverIds: readonly string[]): RunServices {
     const add = (id: string, count: number) =>
       this.openByServer.set(id, (this.openByServer.get(id) ?? 0) + count);
     return {
