Replace a server's not-run status for a request that has run

Cause: an answered failure that isn't retried was delivered as it came. Callers read 408, 421, 429 and 503 as the statement that the request has not run and never will; from a server only its own statement or a 421 says so.

Now callers of such requests get the gateway's 502 without the server's stamp, which promises nothing. Idempotent requests and resumable streams still get the server's answer.

--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -12,6 +12,7 @@
 } from './Attempt.js';
 import {
   decideAfterFailure,
+  mayRunAgain,
   type AttemptFailure,
   type FailureDecision,
 } from './decideAfterFailure.js';
@@ -296,12 +297,21 @@
     if (decision.kind === 'retry' && services.consumeRetry(admitted.service, getNowMs())) {
       return this.sendNext();
     }
-    if (end.kind === 'answered-failure' && attempt.head && !this.isResponseStarted) {
+    if (end.kind === 'answered-failure' && attempt.head && this.canDeliver(attempt.head)) {
       return this.deliver(attempt, attempt.head);
     }
     this.fail(decision.refusal, end.message ?? `${end.kind} ${end.status ?? ''}`);
   }
 
+  /**
+   * Returns whether a server's failure may reach the caller as it is. A server that ran a request may respond with a
+   * status after which callers send it again; of a request that must not run twice they get an error of the gateway.
+   */
+  private canDeliver(head: BackendHead): boolean {
+    if (this.isResponseStarted) return false;
+    return !head.hasNotRunStatus || mayRunAgain(this.options.admitted.route);
+  }
+
   /** Reports a failed attempt, which then no longer counts as open. */
   private settleAttempt(attempt: Attempt, end: AttemptFailure): void {
     const {services, getNowMs} = this.options;
--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -98,6 +98,8 @@
   readonly headers: HeaderFields;
   /** Whether the server states that it did not run the request. */
   readonly isNotRun: boolean;
+  /** Whether callers take the status for the statement that the request has not run and never will. */
+  readonly hasNotRunStatus: boolean;
   /** Whether the response carries a signature of the server. */
   readonly isSigned: boolean;
   /** Whether the response's end is marked by a length or by chunks; otherwise it ends with its connection. */
--- a/src/exchange/decideAfterFailure.ts
+++ b/src/exchange/decideAfterFailure.ts
@@ -1,5 +1,5 @@
 /** Retry policy of a run: whether a failed attempt is retried, and which error the caller gets if it isn't. */
-import type {RouteKind} from '../catalog/index.js';
+import type {Route, RouteKind} from '../catalog/index.js';
 import type {RefusalKind} from './ExchangeTypes.js';
 
 /**
@@ -63,12 +63,17 @@
 }
 
 function canRetry(view: FailureView): boolean {
-  const {kind, isResumable, mayHaveRun, attempts, maxAttempts, remainingMs, end} = view;
+  const {kind, mayHaveRun, attempts, maxAttempts, remainingMs, end} = view;
   if (remainingMs < MIN_REMAINING_MS) return false;
   if (!mayHaveRun) return attempts < maxAttempts + EXTRA_NOT_RUN_ATTEMPTS;
   if (attempts >= maxAttempts) return false;
-  if (kind === 'idempotent') return !view.isResponseStarted && !isClientError(end);
-  return kind === 'stream' && isResumable && view.canResume && !isClientError(end);
+  if (!mayRunAgain(view) || isClientError(end)) return false;
+  return kind === 'idempotent' ? !view.isResponseStarted : view.canResume;
+}
+
+/** Returns whether the requests of a route may be executed more than once. */
+export function mayRunAgain({kind, isResumable}: Pick<Route, 'kind' | 'isResumable'>): boolean {
+  return kind === 'idempotent' || (kind === 'stream' && isResumable);
 }
 
 /** A 4xx status is the fault of the request: another server would return the same. */
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -1,6 +1,6 @@
 /** Tests of `ExchangeRun`: what callers and backend servers receive when attempts succeed or fail. */
 import t from 'tap';
-import type {RouteKind} from '../../src/catalog/index.js';
+import type {Route, RouteKind} from '../../src/catalog/index.js';
 import type {BackendHead} from '../../src/exchange/index.js';
 import {NOT_RUN, REQUEST, RunHarness, SUCCESS, type SentAttempt} from './exchangeFixtures.js';
 
@@ -245,6 +245,30 @@
     t.end();
   });
 
+  // A 503 without the statement that nothing has run was handed on, and callers ran the request a second time.
+  const doTestNotRunStatus = (route: Partial<Route>, isDelivered: boolean) => {
+    const {kind, isResumable = false} = route;
+    const name = `${isResumable ? 'resumable ' : ''}${kind} request`;
+    t.test(`a server that ran a ${name} and answered with a not-run status`, t => {
+      const harness = new RunHarness({...route, maxAttempts: 1}, ['s1']);
+      harness.run.start();
+      const [{handler}] = harness.sentAttempts;
+      handler.onHead({...SUCCESS, status: 503, hasNotRunStatus: true});
+      handler.onData(Buffer.from('the next step failed'));
+      handler.onEnd();
+      if (isDelivered) t.match(harness.startedResponses, [{status: 503}]);
+      else t.same(harness.startedResponses, []);
+      const refusal = {kind: 'backend-failed', isNotRun: false, retryAfterMs: undefined} as const;
+      t.same(harness.refusals, isDelivered ? [] : [refusal]);
+      t.equal(harness.openCount, 0);
+      t.end();
+    });
+  };
+  doTestNotRunStatus({kind: 'at-most-once'}, false);
+  doTestNotRunStatus({kind: 'stream'}, false);
+  doTestNotRunStatus({kind: 'stream', isResumable: true}, true);
+  doTestNotRunStatus({kind: 'idempotent'}, true);
+
   t.test('resumes a resumable stream in the same response after its last complete event', t => {
     const route = {kind: 'stream', isResumable: true} as const;
     const harness = new RunHarness(route, ['s1', 's2']);
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -25,6 +25,7 @@
   status: 200,
   headers: {'x-signature': 's1'},
   isNotRun: false,
+  hasNotRunStatus: false,
   isSigned: true,
   isFramed: true,
   isMisdirected: false,
@@ -34,7 +35,13 @@
   requestLimit: undefined,
 };
 
-export const NOT_RUN: BackendHead = {...SUCCESS, status: 503, isNotRun: true, isSigned: false};
+export const NOT_RUN: BackendHead = {
+  ...SUCCESS,
+  status: 503,
+  isNotRun: true,
+  hasNotRunStatus: true,
+  isSigned: false,
+};
 
 /** Returns a registered server that is warm and available. */
 export function createServer(id: string, service = 'app'): KnownServer {
--- a/tests/platform/BackendConnections.test.ts
+++ b/tests/platform/BackendConnections.test.ts
@@ -175,6 +175,17 @@
   doTestPause('7200', 3_600_000);
   doTestPause('2', undefined, 429);
 
+  // Callers send a request again after these, whether or not the server states that it didn't run it.
+  const doTestNotRunStatus = (status: number, hasNotRunStatus: boolean) => {
+    doTest(
+      `reads whether status ${status} says that the request has not run`,
+      socket => socket.write(`HTTP/1.1 ${status} x\r\n${SIGNED}content-length: 0\r\n\r\n`),
+      result => t.match(result.heads, [{status, hasNotRunStatus}]),
+    );
+  };
+  for (const status of [408, 421, 429, 503]) doTestNotRunStatus(status, true);
+  for (const status of [200, 400, 404, 500, 502, 504]) doTestNotRunStatus(status, false);
+
   doTest(
     'reports bytes that are no HTTP response as a failure',
     socket => socket.write('hello\r\n\r\n'),
