Keep what a server sends in small pieces in as much memory as it has bytes

An event in chunks of one byte held the process up.

Cause: each event was a write of its own, each chunk a buffer of its own, and an incomplete event was copied and searched from its start with each chunk.

Now the events of one chunk are one write, and bodies and incomplete events are kept in a buffer that grows by doubling. An event is searched on from where the last search ended.

--- a/src/exchange/Attempt.ts
+++ b/src/exchange/Attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a request at a backend server, and what it says about the server. */
 import type {KnownServer} from '../catalog/index.js';
 import type {HealthOutcome} from '../controllers/placement/index.js';
+import {ByteBuffer} from '../utils/index.js';
 import type {AttemptFailure} from './decideAfterFailure.js';
 import {EventFramer} from './EventFramer.js';
 import type {BackendAttempt, BackendHead} from './ExchangeTypes.js';
@@ -16,8 +17,7 @@
   readonly framer: EventFramer;
   readonly resumePoint: ResumePoint;
   /** Body received so far of a response that isn't streamed; it's delivered only when it is complete. */
-  readonly chunks: Buffer[];
-  bufferedBytes: number;
+  readonly body: ByteBuffer;
   events: number;
   isMeasured: boolean;
   send: BackendAttempt | undefined;
@@ -51,8 +51,7 @@
     sentAtMs,
     framer: new EventFramer(),
     resumePoint: new ResumePoint(resumeAfterEventId),
-    chunks: [],
-    bufferedBytes: 0,
+    body: new ByteBuffer(),
     events: 0,
     isMeasured: false,
     send: undefined,
--- a/src/exchange/EventFramer.ts
+++ b/src/exchange/EventFramer.ts
@@ -1,4 +1,5 @@
 /** Splits a byte stream of server-sent events at event boundaries. */
+import {ByteBuffer} from '../utils/index.js';
 
 /** The bytes of one complete event. */
 export interface FramedEvent {
@@ -11,34 +12,47 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(.*)$/m;
+/** Length of the shortest event with an id line. */
+const MIN_IDENTIFIED_BYTES = 'id:\n\n'.length;
+/** The last line end and the first byte of a blank line may come in one chunk, and the rest of it in the next. */
+const MAX_BOUNDARY_BYTES = '\n\r\n'.length;
 
 /** Buffers the bytes of an incomplete event until the rest of it arrives. */
 export class EventFramer {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly pending = new ByteBuffer();
+  /** Leading bytes of the incomplete event in which no event ends. */
+  private scannedBytes = 0;
   private hasEvents = false;
 
   /** Appends received bytes and returns the events that they complete, in order. */
   add(chunk: Buffer): readonly FramedEvent[] {
-    const bytes = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    this.pending.append(chunk);
+    const bytes = this.pending.getBytes();
     const events: FramedEvent[] = [];
+    let scanFrom = Math.max(0, this.scannedBytes - MAX_BOUNDARY_BYTES);
     let start = 0;
-    for (let end = findEventEnd(bytes, start); end > 0; end = findEventEnd(bytes, start)) {
+    for (
+      let end = findEventEnd(bytes, scanFrom);
+      end > 0;
+      scanFrom = end, end = findEventEnd(bytes, scanFrom)
+    ) {
       events.push(frame(bytes.subarray(start, end)));
       start = end;
     }
-    this.pending = bytes.subarray(start);
+    this.pending.removeFirst(start);
+    this.scannedBytes = this.pending.length;
     this.hasEvents ||= events.length > 0;
     return events;
   }
 
   /** Whether there was an event, and nothing but line ends has been received after the last one. */
   get isAtEventEnd(): boolean {
-    return this.hasEvents && this.pending.every(isLineEnd);
+    return this.hasEvents && this.pending.getBytes().every(isLineEnd);
   }
 
   /** Returns the bytes after the last complete event. */
   getIncompleteEvent(): Buffer {
-    return this.pending;
+    return this.pending.getBytes();
   }
 }
 
@@ -60,5 +74,6 @@
 }
 
 function frame(bytes: Buffer): FramedEvent {
+  if (bytes.length < MIN_IDENTIFIED_BYTES) return {bytes, eventId: undefined};
   return {bytes, eventId: ID_LINE.exec(bytes.toString('latin1'))?.[1].trim()};
 }
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -16,6 +16,7 @@
   type AttemptFailure,
   type FailureDecision,
 } from './decideAfterFailure.js';
+import type {FramedEvent} from './EventFramer.js';
 import type {
   ResponseSink,
   BackendFailure,
@@ -193,27 +194,31 @@
       this.bufferChunk(attempt, chunk);
       return;
     }
-    for (const {bytes, eventId} of attempt.framer.add(chunk)) {
-      this.markPrefillDone(attempt);
-      attempt.events += 1;
-      if (attempt.resumePoint.isRepeated(eventId)) continue;
-      this.startResponse(head);
-      this.options.sink.write(bytes);
-      if (eventId !== undefined) this.lastEventId = eventId === '' ? undefined : eventId;
-    }
+    this.forwardEvents(attempt, head, attempt.framer.add(chunk));
     if (attempt.framer.getIncompleteEvent().length > MAX_EVENT_BYTES) this.failOversized(attempt);
   }
 
+  /** Forwards the events of one chunk with one write: each write costs memory until the caller has taken it. */
+  private forwardEvents(attempt: Attempt, head: BackendHead, events: readonly FramedEvent[]): void {
+    if (events.length === 0) return;
+    this.markPrefillDone(attempt);
+    attempt.events += events.length;
+    const newEvents = events.filter(({eventId}) => !attempt.resumePoint.isRepeated(eventId));
+    if (newEvents.length === 0) return;
+    this.startResponse(head);
+    this.options.sink.write(joinEvents(newEvents));
+    const lastEventId = newEvents.findLast(({eventId}) => eventId !== undefined)?.eventId;
+    if (lastEventId !== undefined) this.lastEventId = lastEventId === '' ? undefined : lastEventId;
+  }
+
   private bufferChunk(attempt: Attempt, chunk: Buffer): void {
-    attempt.chunks.push(chunk);
-    attempt.bufferedBytes += chunk.length;
-    if (attempt.bufferedBytes > MAX_BODY_BYTES) this.failOversized(attempt);
+    attempt.body.append(chunk);
+    if (attempt.body.length > MAX_BODY_BYTES) this.failOversized(attempt);
   }
 
   /** Ends an attempt whose server sends bytes without end. */
   private failOversized(attempt: Attempt): void {
     attempt.send?.cancel();
-    attempt.chunks.length = 0;
     if (attempt.head?.isNotRun) {
       return this.failAttempt(attempt, {kind: 'not-run', status: attempt.head.status});
     }
@@ -252,7 +257,7 @@
     const {admitted, sink, services, getNowMs} = this.options;
     this.startResponse(head);
     if (this.isStreamed(head)) sink.write(attempt.framer.getIncompleteEvent());
-    for (const chunk of attempt.chunks) sink.write(chunk);
+    sink.write(attempt.body.getBytes());
     sink.end();
     services.onAttemptEnd(
       attempt.server,
@@ -433,3 +438,8 @@
     });
   }
 }
+
+function joinEvents(events: readonly FramedEvent[]): Buffer {
+  const [first] = events;
+  return events.length === 1 ? first.bytes : Buffer.concat(events.map(({bytes}) => bytes));
+}
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,3 +1,4 @@
+export {ByteBuffer} from './ByteBuffer.js';
 export {afterNextPoll} from './afterNextPoll.js';
 export {
   BLOCK_TOKENS,
--- a/tests/exchange/EventFramer.test.ts
+++ b/tests/exchange/EventFramer.test.ts
@@ -40,6 +40,24 @@
     t.end();
   });
 
+  t.test('finds a boundary of CRLF lines, wherever it is split', t => {
+    const bytes = Buffer.from('id: 7\r\ndata: a\r\n\r\nid: 8\r\n');
+    for (let split = 0; split <= bytes.length; split += 1) {
+      const framer = new EventFramer();
+      const events = [
+        ...framer.add(bytes.subarray(0, split)),
+        ...framer.add(bytes.subarray(split)),
+      ];
+      t.same(
+        events.map(({eventId}) => eventId),
+        ['7'],
+        `split at ${split}`,
+      );
+      t.equal(framer.getIncompleteEvent().toString(), 'id: 8\r\n');
+    }
+    t.end();
+  });
+
   t.test('accepts CRLF line endings', t => {
     const events = new EventFramer().add(Buffer.from('id: 7\r\ndata: a\r\n\r\nid: 8\r\n'));
     t.same(
--- /dev/null
+++ b/tests/platform/endlessResponses.test.ts
@@ -0,0 +1,225 @@
+/**
+ * A gateway process that gets bytes without end from a faulty server: it neither keeps them nor ends, and goes on
+ * serving the other callers. It runs as it is deployed, with the memory of the smallest machine.
+ */
+import {createServer as createHttpServer, request as httpRequest} from 'node:http';
+import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import t, {type Test} from 'tap';
+import {
+  GatewayProcess,
+  OWN_IP,
+  PORTS,
+  addRecord,
+  addServer,
+  readDeployedNodeOptions,
+  sendRequest,
+} from './GatewayProcess.js';
+import {StoreStandIn} from './StoreStandIn.js';
+
+const MIB = 1_048_576;
+/** Memory of the smallest machine. */
+const MAX_MEMORY_BYTES = 350 * MIB;
+/** Time for which the faulty server sends. */
+const PLAY_MS = 4_000;
+/** More than the buffers between the server, the gateway and the caller hold. */
+const MAX_UNREAD_BYTES = 32 * MIB;
+const CHECK_INTERVAL_MS = 50;
+/** Time within which a caller of another service gets its response, while the gateway reads without end. */
+const OTHER_CALLER_MS = 2_000;
+const BLOCK_BYTES = 65_536;
+const TIMEOUT_MS = 15_000;
+
+const CALLER = {
+  host: 'h.example',
+  'x-buckthorngw-attempt-id': 'q1',
+  'x-buckthorngw-deadline-ms': String(TIMEOUT_MS),
+};
+const STAMP = 'x-buckthorngw-attempt-id: q1\r\nx-buckthorngw-replica-stamp: s\r\n';
+const STREAM_HEAD = `HTTP/1.1 200 OK\r\n${STAMP}content-type: text/event-stream\r\n\r\n`;
+const CHUNKED_HEAD = `HTTP/1.1 200 OK\r\n${STAMP}transfer-encoding: chunked\r\n\r\n`;
+
+/** Bytes that a faulty server sends without end after `head`. */
+interface EndlessResponse {
+  readonly head: string;
+  readonly repeated: string;
+}
+
+/** A server that sends one response without end to each connection, as fast as the gateway takes it. */
+class EndlessServer {
+  response: EndlessResponse = {head: '', repeated: ''};
+  private readonly sockets = new Set<Socket>();
+  private readonly server: Server = createServer(socket => {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.once('data', () => this.send(socket));
+  });
+  private takenBytes = 0;
+
+  /** Starts listening; returns the port. */
+  async start(): Promise<number> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve));
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Closes all connections, and returns the bytes that the gateway has taken since the last call. */
+  reset(): number {
+    const taken = this.takenBytes;
+    this.takenBytes = 0;
+    for (const socket of this.sockets) socket.destroy();
+    this.sockets.clear();
+    return taken;
+  }
+
+  stop(): void {
+    this.reset();
+    this.server.close();
+  }
+
+  private send(socket: Socket): void {
+    const {head, repeated} = this.response;
+    const block = Buffer.from(repeated.repeat(Math.ceil(BLOCK_BYTES / repeated.length)));
+    const sendBlock = () => {
+      if (socket.destroyed) return;
+      socket.write(block, error => {
+        if (error) return;
+        this.takenBytes += block.length;
+        setImmediate(sendBlock);
+      });
+    };
+    socket.write(head);
+    sendBlock();
+  }
+}
+
+/** The gateway, the faulty server, and a sound server of another service. */
+interface Setting {
+  readonly gateway: GatewayProcess;
+  readonly faulty: EndlessServer;
+}
+
+async function start(t: Test): Promise<Setting> {
+  const store = new StoreStandIn();
+  const faulty = new EndlessServer();
+  const sound = createHttpServer((request, response) => {
+    response.setHeader('x-buckthorngw-replica-stamp', 's');
+    response.end('sound');
+  });
+  await new Promise<void>(resolve => sound.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => {
+    faulty.stop();
+    sound.closeAllConnections();
+    sound.close();
+  });
+  const route = {host: 'h.example', timeout_ms: TIMEOUT_MS, service: 'faulty', attempts: 1};
+  addRecord(store, 'keyed.op', 'config', {
+    version: 1,
+    routes: [
+      {...route, name: 'stream', path_prefix: '/stream/', kind: 'stream'},
+      {...route, name: 'plain', path_prefix: '/plain/', kind: 'unsafe'},
+      {...route, name: 'sound', path_prefix: '/sound/', kind: 'safe', service: 'sound'},
+    ],
+    services: [
+      {name: 'faulty', max_conns: 600},
+      {name: 'sound', max_conns: 600},
+    ],
+  });
+  addServer(store, 'i-1', 'faulty', await faulty.start());
+  addServer(store, 'i-2', 'sound', (sound.address() as AddressInfo).port);
+  const nodeOptions = readDeployedNodeOptions();
+  return {gateway: await GatewayProcess.start(t, {store, graceSeconds: 5, nodeOptions}), faulty};
+}
+
+/** Sends a request whose response is read as it comes, and dropped. Returns a function that closes the connection. */
+function readEndlessly(path: string): () => void {
+  const {traffic: port} = PORTS;
+  const request = httpRequest({host: OWN_IP, port, path, headers: CALLER, agent: false});
+  request.on('response', response => response.on('error', () => undefined).resume());
+  request.on('error', () => undefined);
+  request.end();
+  return () => request.destroy();
+}
+
+/** What the other callers saw while a faulty server sent. */
+interface OtherCallers {
+  readonly served: number;
+  readonly failures: readonly string[];
+}
+
+/** Sends requests to the sound service one after the other, until the time is over. */
+async function callOthers(): Promise<OtherCallers> {
+  const endAtMs = Date.now() + PLAY_MS;
+  const failures: string[] = [];
+  let served = 0;
+  while (Date.now() < endAtMs && failures.length === 0) {
+    const sentAtMs = Date.now();
+    const response = await sendRequest(PORTS.traffic, '/sound/1', CALLER).catch(String);
+    const tookMs = Date.now() - sentAtMs;
+    if (typeof response === 'string') failures.push(response);
+    else if (response.status !== 200) failures.push(`status ${response.status}`);
+    else if (tookMs > OTHER_CALLER_MS) failures.push(`${tookMs} ms`);
+    else served += 1;
+    await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL_MS));
+  }
+  return {served, failures};
+}
+
+interface EndlessCase {
+  readonly name: string;
+  readonly path: string;
+  readonly response: EndlessResponse;
+  readonly call: (path: string) => () => void;
+  readonly callers: number;
+  /** Most bytes that the gateway may take from the server; undefined if its callers read them. */
+  readonly maxTakenBytes: number | undefined;
+}
+
+const CASES: readonly EndlessCase[] = [
+  {
+    name: 'the shortest events, to a caller that reads them',
+    path: '/stream/1',
+    response: {head: STREAM_HEAD, repeated: ':\n\n'},
+    call: readEndlessly,
+    callers: 1,
+    maxTakenBytes: undefined,
+  },
+  {
+    name: 'an event in chunks of one byte',
+    path: '/stream/1',
+    response: {head: CHUNKED_HEAD, repeated: '1\r\nx\r\n'},
+    call: readEndlessly,
+    callers: 1,
+    maxTakenBytes: MAX_UNREAD_BYTES,
+  },
+  {
+    name: 'a body in chunks of one byte',
+    path: '/plain/1',
+    response: {head: CHUNKED_HEAD, repeated: '1\r\nx\r\n'},
+    call: readEndlessly,
+    callers: 1,
+    maxTakenBytes: 2 * MAX_UNREAD_BYTES,
+  },
+];
+
+// A gateway kept whatever a faulty server sent, ran out of memory, and the requests of all its callers ended with it.
+t.test('a server that sends without end', async t => {
+  for (const {name, path, response, call, callers, maxTakenBytes} of CASES) {
+    await t.test(name, async t => {
+      const {gateway, faulty} = await start(t);
+      faulty.response = response;
+      const closes = Array.from({length: callers}, () => call(path));
+      const {served, failures} = await callOthers();
+      const takenBytes = faulty.reset();
+      for (const close of closes) close();
+      t.same(failures, [], 'other callers are served');
+      t.ok(served > 0);
+      t.ok(takenBytes > 0, 'the server has sent');
+      if (maxTakenBytes !== undefined) {
+        t.ok(takenBytes <= maxTakenBytes, `${takenBytes} bytes were taken`);
+      }
+      t.ok(gateway.isRunning, gateway.getOutput().slice(-1_000));
+      const peakBytes = gateway.isRunning ? gateway.getPeakMemoryBytes() : Infinity;
+      t.ok(peakBytes < MAX_MEMORY_BYTES, `${peakBytes} bytes of memory`);
+      t.comment(`${served} served, ${takenBytes} bytes taken, ${peakBytes} bytes of memory`);
+    });
+  }
+});
--- a/tests/platform/gatewayProcess.test.ts
+++ b/tests/platform/gatewayProcess.test.ts
@@ -1,23 +1,18 @@
 /** Tests of the bundled gateway process against stand-ins for the store and a backend server. */
-import {execFileSync, spawn, type ChildProcess} from 'node:child_process';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {createServer, request as httpRequest, type Server} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import t, {type Test} from 'tap';
-import {encodeKeyedRecord} from '../../platform/records.js';
+import {
+  GatewayProcess,
+  OWN_IP,
+  PORTS,
+  addRecord,
+  addServer,
+  sendRequest,
+  waitFor,
+} from './GatewayProcess.js';
 import {StoreStandIn} from './StoreStandIn.js';
 
-const FOLDER = mkdtempSync(join(tmpdir(), 'gateway-'));
-/** The bundle that is deployed. */
-const BINARY = join(FOLDER, 'gateway.mjs');
-const WAIT_MS = 10_000;
-const POLL_MS = 50;
-/** Loopback address derived from the process id, so that the fixed ports don't collide with other test processes. */
-const OWN_IP = `127.${50 + (process.pid % 100)}.${Math.floor(process.pid / 100) % 250}.1`;
-const PORTS = {traffic: 8_221, ready: 8_224, directory: 8_220, gossip: 7_600, metrics: 7_601};
-
 /** Route whose requests the backend server never answers. */
 const SLOW_ROUTE = {
   name: 'slow',
@@ -28,48 +23,6 @@
   service: 'app',
 };
 
-execFileSync(process.execPath, ['scripts/bundle.mjs', 'dist/platform/main.js', BINARY]);
-t.teardown(() => rmSync(FOLDER, {recursive: true}));
-
-interface HttpResponse {
-  readonly status: number;
-  readonly headers: NodeJS.Dict<string | string[]>;
-  readonly body: string;
-}
-
-interface GatewayProcess {
-  readonly store: StoreStandIn;
-  readonly process: ChildProcess;
-  getOutput(): string;
-}
-
-function sendRequest(
-  port: number,
-  path: string,
-  headers: Record<string, string> = {},
-): Promise<HttpResponse> {
-  return new Promise((resolve, reject) => {
-    const request = httpRequest({host: OWN_IP, port, path, headers, agent: false}, response => {
-      let body = '';
-      response.on('data', data => (body += String(data)));
-      response.on('error', reject);
-      response.on('end', () =>
-        resolve({status: response.statusCode ?? 0, headers: response.headers, body}),
-      );
-    });
-    request.on('error', reject);
-    request.end();
-  });
-}
-
-async function waitFor(check: () => Promise<boolean> | boolean): Promise<void> {
-  const endAtMs = Date.now() + WAIT_MS;
-  while (!(await check())) {
-    if (Date.now() > endAtMs) throw new Error('the condition did not become true in time');
-    await new Promise(resolve => setTimeout(resolve, POLL_MS));
-  }
-}
-
 function listen(server: Server): Promise<void> {
   return new Promise(resolve => server.listen(0, '127.0.0.1', resolve));
 }
@@ -88,14 +41,7 @@
   return (server.address() as AddressInfo).port;
 }
 
-function addRecord(store: StoreStandIn, topic: string, key: string, value: unknown): void {
-  store.getRecords(topic).push(encodeKeyedRecord(key, Buffer.from(JSON.stringify(value))));
-}
-
-async function startGateway(t: Test): Promise<GatewayProcess> {
-  const store = new StoreStandIn();
-  const storeAddress = await store.start();
-  t.teardown(() => store.stop());
+async function startGateway(t: Test, store: StoreStandIn): Promise<GatewayProcess> {
   const backendPort = await startBackend(t);
   addRecord(store, 'keyed.op', 'config', {
     version: 3,
@@ -113,52 +59,8 @@
     services: [{name: 'app', max_conns: 10}],
     tenants: [{name: 'w', api_keys: ['k1']}],
   });
-  addRecord(store, 'keyed.servers', 'i-1', {
-    service: 'app',
-    addr: `127.0.0.1:${backendPort}`,
-    zone: 'a',
-    version: 'v1',
-    slots: 6,
-    state: 'ready',
-    cold_left_ms: 0,
-    call_seq: 1,
-  });
-  const path = join(t.testdir(), 'settings.json');
-  writeFileSync(
-    path,
-    JSON.stringify({
-      node: 'edge-a-1',
-      ip: OWN_IP,
-      zone: 'a',
-      zones: {a: 'north'},
-      listen: {
-        front: `${OWN_IP}:${PORTS.traffic}`,
-        ready: `${OWN_IP}:${PORTS.ready}`,
-        directory: `${OWN_IP}:${PORTS.directory}`,
-      },
-      port_range: [PORTS.gossip, PORTS.metrics],
-      bootstrap: true,
-      bounds: {grace_s: 5},
-      provider: {addr: storeAddress},
-    }),
-  );
-  const child = spawn(process.execPath, [BINARY], {
-    env: {...process.env, BUCKTHORNGW_CONFIG: path},
-  });
-  let output = '';
-  child.stdout.on('data', data => (output += String(data)));
-  child.stderr.on('data', data => (output += String(data)));
-  t.teardown(() => child.kill('SIGKILL'));
-  const isReady = async () => {
-    const response = await sendRequest(PORTS.ready, '/v1/readyz').catch(() => undefined);
-    return response?.status === 200;
-  };
-  await waitFor(isReady);
-  return {
-    store,
-    process: child,
-    getOutput: () => output,
-  };
+  addServer(store, 'i-1', 'app', backendPort);
+  return GatewayProcess.start(t, {store, graceSeconds: 5, nodeOptions: []});
 }
 
 const CALLER = {
@@ -169,7 +71,8 @@
 };
 
 t.test('gateway process', async t => {
-  const gateway = await startGateway(t);
+  const store = new StoreStandIn();
+  const gateway = await startGateway(t, store);
   const {traffic, ready, directory, metrics} = PORTS;
 
   await t.test('returns its address from the directory', async t => {
@@ -193,7 +96,7 @@
   });
 
   await t.test('refuses a key that a newer configuration removed', async t => {
-    addRecord(gateway.store, 'keyed.op', 'config', {
+    addRecord(store, 'keyed.op', 'config', {
       version: 4,
       routes: [
         {
@@ -226,10 +129,10 @@
     'refuses requests while the store is unavailable, and serves again afterwards',
     async t => {
       const caller = {...CALLER, authorization: 'Bearer k3'};
-      gateway.store.mode = 'refuses';
+      store.mode = 'refuses';
       await waitFor(async () => (await sendRequest(traffic, '/a/1', caller)).status === 503);
       t.equal((await sendRequest(ready, '/v1/readyz')).status, 503);
-      gateway.store.mode = 'works';
+      store.mode = 'works';
       await waitFor(async () => (await sendRequest(traffic, '/a/1', caller)).status === 200);
     },
   );
