Make a server wait while the caller doesn't take its stream

Cause: events were written to the caller's connection whether or not it took them, and nothing made the server wait.

Now a run whose caller's connection is full reads no more from its server until the caller has taken what was written; its deadline still applies. The pause of undici's parser isn't used: from its code, a connection that ends or is reset while the parser is paused fails an assertion outside of every call. An attempt that had to wait says nothing about the times between its server's events.

--- a/src/exchange/Attempt.ts
+++ b/src/exchange/Attempt.ts
@@ -20,6 +20,8 @@
   readonly body: ByteBuffer;
   events: number;
   isMeasured: boolean;
+  /** Whether its server had to wait for the caller, so that the times of its events say nothing about the server. */
+  wasHeld: boolean;
   send: BackendAttempt | undefined;
   /** Runs until the first event or head; undefined before the attempt is sent. */
   stallTimer: NodeJS.Timeout | undefined;
@@ -54,6 +56,7 @@
     body: new ByteBuffer(),
     events: 0,
     isMeasured: false,
+    wasHeld: false,
     send: undefined,
     stallTimer: undefined,
     head: undefined,
@@ -98,7 +101,7 @@
  * @param nowMs - Current monotonic time in milliseconds.
  */
 export function measureAttempt(
-  {server, promptTokens, sentAtMs, firstEventAtMs, events}: Attempt,
+  {server, promptTokens, sentAtMs, firstEventAtMs, events, wasHeld}: Attempt,
   result: AttemptResult,
   nowMs: number,
 ): AttemptMeasurement {
@@ -108,6 +111,7 @@
   if (firstEventAtMs === undefined) {
     return {...base, firstEventMs: undefined, interEventMs: undefined};
   }
-  const interEventMs = events < 2 ? undefined : (nowMs - firstEventAtMs) / (events - 1);
+  const isUnknown = events < 2 || wasHeld;
+  const interEventMs = isUnknown ? undefined : (nowMs - firstEventAtMs) / (events - 1);
   return {...base, firstEventMs: firstEventAtMs - sentAtMs, interEventMs};
 }
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -62,6 +62,8 @@
   private hasRun = false;
   private isResponseStarted = false;
   private isDone = false;
+  /** Whether the caller has yet to take events before more are read from a server. */
+  private isHeld = false;
   private lastEventId: string | undefined;
   private firstEventMs: number | undefined;
   private status: number | undefined;
@@ -137,6 +139,7 @@
       },
       this.createHandler(attempt),
     );
+    if (this.isHeld) attempt.send.pause();
     const handleStall = () => afterNextPoll(() => this.handleStall(attempt));
     attempt.stallTimer = setTimeout(handleStall, services.getStallMs(admitted, nowMs));
   }
@@ -207,10 +210,23 @@
     if (newEvents.length === 0) return;
     this.startResponse(head);
     this.options.sink.write(joinEvents(newEvents));
+    if (this.options.sink.isFull) this.holdUntilDrained(attempt);
     const lastEventId = newEvents.findLast(({eventId}) => eventId !== undefined)?.eventId;
     if (lastEventId !== undefined) this.lastEventId = lastEventId === '' ? undefined : lastEventId;
   }
 
+  /** Pauses the server, so that no more is kept here than the caller takes. */
+  private holdUntilDrained(attempt: Attempt): void {
+    attempt.wasHeld = true;
+    attempt.send?.pause();
+    if (this.isHeld) return;
+    this.isHeld = true;
+    this.options.sink.onceDrained(() => {
+      this.isHeld = false;
+      this.current?.send?.resume();
+    });
+  }
+
   private bufferChunk(attempt: Attempt, chunk: Buffer): void {
     attempt.body.append(chunk);
     if (attempt.body.length > MAX_BODY_BYTES) this.failOversized(attempt);
--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -59,6 +59,10 @@
   /** Starts the response with the status and headers of a backend server. */
   start(status: number, headers: HeaderFields): void;
   write(chunk: Buffer): void;
+  /** Whether the caller hasn't taken enough of what was written, so that no more should be written now. */
+  readonly isFull: boolean;
+  /** Calls back once, when the caller has taken what was written. Never calls back if the caller disconnects. */
+  onceDrained(onDrained: () => void): void;
   /** Completes the response. */
   end(): void;
   /** Aborts a started response in a way that the caller can't mistake for its regular end. */
@@ -136,6 +140,10 @@
 export interface BackendAttempt {
   /** Cancels the attempt; the handler isn't called any more. */
   cancel(): void;
+  /** Reads no more from the server for now; a little more of the response may still be reported. */
+  pause(): void;
+  /** Goes on reading after `pause`. */
+  resume(): void;
   /**
    * Reports that the response is long overdue, as if the connection had gone silent. The attempt goes on, but idle
    * connections that were opened before the attempt are no longer used: they may have gone silent too.
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -345,6 +345,42 @@
     },
   );
 
+  // Nothing made a server wait: the gateway kept what a caller didn't read until it was out of memory.
+  t.test('makes the server wait while the caller does not take its events', t => {
+    const harness = new RunHarness({kind: 'stream'}, ['s1']);
+    harness.run.start();
+    const [attempt] = harness.sentAttempts;
+    attempt.handler.onHead(SUCCESS);
+    attempt.handler.onData(createEvent(1));
+    t.notOk(attempt.isPaused);
+    harness.isSinkFull = true;
+    attempt.handler.onData(createEvent(2));
+    t.ok(attempt.isPaused);
+    attempt.handler.onData(createEvent(3));
+    harness.drain();
+    t.notOk(attempt.isPaused);
+    attempt.handler.onData(createEvent(4));
+    attempt.handler.onEnd();
+    t.equal(harness.text, [1, 2, 3, 4].map(createEvent).join(''));
+    t.ok(harness.isResponseEnded);
+    t.match(harness.measurements, [{interEventMs: undefined}], 'the server is not called slow');
+    t.end();
+  });
+
+  t.test('makes the next server of a resumed stream wait for the caller as well', t => {
+    const harness = new RunHarness({kind: 'stream', isResumable: true}, ['s1', 's2']);
+    harness.run.start();
+    harness.isSinkFull = true;
+    harness.sentAttempts[0].handler.onHead(SUCCESS);
+    harness.sentAttempts[0].handler.onData(createEvent(1));
+    harness.sentAttempts[0].handler.onFailure(BROKEN);
+    t.ok(harness.sentAttempts[1].isPaused);
+    harness.drain();
+    t.notOk(harness.sentAttempts[1].isPaused);
+    harness.run.abandon();
+    t.end();
+  });
+
   t.test('aborts a stream that cannot be resumed, so that it does not look complete', t => {
     const harness = new RunHarness({kind: 'stream'}, ['s1', 's2']);
     harness.run.start();
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -2,6 +2,7 @@
 import type {KnownServer, Route} from '../../src/catalog/index.js';
 import {
   ExchangeRun,
+  type AttemptMeasurement,
   type BackendCall,
   type BackendHead,
   type BackendResponseHandler,
@@ -18,6 +19,7 @@
   readonly call: BackendCall;
   readonly handler: BackendResponseHandler;
   isCancelled: boolean;
+  isPaused: boolean;
   isStalled: boolean;
 }
 
@@ -113,6 +115,10 @@
   /** Time after which an attempt is overdue. */
   stallMs = 60_000;
   runningCount = 0;
+  /** Whether the caller's connection is full; `drain` empties it. */
+  isSinkFull = false;
+  readonly measurements: AttemptMeasurement[] = [];
+  private onDrained: (() => void) | undefined;
   readonly run: ExchangeRun;
 
   constructor(
@@ -121,6 +127,7 @@
     request = REQUEST,
     deadlineAtMs = 1_000,
   ) {
+    const isFull = () => this.isSinkFull;
     this.run = new ExchangeRun({
       admitted: {
         request,
@@ -134,16 +141,28 @@
       sink: {
         start: (status, headers) => this.startedResponses.push({status, headers}),
         write: chunk => this.writtenChunks.push(chunk.toString()),
+        get isFull() {
+          return isFull();
+        },
+        onceDrained: onDrained => (this.onDrained = onDrained),
         end: () => (this.isResponseEnded = true),
         abortResponse: () => (this.isResponseAborted = true),
         refuse: refusal => this.refusals.push(refusal),
       },
       transport: {
         send: (call, handler) => {
-          const sentAttempt: SentAttempt = {call, handler, isCancelled: false, isStalled: false};
+          const sentAttempt: SentAttempt = {
+            call,
+            handler,
+            isCancelled: false,
+            isPaused: false,
+            isStalled: false,
+          };
           this.sentAttempts.push(sentAttempt);
           return {
             cancel: () => (sentAttempt.isCancelled = true),
+            pause: () => (sentAttempt.isPaused = true),
+            resume: () => (sentAttempt.isPaused = false),
             reportStall: () => {
               sentAttempt.isStalled = true;
               return this.isConnectionKept;
@@ -158,6 +177,14 @@
     });
   }
 
+  /** Lets the caller take everything that was written. */
+  drain(): void {
+    this.isSinkFull = false;
+    const onDrained = this.onDrained;
+    this.onDrained = undefined;
+    onDrained?.();
+  }
+
   /** Body that the caller received. */
   get text(): string {
     return this.writtenChunks.join('');
@@ -175,7 +202,7 @@
     return {
       checkQuarantine: () => ({kind: 'run'}),
       onAnswered: () => undefined,
-      onMeasured: () => undefined,
+      onMeasured: (_admitted, measurement) => this.measurements.push(measurement),
       recheck: () => this.recheckRefusal,
       choose: (_admitted, attemptedServerIds) => {
         const id = serverIds.find(candidate => !attemptedServerIds.has(candidate));
--- a/tests/gateway/RequestHandler.test.ts
+++ b/tests/gateway/RequestHandler.test.ts
@@ -11,6 +11,8 @@
 const ENDS_REQUESTS_AFTER_MS = 7_200;
 const EVENT = Buffer.from('id: 1\ndata: x\n\n');
 
+const ignore = () => undefined;
+
 /** A gateway's requests in virtual time; the test answers the attempts. */
 class HandlerHarness {
   nowMs = 0;
@@ -34,7 +36,7 @@
       transport: {
         send: (_call, handler) => {
           this.attempts.push(handler);
-          return {cancel: () => undefined, reportStall: () => false};
+          return {cancel: ignore, pause: ignore, resume: ignore, reportStall: () => false};
         },
         hasStopped: async () => false,
       },
@@ -65,12 +67,13 @@
 
   /** Sends a request that a server doesn't answer. */
   send(deadlineMs = TIMEOUT_MS): void {
-    const ignore = () => undefined;
     this.handler.accept(
       {...REQUEST, deadlineMs, receivedAtMs: this.nowMs},
       {
         start: ignore,
         write: ignore,
+        isFull: false,
+        onceDrained: ignore,
         end: ignore,
         abortResponse: ignore,
         refuse: refusal => this.refusals.push(refusal),
--- a/tests/platform/endlessResponses.test.ts
+++ b/tests/platform/endlessResponses.test.ts
@@ -3,7 +3,7 @@
  * serving the other callers. It runs as it is deployed, with the memory of the smallest machine.
  */
 import {createServer as createHttpServer, request as httpRequest} from 'node:http';
-import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {connect, createServer, type AddressInfo, type Server, type Socket} from 'node:net';
 import t, {type Test} from 'tap';
 import {
   GatewayProcess,
@@ -139,6 +139,16 @@
   return () => request.destroy();
 }
 
+/** Sends a request whose response is never read. Returns a function that closes the connection. */
+function neverRead(path: string): () => void {
+  const socket = connect({host: OWN_IP, port: PORTS.traffic});
+  const fields = Object.entries(CALLER).map(([name, value]) => `${name}: ${value}\r\n`);
+  socket.on('error', () => undefined);
+  socket.pause();
+  socket.write(`GET ${path} HTTP/1.1\r\n${fields.join('')}\r\n`);
+  return () => socket.destroy();
+}
+
 /** What the other callers saw while a faulty server sent. */
 interface OtherCallers {
   readonly served: number;
@@ -173,6 +183,7 @@
   readonly maxTakenBytes: number | undefined;
 }
 
+const EVENT = `data: ${'x'.repeat(1_000)}\n\n`;
 const CASES: readonly EndlessCase[] = [
   {
     name: 'the shortest events, to a caller that reads them',
@@ -182,6 +193,22 @@
     callers: 1,
     maxTakenBytes: undefined,
   },
+  {
+    name: 'the shortest events, to a caller that does not read',
+    path: '/stream/1',
+    response: {head: STREAM_HEAD, repeated: ':\n\n'},
+    call: neverRead,
+    callers: 1,
+    maxTakenBytes: MAX_UNREAD_BYTES,
+  },
+  {
+    name: 'a fast stream, to a caller that does not read',
+    path: '/stream/1',
+    response: {head: STREAM_HEAD, repeated: EVENT},
+    call: neverRead,
+    callers: 1,
+    maxTakenBytes: MAX_UNREAD_BYTES,
+  },
   {
     name: 'an event in chunks of one byte',
     path: '/stream/1',
--- a/tests/support/ServingFleet.ts
+++ b/tests/support/ServingFleet.ts
@@ -29,6 +29,8 @@
 import {REQUEST, ROUTE, SUCCESS, createServer} from '../exchange/exchangeFixtures.js';
 import {createSettings} from '../gateway/gatewayFixtures.js';
 
+const ignore = () => undefined;
+
 /** Size and faults of a fleet. */
 export interface ServingFleetOptions {
   readonly gatewayCount: number;
@@ -295,6 +297,8 @@
     gateway.gateway.accept(request, {
       start: () => undefined,
       write: () => undefined,
+      isFull: false,
+      onceDrained: () => undefined,
       end: () => (result.outcome = 'answered'),
       abortResponse: () => (result.outcome = 'aborted'),
       refuse: refusal => (result.outcome = refusal),
@@ -362,7 +366,7 @@
           handler.onFailure({kind: 'unreachable', isSent: false, message: 'ECONNREFUSED'});
         }
       });
-      return {cancel, reportStall: () => false};
+      return {cancel, pause: ignore, resume: ignore, reportStall: () => false};
     }
     this.received.push({call, gatewayId, serverId: server.known.entry.id, atMs: this.nowMs});
     server.running.add(attempt);
@@ -371,7 +375,7 @@
       head: server.head,
     });
     this.schedule(behaviour.prefillMs, () => this.beginResponse(server, attempt, behaviour));
-    return {cancel, reportStall: () => false};
+    return {cancel, pause: ignore, resume: ignore, reportStall: () => false};
   }
 
   /** Queues an encoded datagram, which arrives in the next step unless it is lost. */
