Bound the memory that all responses take together

Cause: each response is bounded to 4 MiB, all of them together weren't.

If they take more, the largest one is ended: its request gets 502, or is tried again if it is idempotent.

--- a/src/exchange/EventFramer.ts
+++ b/src/exchange/EventFramer.ts
@@ -50,6 +50,11 @@
     return this.hasEvents && this.pending.getBytes().every(isLineEnd);
   }
 
+  /** Memory that the incomplete event takes, in bytes. */
+  get bufferedBytes(): number {
+    return this.pending.capacityBytes;
+  }
+
   /** Returns the bytes after the last complete event. */
   getIncompleteEvent(): Buffer {
     return this.pending.getBytes();
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -1,5 +1,5 @@
 /** Runs one admitted request: sends attempts to backend servers until the caller has a response or an error. */
-import {afterNextPoll} from '../utils/index.js';
+import {afterNextPoll, type BufferAccount} from '../utils/index.js';
 import {
   createAttempt,
   getHealthOutcome,
@@ -57,6 +57,7 @@
   private readonly options: ExchangeRunOptions;
   private readonly attemptedServerIds = new Set<string>();
   private readonly deadlineTimer: NodeJS.Timeout;
+  private readonly buffer: BufferAccount;
   private current: Attempt | undefined;
   private attempts = 0;
   private hasRun = false;
@@ -73,6 +74,7 @@
   constructor(options: ExchangeRunOptions) {
     this.options = options;
     this.lastEventId = options.admitted.request.lastEventId;
+    this.buffer = options.services.openBuffer(() => this.endLargestBuffer());
     const remainingMs = Math.max(0, options.admitted.deadlineAtMs - options.getNowMs());
     // After a suspension, timers are called before the responses that have arrived meanwhile are read.
     const end = () => afterNextPoll(() => this.endAtDeadline());
@@ -193,12 +195,15 @@
   private handleData(attempt: Attempt, chunk: Buffer): void {
     const {head} = attempt;
     if (!head) return;
-    if (!this.isStreamed(head)) {
-      this.bufferChunk(attempt, chunk);
-      return;
+    if (this.isStreamed(head)) this.forwardEvents(attempt, head, attempt.framer.add(chunk));
+    else attempt.body.append(chunk);
+    if (
+      attempt.body.length > MAX_BODY_BYTES ||
+      attempt.framer.getIncompleteEvent().length > MAX_EVENT_BYTES
+    ) {
+      return this.failOversized(attempt, 'the response is larger than any response may be');
     }
-    this.forwardEvents(attempt, head, attempt.framer.add(chunk));
-    if (attempt.framer.getIncompleteEvent().length > MAX_EVENT_BYTES) this.failOversized(attempt);
+    this.buffer.setBytes(attempt.body.capacityBytes + attempt.framer.bufferedBytes);
   }
 
   /** Forwards the events of one chunk with one write: each write costs memory until the caller has taken it. */
@@ -227,13 +232,14 @@
     });
   }
 
-  private bufferChunk(attempt: Attempt, chunk: Buffer): void {
-    attempt.body.append(chunk);
-    if (attempt.body.length > MAX_BODY_BYTES) this.failOversized(attempt);
+  /** Called if all responses together take too much memory, and this one the most. */
+  private endLargestBuffer(): void {
+    if (!this.current) return;
+    this.failOversized(this.current, 'the gateway has no memory left for the response');
   }
 
   /** Ends an attempt whose server sends bytes without end. */
-  private failOversized(attempt: Attempt): void {
+  private failOversized(attempt: Attempt, message: string): void {
     attempt.send?.cancel();
     if (attempt.head?.isNotRun) {
       return this.failAttempt(attempt, {kind: 'not-run', status: attempt.head.status});
@@ -241,7 +247,7 @@
     this.handleFailure(attempt, {
       kind: 'garbled',
       isSent: true,
-      message: 'the response is larger than any response may be',
+      message,
     });
   }
 
@@ -397,6 +403,7 @@
     if (!attempt) return;
     this.current = undefined;
     clearTimeout(attempt.stallTimer);
+    this.buffer.setBytes(0);
     const {services, getNowMs} = this.options;
     if (reason !== 'ended') attempt.send?.cancel();
     if (reason === 'timeout') {
@@ -439,6 +446,7 @@
   ): void {
     this.isDone = true;
     clearTimeout(this.deadlineTimer);
+    this.buffer.close();
     const {admitted, getNowMs, onOutcome} = this.options;
     onOutcome({
       kind,
--- a/src/exchange/RunServices.ts
+++ b/src/exchange/RunServices.ts
@@ -2,6 +2,7 @@
 import type {KnownServer} from '../catalog/index.js';
 import type {HealthOutcome, PlacementDecision} from '../controllers/placement/index.js';
 import type {QuarantineCheck} from '../controllers/quarantine/index.js';
+import type {BufferAccount} from '../utils/index.js';
 import type {AdmittedRequest} from './RunTypes.js';
 import type {BackendHead, RefusalKind} from './ExchangeTypes.js';
 
@@ -54,6 +55,11 @@
   consumeRetry(service: string, nowMs: number): boolean;
   /** Returns this gateway's share of the connections that a server of the service accepts. */
   getMaxConnections(service: string): number;
+  /**
+   * Opens an account for the memory that the run's response takes before it is passed on.
+   * @param onExceeded - Called if the gateway lacks memory and this response takes the most.
+   */
+  openBuffer(onExceeded: () => void): BufferAccount;
   /** Returns the time after which a refused caller may retry. */
   getRetryAfterMs(refusal: RefusalKind, admitted: AdmittedRequest): number;
   /** Returns the time after which an attempt without a first event or head is overdue. */
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -14,6 +14,7 @@
   type GossipState,
 } from '../gossip/index.js';
 import type {EventLogger} from '../logging/index.js';
+import {BufferBudget} from '../utils/index.js';
 import {chooseCallerAddresses} from './chooseCallerAddresses.js';
 import {compareSettings} from './compareSettings.js';
 import {DutyRunner} from './DutyRunner.js';
@@ -71,6 +72,8 @@
   private readonly gossip: GatewayGossip;
   /** Coordinates reads of the deployment's logs with the other gateways. */
   readonly logReadCoordinator: LogReadCoordinator;
+  /** Memory of the responses that are incomplete, or that their callers haven't taken. */
+  readonly responseBuffers: BufferBudget;
   private readonly loads = new ServerLoads();
   private readonly promptRates = new PromptRates();
   private readonly quotaLedger: QuotaLedger;
@@ -100,6 +103,7 @@
       startsFull: settings.isFirstStart,
       toleratedShare: settings.quotaToleratedShare,
     });
+    this.responseBuffers = new BufferBudget(settings.maxBufferedBytes);
     this.usageLedger = new UsageLedger(settings.usageWindowSeconds);
     const isFleetKnown = (nowMs: number) => this.isFleetKnown(nowMs);
     const getGatewayIds = (nowMs: number) => [settings.id, ...this.members.getKnownIds(nowMs)];
@@ -131,6 +135,7 @@
       loads: this.loads,
       promptRates: this.promptRates,
       usageLedger: this.usageLedger,
+      responseBuffers: this.responseBuffers,
       quarantine: this.quarantine,
       serverLimits,
       rollouts,
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -31,7 +31,12 @@
 } from '../exchange/index.js';
 import type {QuarantineCheck, SuspectRequest} from '../controllers/quarantine/index.js';
 import type {EventLogger} from '../logging/index.js';
-import {RecentDurations, getTextKey} from '../utils/index.js';
+import {
+  RecentDurations,
+  getTextKey,
+  type BufferAccount,
+  type BufferBudget,
+} from '../utils/index.js';
 import type {GatewaySettings} from './GatewaySettings.js';
 import type {RequestQuarantine} from './RequestQuarantine.js';
 import type {RolloutGate} from './RolloutGate.js';
@@ -44,6 +49,7 @@
   readonly loads: ServerLoads;
   readonly promptRates: PromptRates;
   readonly usageLedger: UsageLedger;
+  readonly responseBuffers: BufferBudget;
   readonly quarantine: RequestQuarantine;
   readonly serverLimits: ServerLimits;
   readonly rollouts: Pick<RolloutGate, 'getVersions' | 'isRunning'>;
@@ -202,6 +208,10 @@
     this.options.loads.removePrompt(server.entry.id, promptTokens);
   }
 
+  openBuffer(onExceeded: () => void): BufferAccount {
+    return this.options.responseBuffers.open(onExceeded);
+  }
+
   getStallMs({route}: AdmittedRequest, nowMs: number): number {
     const usualMs = this.firstEventDurations.getLongestExpectedMs(route.name, nowMs) ?? 0;
     return Math.max(MIN_STALL_MS, usualMs, route.latencyTargetMs * STALL_TARGET_FACTOR);
--- a/src/gateway/GatewaySettings.ts
+++ b/src/gateway/GatewaySettings.ts
@@ -41,6 +41,8 @@
   readonly stopGraceMs: number;
   /** Longest time for which callers cache a response of the directory. */
   readonly directoryTtlMs: number;
+  /** Memory that responses may take together until they are complete and taken by their callers. */
+  readonly maxBufferedBytes: number;
   /** Duties that the gateways of this deployment perform: usage reports and backend server orders. */
   readonly duties: {readonly reportsUsage: boolean; readonly ordersServers: boolean};
 }
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,3 +1,4 @@
+export {BufferBudget, type BufferAccount} from './BufferBudget.js';
 export {ByteBuffer} from './ByteBuffer.js';
 export {afterNextPoll} from './afterNextPoll.js';
 export {
--- a/tests/controllers/placement/serverRateShares.test.ts
+++ b/tests/controllers/placement/serverRateShares.test.ts
@@ -9,7 +9,7 @@
 import {GatewayRunServices} from '../../../src/gateway/GatewayRunServices.js';
 import {RolloutGate} from '../../../src/gateway/RolloutGate.js';
 import {silentEvents} from '../../../src/logging/index.js';
-import {createSeededRandom} from '../../../src/utils/index.js';
+import {BufferBudget, createSeededRandom} from '../../../src/utils/index.js';
 import {REQUEST, ROUTE, createServer} from '../../exchange/exchangeFixtures.js';
 import {
   createQuarantine,
@@ -63,6 +63,7 @@
     loads: new ServerLoads(),
     promptRates: new PromptRates(),
     usageLedger: new UsageLedger(5),
+    responseBuffers: new BufferBudget(Infinity),
     events: silentEvents,
     quarantine: createQuarantine(id),
     serverLimits: createServerLimits(id),
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import type {Route, RouteKind} from '../../src/catalog/index.js';
 import type {BackendHead} from '../../src/exchange/index.js';
+import {BufferBudget} from '../../src/utils/index.js';
 import {NOT_RUN, REQUEST, RunHarness, SUCCESS, type SentAttempt} from './exchangeFixtures.js';
 
 const BROKEN = {kind: 'broken', isSent: true, message: 'reset'} as const;
@@ -79,6 +80,51 @@
     t.end();
   });
 
+  // Each response was bounded, all of them together weren't.
+  t.test('ends the largest response when all together take too much memory', t => {
+    const buffers = new BufferBudget(100_000);
+    const createHarness = () =>
+      new RunHarness({kind: 'at-most-once'}, ['s1'], REQUEST, 1_000, buffers);
+    const [small, large, next] = [createHarness(), createHarness(), createHarness()];
+    for (const {run, sentAttempts} of [small, large, next]) {
+      run.start();
+      sentAttempts[0].handler.onHead(SUCCESS);
+    }
+    small.sentAttempts[0].handler.onData(Buffer.alloc(30_000));
+    large.sentAttempts[0].handler.onData(Buffer.alloc(60_000));
+    t.equal(buffers.totalBytes, 90_000);
+    next.sentAttempts[0].handler.onData(Buffer.alloc(20_000));
+    t.ok(large.sentAttempts[0].isCancelled);
+    t.match(large.refusals, [{kind: 'backend-failed', isNotRun: false}]);
+    t.equal(buffers.totalBytes, 50_000);
+    for (const {sentAttempts} of [small, next]) sentAttempts[0].handler.onEnd();
+    t.ok(small.isResponseEnded && next.isResponseEnded);
+    t.equal(buffers.totalBytes, 0);
+    t.end();
+  });
+
+  t.test('releases the memory of a response, however its request ends', t => {
+    const buffers = new BufferBudget(Infinity);
+    const ends = [
+      (harness: RunHarness) => harness.sentAttempts[0].handler.onEnd(),
+      (harness: RunHarness) => harness.sentAttempts[0].handler.onFailure(BROKEN),
+      (harness: RunHarness) => harness.run.abandon(),
+      (harness: RunHarness) => harness.run.stop(),
+    ];
+    for (const kind of ['at-most-once', 'idempotent', 'stream'] as const) {
+      for (const end of ends) {
+        const harness = new RunHarness({kind}, ['s1'], REQUEST, 1_000, buffers);
+        harness.run.start();
+        harness.sentAttempts[0].handler.onHead(SUCCESS);
+        harness.sentAttempts[0].handler.onData(Buffer.from('id: 1'));
+        t.ok(buffers.totalBytes > 0);
+        end(harness);
+        t.equal(buffers.totalBytes, 0);
+      }
+    }
+    t.end();
+  });
+
   t.test('closes the connection of a server that sends an event without end', t => {
     const harness = new RunHarness({kind: 'stream'}, ['s1']);
     harness.run.start();
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -13,6 +13,7 @@
   type RunServices,
   type ServingRequest,
 } from '../../src/exchange/index.js';
+import {BufferBudget} from '../../src/utils/index.js';
 
 /** An attempt that the run has sent to the transport; the test calls its handler. */
 export interface SentAttempt {
@@ -119,6 +120,7 @@
   isSinkFull = false;
   readonly measurements: AttemptMeasurement[] = [];
   private onDrained: (() => void) | undefined;
+  readonly buffers: BufferBudget;
   readonly run: ExchangeRun;
 
   constructor(
@@ -126,7 +128,9 @@
     serverIds: readonly string[],
     request = REQUEST,
     deadlineAtMs = 1_000,
+    buffers = new BufferBudget(Infinity),
   ) {
+    this.buffers = buffers;
     const isFull = () => this.isSinkFull;
     this.run = new ExchangeRun({
       admitted: {
@@ -212,6 +216,7 @@
       consumeRetry: () => (this.remainingRetries -= 1) >= 0,
       getMaxConnections: () => 10,
       getRetryAfterMs: () => 250,
+      openBuffer: onExceeded => this.buffers.open(onExceeded),
       getStallMs: () => this.stallMs,
       onStalled: () => undefined,
       onSent: (_admitted, server) => add(server.entry.id, 1),
--- a/tests/gateway/gatewayFixtures.ts
+++ b/tests/gateway/gatewayFixtures.ts
@@ -33,6 +33,7 @@
     usageDueMs: 10_000,
     stopGraceMs: 8_000,
     directoryTtlMs: 5_000,
+    maxBufferedBytes: 1_000_000,
     duties: {reportsUsage: true, ordersServers: true},
     ...fields,
   };
--- a/tests/gateway/retrySlack.test.ts
+++ b/tests/gateway/retrySlack.test.ts
@@ -1,5 +1,6 @@
 /** Retries that the gateways of a fleet allow together when there are few first attempts. */
 import t from 'tap';
+import {BufferBudget} from '../../src/utils/index.js';
 import {Catalog} from '../../src/catalog/index.js';
 import {UsageLedger} from '../../src/controllers/duties/index.js';
 import {PromptRates} from '../../src/controllers/fleetSize/index.js';
@@ -26,6 +27,7 @@
       loads: new ServerLoads(),
       promptRates: new PromptRates(),
       usageLedger: new UsageLedger(5),
+      responseBuffers: new BufferBudget(Infinity),
       events: silentEvents,
       quarantine: createQuarantine(id),
       serverLimits: createServerLimits(id),
--- a/tests/platform/endlessResponses.test.ts
+++ b/tests/platform/endlessResponses.test.ts
@@ -225,6 +225,14 @@
     callers: 1,
     maxTakenBytes: 2 * MAX_UNREAD_BYTES,
   },
+  {
+    name: 'bodies of many requests at once',
+    path: '/plain/1',
+    response: {head: `HTTP/1.1 200 OK\r\n${STAMP}\r\n`, repeated: EVENT},
+    call: readEndlessly,
+    callers: 120,
+    maxTakenBytes: undefined,
+  },
 ];
 
 // A gateway kept whatever a faulty server sent, ran out of memory, and the requests of all its callers ended with it.
