--- a/tests/platform/endlessResponses.test.ts
+++ b/tests/platform/endlessResponses.test.ts
@@ -23,6 +23,8 @@
 const PLAY_MS = 4_000;
 /** More than the buffers between the server, the gateway and the caller hold. */
 const MAX_UNREAD_BYTES = 32 * MIB;
+/** More than any response head, with the buffers of its connection. */
+const MAX_HEAD_BYTES = 16 * MIB;
 const CHECK_INTERVAL_MS = 50;
 /** Time within which a caller of another service gets its response, while the gateway reads without end. */
 const OTHER_CALLER_MS = 2_000;
@@ -233,6 +235,38 @@
     callers: 120,
     maxTakenBytes: undefined,
   },
+  {
+    name: 'a reason phrase',
+    path: '/plain/1',
+    response: {head: 'HTTP/1.1 200 ', repeated: 'x'},
+    call: readEndlessly,
+    callers: 1,
+    maxTakenBytes: MAX_HEAD_BYTES,
+  },
+  {
+    name: 'header fields',
+    path: '/plain/1',
+    response: {head: 'HTTP/1.1 200 OK\r\n', repeated: 'x: y\r\n'},
+    call: readEndlessly,
+    callers: 1,
+    maxTakenBytes: MAX_HEAD_BYTES,
+  },
+  {
+    name: 'responses that announce a response',
+    path: '/plain/1',
+    response: {head: '', repeated: 'HTTP/1.1 103 Early Hints\r\n\r\n'},
+    call: readEndlessly,
+    callers: 1,
+    maxTakenBytes: MAX_HEAD_BYTES,
+  },
+  {
+    name: 'an extension of a chunk',
+    path: '/stream/1',
+    response: {head: `${CHUNKED_HEAD}5;`, repeated: 'x'},
+    call: readEndlessly,
+    callers: 1,
+    maxTakenBytes: MAX_HEAD_BYTES,
+  },
 ];
 
 // A gateway kept whatever a faulty server sent, ran out of memory, and the requests of all its callers ended with it.
