Answer a request before the connection's unreadable rest

Cause: Node.js writes a status for what it can't read itself, also in front of the response to an earlier request, and closes the connection.

--- a/tests/platform/CallerServer.test.ts
+++ b/tests/platform/CallerServer.test.ts
@@ -20,6 +20,7 @@
 
 const WAIT_MS = 2_000;
 const POLL_MS = 5;
+const HEAD_CHECK_INTERVAL_MS = 50;
 /** Loop turns after which a request that is served at all has been passed to the gateway. */
 const SETTLE_MS = 100;
 
@@ -45,6 +46,7 @@
     gateway: gateway as unknown as Gateway,
     events: silentEvents,
     getNowMs: () => performance.now(),
+    headCheckIntervalMs: HEAD_CHECK_INTERVAL_MS,
   });
   const port = await findFreePort();
   await callers.listen(`127.0.0.1:${port}`);
@@ -75,7 +77,60 @@
 const REQUEST =
   'POST /a/1 HTTP/1.1\r\nhost: h\r\nx-buckthorngw-attempt-id: q1\r\ncontent-length: 2\r\n\r\nhi';
 
+/** A head that isn't complete within the time limit, and bytes that are no request. */
+const UNREADABLE = [
+  {name: 'an incomplete request', bytes: 'GET /a/2 HTT'},
+  {name: 'bytes that are no request', bytes: 'hello\r\n\r\n'},
+];
+
 t.test('CallerServer', t => {
+  // Node.js wrote 408 or 400 for the second one, as if it were the response to the first, which was running.
+  for (const {name, bytes} of UNREADABLE) {
+    t.test(`answers a request that is followed by ${name}, and then closes`, async t => {
+      const {port, accepted, callers} = await startServer(t);
+      callers.setLimits({
+        maxHeaderBytes: 1_000,
+        maxBodyBytes: 1_000,
+        headerTimeoutMs: HEAD_CHECK_INTERVAL_MS,
+        idleTimeoutMs: WAIT_MS,
+      });
+      const socket = await openConnection(t, port);
+      let received = '';
+      let isClosed = false;
+      socket.on('data', data => (received += String(data)));
+      socket.on('close', () => (isClosed = true));
+      socket.write(REQUEST + bytes);
+      await waitFor(() => accepted.length === 1);
+      await wait(SETTLE_MS + 4 * HEAD_CHECK_INTERVAL_MS);
+      t.equal(received, '', 'nothing is written before the response');
+      t.notOk(accepted[0].isAbandoned);
+      accepted[0].sink.start(200, {'content-length': '4'});
+      accepted[0].sink.write(Buffer.from('done'));
+      accepted[0].sink.end();
+      await waitFor(() => isClosed);
+      t.match(received, /^HTTP\/1.1 200 OK\r\n[^]*\r\n\r\ndone$/);
+      t.equal(callers.openExchanges, 0);
+    });
+
+    t.test(`answers ${name} alone with an error`, async t => {
+      const {port, callers} = await startServer(t);
+      callers.setLimits({
+        maxHeaderBytes: 1_000,
+        maxBodyBytes: 1_000,
+        headerTimeoutMs: HEAD_CHECK_INTERVAL_MS,
+        idleTimeoutMs: WAIT_MS,
+      });
+      const socket = await openConnection(t, port);
+      let received = '';
+      let isClosed = false;
+      socket.on('data', data => (received += String(data)));
+      socket.on('close', () => (isClosed = true));
+      socket.write(bytes);
+      await waitFor(() => isClosed);
+      t.match(received, /^HTTP\/1.1 4(00 Bad Request|08 Request Timeout)\r\n/);
+    });
+  }
+
   t.test('passes a request on with its body', async t => {
     const {port, accepted} = await startServer(t);
     const socket = await openConnection(t, port);
