Bound what the product's own entry reads from a backend server

Cause: EngineClient collected these bodies with no bound of size; reports and cache events were bounded in time only.

Now a response that isn't streamed, and one event of a stream, have at most 4 MiB, as in the gateway; the connection is closed beyond that.

--- a/src/engine/EngineClient.ts
+++ b/src/engine/EngineClient.ts
@@ -7,6 +7,7 @@
 import {createBrokenError, createStatusError} from './attemptErrors.js';
 import {parseChunk, type EngineEvent} from './EngineEvent.js';
 import {getCompletionPath, type CompletionFormat} from './CompletionBody.js';
+import {MAX_BODY_BYTES, readBody, readJson} from './readBody.js';
 
 /** One attempt of a completion at one backend server. */
 export interface EngineCall {
@@ -116,12 +117,13 @@
   async *streamCompletion(call: EngineCall): AsyncGenerator<EngineEvent, void, undefined> {
     const {body, statusCode} = await this.openStream(call);
     if (statusCode !== 200) {
-      const text = await body.text().catch(() => '');
+      const text = await readBody(body).then(String, () => '');
       throw createStatusError(call.server, statusCode, text);
     }
     let hasEnded = false;
     const pending: EngineEvent[] = [];
     const parser = createParser({
+      maxBufferSize: MAX_BODY_BYTES,
       onEvent: ({data}) => {
         if (data === END_OF_STREAM) hasEnded = true;
         else pending.push(...parseChunk(data));
@@ -151,7 +153,7 @@
     options: Omit<Dispatcher.RequestOptions, 'origin'>,
   ): Promise<PlainResponse> {
     const response = await this.getPool(server).request(options);
-    const body = Buffer.from(await response.body.arrayBuffer());
+    const body = await readBody(response.body);
     const contentType = response.headers['content-type'];
     return {
       status: response.statusCode,
@@ -169,7 +171,7 @@
       dispatcher: this.getPool(server),
       signal: AbortSignal.timeout(this.options.reportTimeoutMs),
     });
-    const value = loadSchema.parse(await response.body.json());
+    const value = loadSchema.parse(await readJson(response.body));
     const {state, leavingAtMs, ...load} = value;
     return {load, state, leavingAtMs};
   }
@@ -209,7 +211,7 @@
       dispatcher: this.getPool(server),
       signal: AbortSignal.timeout(this.options.reportTimeoutMs),
     });
-    return {fromSequence, ...cacheEventsSchema.parse(await response.body.json())};
+    return {fromSequence, ...cacheEventsSchema.parse(await readJson(response.body))};
   }
 
   /**
@@ -260,9 +262,11 @@
       body: JSON.stringify(body),
       signal,
     });
-    const text = await response.body.text();
-    if (response.statusCode !== 200) throw createStatusError(server, response.statusCode, text);
-    return JSON.parse(text) as unknown;
+    const bytes = await readBody(response.body);
+    if (response.statusCode !== 200) {
+      throw createStatusError(server, response.statusCode, String(bytes));
+    }
+    return JSON.parse(String(bytes)) as unknown;
   }
 
   private async openStream(call: EngineCall): Promise<Dispatcher.ResponseData> {
