--- a/tests/platform/pausedResponses.test.ts
+++ b/tests/platform/pausedResponses.test.ts
@@ -27,14 +27,22 @@
   isPausing = true;
   outcome: 'open' | 'ended' | 'failed' = 'open';
   private attempt: BackendAttempt | undefined;
+  private readonly port: number;
   private readonly connections = new BackendConnections(silentEvents, () => performance.now());
 
   constructor(port: number) {
+    this.port = port;
+    this.sendAgain();
+  }
+
+  /** Sends the request, the second time on the same connection if that is open. */
+  sendAgain(): void {
+    this.outcome = 'open';
     const known = createEntry('s1');
     this.attempt = this.connections.send(
       {
         request: REQUEST,
-        server: {...known, entry: {...known.entry, address: `127.0.0.1:${port}`}},
+        server: {...known, entry: {...known.entry, address: `127.0.0.1:${this.port}`}},
         workspace: 'w',
         deadlineMs: WAIT_MS,
         priority: 2,
@@ -150,6 +158,36 @@
       }
     }
 
+    if (framing === 'length') {
+      t.test('that ends in the bytes that were read leaves its connection open', async t => {
+        const whole = frame(framing, Buffer.alloc(10, 'x'));
+        const port = await listen(t, socket => {
+          socket.on('data', () => socket.write(whole));
+          socket.write(whole);
+        });
+        const exchange = new PausedExchange(port);
+        await waitFor(() => exchange.outcome !== 'open');
+        t.equal(exchange.outcome, 'ended');
+        exchange.sendAgain();
+        await waitFor(() => exchange.outcome !== 'open');
+        t.equal(exchange.outcome, 'ended', 'the next response on it is read');
+        t.equal(exchange.receivedBytes, 20);
+        exchange.close();
+      });
+
+      t.test('that is followed by bytes of no response ends regularly', async t => {
+        const whole = frame(framing, Buffer.alloc(10, 'x'));
+        const rest = Buffer.alloc(BODY_BYTES, 'y');
+        const port = await listen(t, socket => socket.write(Buffer.concat([whole, rest])));
+        const exchange = new PausedExchange(port);
+        await waitFor(() => exchange.outcome !== 'open');
+        t.equal(exchange.outcome, 'ended');
+        await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+        t.equal(exchange.receivedBytes, 10);
+        exchange.close();
+      });
+    }
+
     t.test(`whose end is marked by ${framing} can be cancelled`, async t => {
       let isClosed = false;
       const port = await listen(t, socket => {
