Run the faulty server of a test in a thread of its own

The faulty server, which sent 64 KiB blocks on 120 connections, ran in the thread that measured the response times, so its work counted as the gateway's. Checks and bounds are the same.

--- a/tests/platform/endlessResponses.test.ts
+++ b/tests/platform/endlessResponses.test.ts
@@ -3,8 +3,9 @@
  * serving the other callers. It runs as it is deployed, with the memory of the smallest machine.
  */
 import {createServer as createHttpServer, request as httpRequest} from 'node:http';
-import {connect, createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
 import t, {type Test} from 'tap';
+import {EndlessServer, type EndlessResponse} from './EndlessServer.js';
 import {
   GatewayProcess,
   OWN_IP,
@@ -28,7 +29,6 @@
 const CHECK_INTERVAL_MS = 50;
 /** Time within which a caller of another service gets its response, while the gateway reads without end. */
 const OTHER_CALLER_MS = 2_000;
-const BLOCK_BYTES = 65_536;
 const TIMEOUT_MS = 15_000;
 
 const CALLER = {
@@ -40,75 +40,21 @@
 const STREAM_HEAD = `HTTP/1.1 200 OK\r\n${STAMP}content-type: text/event-stream\r\n\r\n`;
 const CHUNKED_HEAD = `HTTP/1.1 200 OK\r\n${STAMP}transfer-encoding: chunked\r\n\r\n`;
 
-/** Bytes that a faulty server sends without end after `head`. */
-interface EndlessResponse {
-  readonly head: string;
-  readonly repeated: string;
-}
-
-/** A server that sends one response without end to each connection, as fast as the gateway takes it. */
-class EndlessServer {
-  response: EndlessResponse = {head: '', repeated: ''};
-  private readonly sockets = new Set<Socket>();
-  private readonly server: Server = createServer(socket => {
-    this.sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.once('data', () => this.send(socket));
-  });
-  private takenBytes = 0;
-
-  /** Starts listening; returns the port. */
-  async start(): Promise<number> {
-    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve));
-    return (this.server.address() as AddressInfo).port;
-  }
-
-  /** Closes all connections, and returns the bytes that the gateway has taken since the last call. */
-  reset(): number {
-    const taken = this.takenBytes;
-    this.takenBytes = 0;
-    for (const socket of this.sockets) socket.destroy();
-    this.sockets.clear();
-    return taken;
-  }
-
-  stop(): void {
-    this.reset();
-    this.server.close();
-  }
-
-  private send(socket: Socket): void {
-    const {head, repeated} = this.response;
-    const block = Buffer.from(repeated.repeat(Math.ceil(BLOCK_BYTES / repeated.length)));
-    const sendBlock = () => {
-      if (socket.destroyed) return;
-      socket.write(block, error => {
-        if (error) return;
-        this.takenBytes += block.length;
-        setImmediate(sendBlock);
-      });
-    };
-    socket.write(head);
-    sendBlock();
-  }
-}
-
 /** The gateway, the faulty server, and a sound server of another service. */
 interface Setting {
   readonly gateway: GatewayProcess;
   readonly faulty: EndlessServer;
 }
 
-async function start(t: Test): Promise<Setting> {
+async function start(t: Test, response: EndlessResponse): Promise<Setting> {
   const store = new StoreStandIn();
-  const faulty = new EndlessServer();
+  const faulty = await EndlessServer.start(response);
   const sound = createHttpServer((request, response) => {
     response.setHeader('x-buckthorngw-replica-stamp', 's');
     response.end('sound');
   });
   await new Promise<void>(resolve => sound.listen(0, '127.0.0.1', resolve));
   t.teardown(() => {
-    faulty.stop();
     sound.closeAllConnections();
     sound.close();
   });
@@ -125,7 +71,7 @@
       {name: 'sound', max_conns: 600},
     ],
   });
-  addServer(store, 'i-1', 'faulty', await faulty.start());
+  addServer(store, 'i-1', 'faulty', faulty.port);
   addServer(store, 'i-2', 'sound', (sound.address() as AddressInfo).port);
   const nodeOptions = readDeployedNodeOptions();
   return {gateway: await GatewayProcess.start(t, {store, graceSeconds: 5, nodeOptions}), faulty};
@@ -273,11 +219,10 @@
 t.test('a server that sends without end', async t => {
   for (const {name, path, response, call, callers, maxTakenBytes} of CASES) {
     await t.test(name, async t => {
-      const {gateway, faulty} = await start(t);
-      faulty.response = response;
+      const {gateway, faulty} = await start(t, response);
       const closes = Array.from({length: callers}, () => call(path));
       const {served, failures} = await callOthers();
-      const takenBytes = faulty.reset();
+      const takenBytes = await faulty.stop();
       for (const close of closes) close();
       t.same(failures, [], 'other callers are served');
       t.ok(served > 0);
