--- a/src/exchange/EventFramer.ts
+++ b/src/exchange/EventFramer.ts
@@ -29,15 +29,12 @@
     this.pending.append(chunk);
     const bytes = this.pending.getBytes();
     const events: FramedEvent[] = [];
-    let scanFrom = Math.max(0, this.scannedBytes - MAX_BOUNDARY_BYTES);
     let start = 0;
-    for (
-      let end = findEventEnd(bytes, scanFrom);
-      end > 0;
-      scanFrom = end, end = findEventEnd(bytes, scanFrom)
-    ) {
+    let end = findEventEnd(bytes, Math.max(0, this.scannedBytes - MAX_BOUNDARY_BYTES));
+    while (end > 0) {
       events.push(frame(bytes.subarray(start, end)));
       start = end;
+      end = findEventEnd(bytes, start);
     }
     this.pending.removeFirst(start);
     this.scannedBytes = this.pending.length;
