Fill the places of refused reclaimable servers with on-demand ones

What callers saw: in a deployment whose failure domains were full of reclaimable servers, all four were reclaimed one after the other and offered no new ones; for 12 s no model engine was left and 343 of 2,518 requests ended with 503. Cause: on-demand servers were only ordered in places beyond the wanted reclaimable ones, and there were none, although the platform had refused the reclaimable ones for 25 s. Change: where the latest order for reclaimable servers was refused, on-demand ones may take all places that no reclaimable server holds; they stay until the reclaimable ones that replace them have booted.

--- a/src/controllers/fleetSize/decideFleetSize.ts
+++ b/src/controllers/fleetSize/decideFleetSize.ts
@@ -9,6 +9,8 @@
   readonly onDemand: number;
   /** Reclaimable servers that accept requests. */
   readonly reclaimable: number;
+  /** Whether the platform has lately refused to start reclaimable servers there. */
+  readonly refusesReclaimable: boolean;
 }
 
 /** Input of `decideFleetSize`: one service's limits, servers and load. */
@@ -37,32 +39,25 @@
  *
  * Reclaimable servers are spread evenly over all failure domains, with enough spares to lose one domain. While fewer of
  * them accept requests than the load needs, on-demand servers in the cheapest domains fill the gap; they are released
- * once enough reclaimable servers are available again.
+ * once enough reclaimable servers are available again. Where no reclaimable servers are to be had, on-demand ones take
+ * the places that are kept for them, up to the maximum of both kinds together.
  * @param view - Limits, servers and load of one service.
  */
 export function decideFleetSize(view: FleetView): readonly DomainOrder[] {
   const {bounds, domains, neededServers} = view;
-  const reclaimablePerDomain = getReclaimablePerDomain(view);
+  const wantedReclaimable = getReclaimablePerDomain(view);
   const reclaimable = domains.reduce((sum, domain) => sum + domain.reclaimable, 0);
   const reserve = isBeingReclaimed(domains) ? RECLAIM_RESERVE_SERVERS : 0;
-  let missing = Math.max(0, Math.ceil(neededServers + reserve - reclaimable));
-  const byPrice = [...domains].sort((a, b) => getPrice(bounds, a) - getPrice(bounds, b));
-  const onDemand = new Map<string, number>();
-  for (let round = 0; round < bounds.maxPerDomain && missing > 0; round += 1) {
-    for (const {failureDomain} of byPrice) {
-      const count = onDemand.get(failureDomain) ?? 0;
-      if (missing === 0 || count + reclaimablePerDomain >= bounds.maxPerDomain) continue;
-      onDemand.set(failureDomain, count + 1);
-      missing -= 1;
-    }
-  }
+  const missing = Math.max(0, Math.ceil(neededServers + reserve - reclaimable));
+  const onDemand = placeOnDemand(view, missing, domain =>
+    getOnDemandRoom(bounds, domain, wantedReclaimable),
+  );
   return domains.map(({failureDomain}) => {
-    const ordered = onDemand.get(failureDomain) ?? 0;
-    const minOnDemand = Math.max(0, bounds.minPerDomain - reclaimablePerDomain);
+    const minOnDemand = Math.max(0, bounds.minPerDomain - wantedReclaimable);
     return {
       failureDomain,
-      onDemand: Math.max(minOnDemand, ordered),
-      reclaimable: reclaimablePerDomain,
+      onDemand: Math.max(minOnDemand, onDemand.get(failureDomain) ?? 0),
+      reclaimable: wantedReclaimable,
     };
   });
 }
@@ -80,6 +75,39 @@
   return Math.min(bounds.maxPerDomain, Math.max(1, wanted));
 }
 
+/** Distributes on-demand servers one by one over the failure domains with room, the cheapest first in each round. */
+function placeOnDemand(
+  {bounds, domains}: FleetView,
+  count: number,
+  getRoom: (domain: DomainFleet) => number,
+): ReadonlyMap<string, number> {
+  const byPrice = [...domains].sort((a, b) => getPrice(bounds, a) - getPrice(bounds, b));
+  const placed = new Map<string, number>();
+  let missing = count;
+  for (let round = 0; round < bounds.maxPerDomain && missing > 0; round += 1) {
+    for (const domain of byPrice) {
+      if (missing === 0 || round >= getRoom(domain)) continue;
+      placed.set(domain.failureDomain, round + 1);
+      missing -= 1;
+    }
+  }
+  return placed;
+}
+
+/**
+ * Returns the on-demand servers that fit into a failure domain. Places are kept for reclaimable servers, unless those are
+ * refused there; on-demand servers that run in such places stay until the reclaimable ones have booted.
+ */
+function getOnDemandRoom(
+  {maxPerDomain}: ReplicaBounds,
+  {onDemand, reclaimable, refusesReclaimable}: DomainFleet,
+  wantedReclaimable: number,
+): number {
+  const freeOfReclaimable = maxPerDomain - reclaimable;
+  if (refusesReclaimable) return freeOfReclaimable;
+  return Math.max(maxPerDomain - wantedReclaimable, Math.min(onDemand, freeOfReclaimable));
+}
+
 function getPrice(bounds: ReplicaBounds, {failureDomain}: DomainFleet): number {
   return bounds.domainPrices.get(failureDomain) ?? 1;
 }
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -34,6 +34,9 @@
 const ACCEPTED_RETRY_MS = 5_000;
 /** Delay before a rejected order is repeated. */
 const REJECTED_RETRY_MS = 1_000;
+/** Time for which a refusal is taken to hold; while servers are missing, the order is repeated sooner. */
+const REFUSAL_MEMORY_MS = 6_000;
+
 /** Servers that one failure domain needs. */
 interface DomainNeed extends DomainOrder {
   /** False while some of the provided servers may not have registered yet: an order could return those. */
@@ -84,6 +87,7 @@
       failureDomain,
       onDemand: countServers(servers, failureDomain, false),
       reclaimable: countServers(servers, failureDomain, true),
+      refusesReclaimable: this.refusesReclaimable(service.name, failureDomain, nowMs),
     }));
     const {neededServers, isKnown} = this.updateNeed(service, servers, nowMs);
     if (!this.hasOneVersion(service.name, nowMs)) return 'done';
@@ -181,6 +185,12 @@
     return result;
   }
 
+  private refusesReclaimable(service: string, failureDomain: string, nowMs: number): boolean {
+    const key = getOrderKey({service, failureDomain, isReclaimable: true});
+    const last = this.lastOrders.get(key);
+    return last !== undefined && !last.isAccepted && nowMs - last.sentAtMs <= REFUSAL_MEMORY_MS;
+  }
+
   private getServers(service: string): readonly KnownServer[] {
     return this.options.catalog.servers.getAvailableServers(service, new Set());
   }
@@ -196,6 +206,6 @@
   ).length;
 }
 
-function getOrderKey({service, failureDomain, isReclaimable}: ServerOrder): string {
+function getOrderKey({service, failureDomain, isReclaimable}: Omit<ServerOrder, 'count'>): string {
   return `${service} ${failureDomain} ${isReclaimable ? 'reclaimable' : 'on-demand'}`;
 }
--- a/tests/controllers/fleetSize/decideFleetSize.test.ts
+++ b/tests/controllers/fleetSize/decideFleetSize.test.ts
@@ -16,11 +16,16 @@
   ]),
 };
 
-function createFleet(reclaimable: readonly number[]): readonly DomainFleet[] {
+function createFleet(
+  reclaimable: readonly number[],
+  changes: Partial<DomainFleet> = {},
+): readonly DomainFleet[] {
   return ['a', 'b', 'c', 'd'].map((failureDomain, index) => ({
     failureDomain,
     onDemand: 0,
     reclaimable: reclaimable[index],
+    refusesReclaimable: false,
+    ...changes,
   }));
 }
 
@@ -96,6 +101,30 @@
       reclaimable: [2, 2, 2, 2],
     },
   );
+  doTest(
+    'on-demand servers take the places of reclaimable ones that are refused, up to the maximum',
+    decide(createFleet([0, 0, 0, 0], {refusesReclaimable: true}), 5, {maxPerDomain: 2}),
+    {
+      onDemand: [1, 2, 1, 1],
+      reclaimable: [2, 2, 2, 2],
+    },
+  );
+  doTest(
+    'the places of reclaimable servers that still run are not taken',
+    decide(createFleet([1, 1, 1, 1], {refusesReclaimable: true}), 12, {maxPerDomain: 2}),
+    {
+      onDemand: [1, 1, 1, 1],
+      reclaimable: [2, 2, 2, 2],
+    },
+  );
+  doTest(
+    'on-demand servers stay until the reclaimable ones that replace them have booted',
+    decide(createFleet([0, 0, 0, 0], {onDemand: 2}), 5, {maxPerDomain: 2}),
+    {
+      onDemand: [1, 2, 1, 1],
+      reclaimable: [2, 2, 2, 2],
+    },
+  );
   doTest(
     'orders all servers on demand if reclaimable ones are not offered',
     decide(createFleet([0, 0, 0, 0]), 5, {reclaimablePriceShare: undefined}),
--- a/tests/controllers/fleetSize/reclaimSeries.test.ts
+++ b/tests/controllers/fleetSize/reclaimSeries.test.ts
@@ -75,8 +75,10 @@
   private readonly servers: Server[] = [];
   private readonly reclaims: readonly Reclaim[];
   private readonly decide: Decide;
+  private readonly bounds: ReplicaBounds;
 
-  constructor(reclaims: readonly Reclaim[], decide: Decide) {
+  constructor(reclaims: readonly Reclaim[], decide: Decide, bounds = BOUNDS) {
+    this.bounds = bounds;
     this.reclaims = reclaims;
     this.decide = decide;
     for (const failureDomain of DOMAINS) {
@@ -111,8 +113,9 @@
       failureDomain,
       onDemand: this.count(failureDomain, false, nowMs - VIEW_AGE_MS),
       reclaimable: this.count(failureDomain, true, nowMs - VIEW_AGE_MS),
+      refusesReclaimable: this.isUnavailable(failureDomain, nowMs),
     }));
-    const view = {bounds: BOUNDS, domains, neededServers: NEEDED_SERVERS};
+    const view = {bounds: this.bounds, domains, neededServers: NEEDED_SERVERS};
     for (const {failureDomain, onDemand, reclaimable} of this.decide(view)) {
       this.adjust(failureDomain, false, onDemand, nowMs);
       if (!this.isUnavailable(failureDomain, nowMs)) {
@@ -209,6 +212,20 @@
       t.end();
     });
   }
+  t.test('a failure domain full of reclaimable servers gets on-demand ones after a reclaim', t => {
+    const bounds = {...BOUNDS, maxPerDomain: 2};
+    const reclaims = DOMAINS.map((failureDomain, index) => ({
+      failureDomain,
+      noticeAtMs: 8_000 + index * 6_000,
+      unavailableUntilMs: 40_000,
+    }));
+    const day = new FleetDay(reclaims, decideFleetSize, bounds).run(4);
+    const lastReclaimAtMs = 26_000;
+    const bootedAtMs = lastReclaimAtMs + VIEW_AGE_MS + DECISION_INTERVAL_MS + BOOT_MS + COLD_MS;
+    const gapMs = bootedAtMs - (lastReclaimAtMs + NOTICE_MS);
+    t.ok(day.missingServerMs < 2 * gapMs, 'no more than two servers lack while others boot');
+    t.end();
+  });
   t.test('a day without reclaims costs the same with and without the reserve', t => {
     const none = new FleetDay([], decideWithoutReserve).run(4);
     t.same(new FleetDay([], decideFleetSize).run(4), none);
