Fill gaps of reclaimed servers only up to what the present load needs

Operators paid for as many on-demand servers as reclaimable ones had been provided, also where a third of them carried the load. Gaps are now filled up to three times the estimate by the load of the last 10 s, or more while prompts wait too long. Until the load has been observed, all provided servers count as needed.

--- a/src/controllers/fleetSize/NeededServers.ts
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -1,6 +1,6 @@
 /** Estimates from the load of a service how many backend servers it needs. */
 
-import {PromptWait} from './PromptWait.js';
+import {PromptWait, type WaitPressure} from './PromptWait.js';
 
 /** Load of a service over all gateways. */
 export interface ServiceLoad {
@@ -35,49 +35,81 @@
 const PEAK_RETENTION_MS = 45_000;
 /** Load that is observed for less time is no reason to return servers. */
 const OBSERVATION_MS = 30_000;
+/** Time after which the load is known well enough to replace lost servers by fewer ones, and for which it counts. */
+const GAP_OBSERVATION_MS = 10_000;
 /** Time without new servers after which those provided at first are taken to be complete. */
 const REGISTRATION_MS = 2_500;
 
+/**
+ * Factor on the estimate by the load for servers that fill a gap: they have no cached prefixes at first, and must carry
+ * bursts without the spares of a full fleet.
+ */
+const GAP_FACTOR = 3;
 /** Factor on the servers while requests wait too long. */
 const TOO_FEW_FACTOR = 1.3;
 /** Share by which the need falls in a second: the rest must show first that it carries the load with its own caches. */
 const DECLINE_PER_SECOND = 0.05;
 const MS_PER_SECOND = 1_000;
 
+/** Servers that a service needs, without spares. */
+export interface ServerNeed {
+  /** Servers for a fleet at the lowest price per server. */
+  readonly servers: number;
+  /** At most `servers`: those without which the present load isn't carried. */
+  readonly leastServers: number;
+}
+
+interface NeedSample {
+  readonly atMs: number;
+  readonly needed: number;
+  readonly least: number;
+}
+
 /** Tracks the need of one service. */
 export class NeededServers {
   private providedServers = 0;
   private providedAtMs: number | undefined;
   private loadedSinceMs: number | undefined;
-  private samples: {readonly atMs: number; readonly needed: number}[] = [];
+  private samples: NeedSample[] = [];
   private readonly promptWait = new PromptWait();
   /** The need returned last, which falls only gradually. */
   private latest: {readonly atMs: number; readonly needed: number} | undefined;
 
   /**
-   * Returns the number of servers that the service needs to carry its load, without spares. Until the load has been
+   * Returns the servers that the service needs to carry its load, without spares. Until the load has been
    * observed for some time, these are the servers that were provided, less the spares for the loss of one domain. After
    * that the estimate is corrected by how long prompts wait, since the speed of the servers isn't known.
    * @param view - Current load and servers.
    * @param nowMs - Current monotonic time in milliseconds.
    */
-  update(view: NeedView, nowMs: number): number {
-    const {load} = view;
+  update(view: NeedView, nowMs: number): ServerNeed {
+    const {load, latencyTargetMs} = view;
     if (load.openRequests > 0) this.loadedSinceMs ??= nowMs;
+    const pressure = this.promptWait.update({...load, latencyTargetMs}, nowMs);
     this.samples = this.samples.filter(({atMs}) => nowMs - atMs <= PEAK_RETENTION_MS);
-    this.samples.push({atMs: nowMs, needed: this.estimateNeeded(view, nowMs)});
+    this.samples.push({
+      atMs: nowMs,
+      needed: this.estimateNeeded(view, pressure, nowMs),
+      least: estimateLeast(view, pressure),
+    });
     const peak = Math.max(...this.samples.map(({needed}) => needed));
-    const needed = this.isObserved(nowMs)
+    const servers = this.isObserved(nowMs)
       ? Math.max(peak, this.getLeastNeeded(nowMs))
       : this.getProvided(view, peak, nowMs);
-    this.latest = {atMs: nowMs, needed};
-    return needed;
+    this.latest = {atMs: nowMs, needed: servers};
+    return {servers, leastServers: Math.min(servers, this.getLeastServers(servers, nowMs))};
+  }
+
+  /** Returns the peak of the recent estimates for a gap; all servers until the load has been observed. */
+  private getLeastServers(servers: number, nowMs: number): number {
+    if (!this.isObserved(nowMs, GAP_OBSERVATION_MS)) return servers;
+    const recent = this.samples.filter(({atMs}) => nowMs - atMs <= GAP_OBSERVATION_MS);
+    return Math.max(...recent.map(({least}) => least));
   }
 
   /** Returns the estimate by the load, or by the present servers if requests wait for long. */
-  private estimateNeeded(view: NeedView, nowMs: number): number {
-    const {load, availableServers, failureDomains, latencyTargetMs} = view;
-    const pressure = this.promptWait.update({...load, latencyTargetMs}, nowMs);
+  private estimateNeeded(view: NeedView, pressure: WaitPressure, nowMs: number): number {
+    const {availableServers, failureDomains} = view;
     const byLoad = estimateByLoad(view);
     if (pressure === 'unknown-or-more' || !this.isObserved(nowMs)) return byLoad;
     const present = availableServers * getUsableShare(failureDomains);
@@ -114,8 +146,8 @@
     return this.providedAtMs !== undefined && nowMs - this.providedAtMs >= REGISTRATION_MS;
   }
 
-  private isObserved(nowMs: number): boolean {
-    return this.loadedSinceMs !== undefined && nowMs - this.loadedSinceMs >= OBSERVATION_MS;
+  private isObserved(nowMs: number, forMs = OBSERVATION_MS): boolean {
+    return this.loadedSinceMs !== undefined && nowMs - this.loadedSinceMs >= forMs;
   }
 }
 
@@ -124,6 +156,13 @@
   return failureDomains <= 1 ? 1 : (failureDomains - 1) / failureDomains;
 }
 
+/** Returns the servers without which requests wait too long, now and not only on average. */
+function estimateLeast(view: NeedView, pressure: WaitPressure): number {
+  const {availableServers} = view;
+  const byLoad = estimateByLoad(view) * GAP_FACTOR;
+  return pressure === 'too-few' ? Math.max(byLoad, availableServers * TOO_FEW_FACTOR) : byLoad;
+}
+
 function estimateByLoad({load, slotsPerServer}: NeedView): number {
   const {openRequests, promptTokensPerSecond} = load;
   return Math.max(
--- a/src/controllers/fleetSize/decideFleetSize.ts
+++ b/src/controllers/fleetSize/decideFleetSize.ts
@@ -19,6 +19,8 @@
   readonly domains: readonly DomainFleet[];
   /** Servers that the load needs over all failure domains; may be a fraction. */
   readonly neededServers: number;
+  /** Those of them without which the present load isn't carried; on-demand servers fill the gap up to these only. */
+  readonly leastServers: number;
 }
 
 /** Number of servers to run in one failure domain; the platform starts or stops servers until it is reached. */
@@ -38,17 +40,19 @@
  * Returns the servers to order in each failure domain.
  *
  * Reclaimable servers are spread evenly over all failure domains, with enough spares to lose one domain. While fewer of
- * them accept requests than the load needs, on-demand servers in the cheapest domains fill the gap; they are released
+ * them accept requests than the present load needs, on-demand servers in the cheapest domains fill the gap; they are released
  * once enough reclaimable servers are available again. Where no reclaimable servers are to be had, on-demand ones take
  * the places that are kept for them, up to the maximum of both kinds together.
  * @param view - Limits, servers and load of one service.
  */
 export function decideFleetSize(view: FleetView): readonly DomainOrder[] {
-  const {bounds, domains, neededServers} = view;
+  const {bounds, domains, neededServers, leastServers} = view;
   const wantedReclaimable = getReclaimablePerDomain(view);
   const reclaimable = domains.reduce((sum, domain) => sum + domain.reclaimable, 0);
   const reserve = isBeingReclaimed(domains) ? RECLAIM_RESERVE_SERVERS : 0;
-  const missing = Math.max(0, Math.ceil(neededServers + reserve - reclaimable));
+  const offersReclaimable = bounds.reclaimablePriceShare !== undefined;
+  const wanted = (offersReclaimable ? leastServers : neededServers) + reserve;
+  const missing = Math.max(0, Math.ceil(wanted - reclaimable));
   const onDemand = placeOnDemand(view, missing, domain =>
     getOnDemandRoom(bounds, domain, wantedReclaimable),
   );
--- a/src/controllers/fleetSize/index.ts
+++ b/src/controllers/fleetSize/index.ts
@@ -1,4 +1,4 @@
-export {NeededServers, type NeedView, type ServiceLoad} from './NeededServers.js';
+export {NeededServers, type NeedView, type ServerNeed, type ServiceLoad} from './NeededServers.js';
 export {PromptRates} from './PromptRates.js';
 export {
   decideFleetSize,
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -4,6 +4,7 @@
   NeededServers,
   decideFleetSize,
   type DomainOrder,
+  type ServerNeed,
   type ServiceLoad,
 } from '../controllers/fleetSize/index.js';
 import type {DutyClaim} from '../gossip/index.js';
@@ -89,11 +90,12 @@
       reclaimable: countServers(servers, failureDomain, true),
       refusesReclaimable: this.refusesReclaimable(service.name, failureDomain, nowMs),
     }));
-    const {neededServers, isKnown} = this.updateNeed(service, servers, nowMs);
+    const need = this.updateNeed(service, servers, nowMs);
     if (!this.hasOneVersion(service.name, nowMs)) return 'done';
-    for (const order of decideFleetSize({bounds, domains, neededServers})) {
-      const need: DomainNeed = {...order, mayReturnServers: isKnown};
-      const result = await this.orderForDomain(service.name, need, servers, claim, nowMs);
+    const {servers: neededServers, leastServers, isKnown} = need;
+    for (const order of decideFleetSize({bounds, domains, neededServers, leastServers})) {
+      const domainNeed: DomainNeed = {...order, mayReturnServers: isKnown};
+      const result = await this.orderForDomain(service.name, domainNeed, servers, claim, nowMs);
       if (result === 'superseded') return result;
     }
     return 'done';
@@ -104,7 +106,7 @@
     {name, engine}: Service,
     servers: readonly KnownServer[],
     nowMs: number,
-  ): {readonly neededServers: number; readonly isKnown: boolean} {
+  ): ServerNeed & {readonly isKnown: boolean} {
     const need = this.needs.get(name) ?? new NeededServers();
     this.needs.set(name, need);
     const view = {
@@ -114,7 +116,7 @@
       failureDomains: this.options.failureDomains.length,
       latencyTargetMs: this.getLatencyTargetMs(name),
     };
-    return {neededServers: need.update(view, nowMs), isKnown: need.isKnown(nowMs)};
+    return {...need.update(view, nowMs), isKnown: need.isKnown(nowMs)};
   }
 
   /** Returns the longest target of the service's routes: the longest prompts make up most of the tokens that wait. */
--- a/tests/controllers/fleetSize/decideFleetSize.test.ts
+++ b/tests/controllers/fleetSize/decideFleetSize.test.ts
@@ -38,8 +38,10 @@
   domains: readonly DomainFleet[],
   neededServers: number,
   bounds: Partial<ReplicaBounds> = {},
+  leastServers = neededServers,
 ): Orders {
-  const orders = decideFleetSize({bounds: {...BOUNDS, ...bounds}, domains, neededServers});
+  const view = {bounds: {...BOUNDS, ...bounds}, domains, neededServers, leastServers};
+  const orders = decideFleetSize(view);
   return {
     onDemand: orders.map(({onDemand}) => onDemand),
     reclaimable: orders.map(({reclaimable}) => reclaimable),
@@ -125,6 +127,14 @@
       reclaimable: [2, 2, 2, 2],
     },
   );
+  doTest(
+    'a gap is filled only up to the servers that the present load needs',
+    decide(createFleet([0, 0, 0, 0], {refusesReclaimable: true}), 5, {}, 2),
+    {
+      onDemand: [0, 1, 0, 1],
+      reclaimable: [2, 2, 2, 2],
+    },
+  );
   doTest(
     'orders all servers on demand if reclaimable ones are not offered',
     decide(createFleet([0, 0, 0, 0]), 5, {reclaimablePriceShare: undefined}),
--- a/tests/controllers/fleetSize/engineSpeed.test.ts
+++ b/tests/controllers/fleetSize/engineSpeed.test.ts
@@ -61,7 +61,7 @@
     waitingUntilMs = waitingUntilMs.filter(untilMs => untilMs > nowMs);
     serverMs += servers.length * STEP_MS;
     if (nowMs % DECISION_MS !== 0) continue;
-    const neededServers = need.update(
+    const {servers: neededServers} = need.update(
       {
         load: {
           openRequests: waitingUntilMs.length,
--- a/tests/controllers/fleetSize/reclaimSeries.test.ts
+++ b/tests/controllers/fleetSize/reclaimSeries.test.ts
@@ -115,7 +115,12 @@
       reclaimable: this.count(failureDomain, true, nowMs - VIEW_AGE_MS),
       refusesReclaimable: this.isUnavailable(failureDomain, nowMs),
     }));
-    const view = {bounds: this.bounds, domains, neededServers: NEEDED_SERVERS};
+    const view = {
+      bounds: this.bounds,
+      domains,
+      neededServers: NEEDED_SERVERS,
+      leastServers: NEEDED_SERVERS,
+    };
     for (const {failureDomain, onDemand, reclaimable} of this.decide(view)) {
       this.adjust(failureDomain, false, onDemand, nowMs);
       if (!this.isUnavailable(failureDomain, nowMs)) {
