Let on-demand servers take refused places until the next servers have booted

At the start of a deployment on-demand servers stayed several seconds longer than before, though nothing had refused reclaimable ones. A refusal now counts for the boot of a server and 4 s more, instead of the presence of on-demand servers; nothing else holds places.

--- a/src/controllers/fleetSize/decideFleetSize.ts
+++ b/src/controllers/fleetSize/decideFleetSize.ts
@@ -9,7 +9,7 @@
   readonly onDemand: number;
   /** Reclaimable servers that accept requests. */
   readonly reclaimable: number;
-  /** Whether the platform has lately refused to start reclaimable servers there. */
+  /** Whether the platform refuses to start reclaimable servers there, or those that it starts now haven't booted. */
   readonly refusesReclaimable: boolean;
 }
 
@@ -98,18 +98,13 @@
   return placed;
 }
 
-/**
- * Returns the on-demand servers that fit into a failure domain. Places are kept for reclaimable servers, unless those are
- * refused there; on-demand servers that run in such places stay until the reclaimable ones have booted.
- */
+/** Returns the on-demand servers that fit into a failure domain beside its reclaimable ones. */
 function getOnDemandRoom(
   {maxPerDomain}: ReplicaBounds,
-  {onDemand, reclaimable, refusesReclaimable}: DomainFleet,
+  {reclaimable, refusesReclaimable}: DomainFleet,
   wantedReclaimable: number,
 ): number {
-  const freeOfReclaimable = maxPerDomain - reclaimable;
-  if (refusesReclaimable) return freeOfReclaimable;
-  return Math.max(maxPerDomain - wantedReclaimable, Math.min(onDemand, freeOfReclaimable));
+  return maxPerDomain - (refusesReclaimable ? reclaimable : wantedReclaimable);
 }
 
 function getPrice(bounds: ReplicaBounds, {failureDomain}: DomainFleet): number {
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -1,5 +1,5 @@
 /** The duty of keeping the fleet at its required size: orders and returns backend servers. */
-import type {Catalog, KnownServer, Service} from '../catalog/index.js';
+import type {Catalog, KnownServer, ReplicaBounds, Service} from '../catalog/index.js';
 import {
   NeededServers,
   decideFleetSize,
@@ -35,8 +35,8 @@
 const ACCEPTED_RETRY_MS = 5_000;
 /** Delay before a rejected order is repeated. */
 const REJECTED_RETRY_MS = 1_000;
-/** Time for which a refusal is taken to hold; while servers are missing, the order is repeated sooner. */
-const REFUSAL_MEMORY_MS = 6_000;
+/** Time beyond the boot of a server after which it has been registered. */
+const REGISTRATION_DELAY_MS = 4_000;
 
 /** Servers that one failure domain needs. */
 interface DomainNeed extends DomainOrder {
@@ -53,6 +53,8 @@
 export class FleetDuty {
   private readonly options: FleetDutyOptions;
   private readonly lastOrders = new Map<string, LastOrder>();
+  /** When the platform last refused an order, by the order's key. */
+  private readonly refusedAtMs = new Map<string, number>();
   private readonly surplusSinceMs = new Map<string, number>();
   private readonly needs = new Map<string, NeededServers>();
   /** When servers of two versions of a service were last seen. */
@@ -178,6 +180,7 @@
     nowMs: number,
   ): Promise<DutyResult> {
     const result = await this.options.calls.orderServers(order, claim);
+    if (result === 'rejected') this.refusedAtMs.set(getOrderKey(order), nowMs);
     this.lastOrders.set(getOrderKey(order), {
       count: order.count,
       sentAtMs: nowMs,
@@ -187,10 +190,16 @@
     return result;
   }
 
+  /** Returns whether reclaimable servers were refused so lately that none can have been started since. */
   private refusesReclaimable(service: string, failureDomain: string, nowMs: number): boolean {
     const key = getOrderKey({service, failureDomain, isReclaimable: true});
-    const last = this.lastOrders.get(key);
-    return last !== undefined && !last.isAccepted && nowMs - last.sentAtMs <= REFUSAL_MEMORY_MS;
+    const bootMs = this.getBounds(service)?.bootMs ?? 0;
+    const refusedAtMs = this.refusedAtMs.get(key) ?? -Infinity;
+    return nowMs - refusedAtMs <= bootMs + REGISTRATION_DELAY_MS;
+  }
+
+  private getBounds(service: string): ReplicaBounds | undefined {
+    return this.options.catalog.routeTable?.configuration.services.get(service)?.replicaBounds;
   }
 
   private getServers(service: string): readonly KnownServer[] {
