--- a/src/controllers/quotas/index.ts
+++ b/src/controllers/quotas/index.ts
@@ -1,6 +1,8 @@
 export {
   QuotaLedger,
   type AdmissionReport,
+  type BucketState,
+  type QuotaCaller,
   type QuotaDecision,
   type QuotaLedgerOptions,
   type PeerReachability,
