Refund tokens only for requests that certainly haven't run

A run now counts as possibly run from the moment at which an attempt is handed to the transport, unless the server stated that it doesn't run it. The statement is also taken into account if the gateway stops or the deadline passes before its body is complete.

--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -89,6 +89,7 @@
   /** Cancels the run, when the caller has disconnected; nothing more is written to the sink. */
   abandon(): void {
     if (this.isDone) return;
+    this.markMaybeRun();
     this.closeAttempt('abandoned');
     this.finish('abandoned', undefined, undefined);
   }
@@ -96,7 +97,7 @@
   /** Ends the run because the process stops; a response that has been started is aborted. */
   stop(): void {
     if (this.isDone) return;
-    if (this.current !== undefined) this.hasRun = true;
+    this.markMaybeRun();
     this.closeAttempt('abandoned');
     this.fail('stopping', 'the gateway stopped before the response was complete');
   }
@@ -189,6 +190,7 @@
     const {services, getNowMs} = this.options;
     services.onHead(attempt.server, head, getNowMs());
     if (head.isNotRun) return;
+    this.hasRun = true;
     if (!this.isStreamed(head)) this.markPrefillDone(attempt);
   }
 
@@ -390,7 +392,7 @@
   private endAtDeadline(): void {
     if (this.isDone) return;
     const isSent = this.current !== undefined;
-    if (isSent) this.hasRun = true;
+    this.markMaybeRun();
     this.closeAttempt('timeout');
     this.fail(
       'timeout',
@@ -398,6 +400,11 @@
     );
   }
 
+  /** Records, before an attempt is cancelled, that its server may run the request, unless it stated that it doesn't. */
+  private markMaybeRun(): void {
+    if (this.current !== undefined && this.current.head?.isNotRun !== true) this.hasRun = true;
+  }
+
   private closeAttempt(reason: 'ended' | 'abandoned' | 'timeout'): void {
     const attempt = this.current;
     if (!attempt) return;
--- a/tests/exchange/ExchangeRun.test.ts
+++ b/tests/exchange/ExchangeRun.test.ts
@@ -521,6 +521,100 @@
     t.notOk(harness.sentAttempts[0].isStalled);
     harness.run.abandon();
   });
+  // A caller that left after its request was sent got its tokens back, though the server ran it.
+  t.test('tells at every moment whether the request may have run', t => {
+    /** What the servers sent before the end: by attempt, their heads, chunks and failures. */
+    const moments: readonly {
+      readonly name: string;
+      readonly servers: readonly string[];
+      readonly play: (attempts: readonly SentAttempt[]) => void;
+      readonly mayHaveRun: boolean;
+    }[] = [
+      {name: 'no server', servers: [], play: () => undefined, mayHaveRun: false},
+      {name: 'sent', servers: ['s1'], play: () => undefined, mayHaveRun: true},
+      {
+        name: 'a head',
+        servers: ['s1'],
+        play: ([{handler}]) => handler.onHead(SUCCESS),
+        mayHaveRun: true,
+      },
+      {
+        name: 'a first event',
+        servers: ['s1'],
+        play: ([{handler}]) => {
+          handler.onHead(SUCCESS);
+          handler.onData(createEvent(1));
+        },
+        mayHaveRun: true,
+      },
+      {
+        name: 'a complete response without an event',
+        servers: ['s1'],
+        play: ([{handler}]) => {
+          handler.onHead(SUCCESS);
+          handler.onEnd();
+        },
+        mayHaveRun: true,
+      },
+      {
+        name: 'the head of a statement that it did not run',
+        servers: ['s1'],
+        play: ([{handler}]) => handler.onHead(NOT_RUN),
+        mayHaveRun: false,
+      },
+      {
+        name: 'a complete statement that it did not run',
+        servers: ['s1'],
+        play: ([{handler}]) => {
+          handler.onHead(NOT_RUN);
+          handler.onEnd();
+        },
+        mayHaveRun: false,
+      },
+      {
+        name: 'a server that is not reached',
+        servers: ['s1'],
+        play: ([{handler}]) => handler.onFailure(UNREACHABLE),
+        mayHaveRun: false,
+      },
+      {
+        name: 'a lost connection',
+        servers: ['s1'],
+        play: ([{handler}]) => handler.onFailure(BROKEN),
+        mayHaveRun: true,
+      },
+      {
+        name: 'sent to a second server after one that did not run it',
+        servers: ['s1', 's2'],
+        play: ([{handler}]) => {
+          handler.onHead(NOT_RUN);
+          handler.onEnd();
+        },
+        mayHaveRun: true,
+      },
+      {
+        name: 'a statement of the second server after a loss at the first',
+        servers: ['s1', 's2'],
+        play: attempts => {
+          attempts[0].handler.onFailure(BROKEN);
+          attempts.at(1)?.handler.onHead(NOT_RUN);
+        },
+        mayHaveRun: true,
+      },
+    ];
+    for (const kind of ['at-most-once', 'idempotent', 'stream'] as const) {
+      for (const end of ['abandon', 'stop'] as const) {
+        for (const {name, servers, play, mayHaveRun} of moments) {
+          const harness = new RunHarness({kind}, servers);
+          harness.run.start();
+          play(harness.sentAttempts);
+          harness.run[end]();
+          t.equal(harness.outcome?.hasRun, mayHaveRun, `${kind}, ${end}: ${name}`);
+        }
+      }
+    }
+    t.end();
+  });
   t.test('cancels the attempt when the caller disconnects', t => {
     const harness = new RunHarness({}, ['s1']);
     harness.run.start();
