--- a/src/catalog/ServingConfiguration.ts
+++ b/src/catalog/ServingConfiguration.ts
@@ -27,6 +27,8 @@
   readonly timeoutMs: number;
   /** Target time to the response, or to the first event of a stream. */
   readonly latencyTargetMs: number;
+  /** Target for the longest time between two events of a stream; 0 for none. */
+  readonly longestPauseMs: number;
   /** Rank of the requests; 0 is the most urgent. */
   readonly priority: number;
   readonly shares: readonly ServiceShare[];
--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -96,6 +96,15 @@
   readonly message: string;
 }
 
+/** Load that a backend server reports of itself. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** How long work takes on the server at this moment, relative to the usual time; undefined if it doesn't tell. */
+  readonly workFactor: number | undefined;
+}
+
 /** Status and headers of a backend server's response. */
 export interface BackendHead {
   readonly status: number;
@@ -118,6 +127,8 @@
   readonly coldMs: number | undefined;
   /** Requests per second that the server takes from all gateways together; undefined if it names no limit. */
   readonly requestLimit: number | undefined;
+  /** Load of the server when it sent the head; undefined if it reports none that can be read. */
+  readonly load?: ReportedLoad;
 }
 
 /** Receives the response of a backend server. Exactly one of `onEnd` and `onFailure` is called, as the last call. */
--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -12,6 +12,7 @@
   HeaderFields,
   Refusal,
   RefusalKind,
+  ReportedLoad,
   ServingRequest,
 } from './ExchangeTypes.js';
 export type {Answer, AttemptMeasurement, LostAttempt, RunServices} from './RunServices.js';
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -78,6 +78,7 @@
   maxAttempts: 2,
   timeoutMs: 1_000,
   latencyTargetMs: 100,
+  longestPauseMs: 0,
   priority: 1,
   shares: [{service: 'app', weight: 1}],
   homeRegions: [],
--- a/tests/platform/BackendConnections.test.ts
+++ b/tests/platform/BackendConnections.test.ts
@@ -2,7 +2,12 @@
 import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
 import t from 'tap';
 import {BackendConnections} from '../../platform/BackendConnections.js';
-import type {BackendAttempt, BackendFailure, BackendHead} from '../../src/exchange/index.js';
+import type {
+  BackendAttempt,
+  BackendFailure,
+  BackendHead,
+  ReportedLoad,
+} from '../../src/exchange/index.js';
 import {silentEvents} from '../../src/logging/index.js';
 import {REQUEST, createServer as createEntry} from '../exchange/exchangeFixtures.js';
 
@@ -186,6 +191,32 @@
   for (const status of [408, 421, 429, 503]) doTestNotRunStatus(status, true);
   for (const status of [200, 400, 404, 500, 502, 504]) doTestNotRunStatus(status, false);
 
+  // A misread load would send many requests to a server that can't take them.
+  const doTestLoad = (field: string, load: ReportedLoad | undefined) => {
+    doTest(
+      `reads the reported load ${field}`,
+      socket => socket.write(`HTTP/1.1 200 OK\r\n${SIGNED}${field}content-length: 0\r\n\r\n`),
+      ({heads}) => t.same(heads[0].load, load),
+    );
+  };
+  const doTestLoadText = (text: string, load: ReportedLoad | undefined) =>
+    doTestLoad(`x-buckthorngw-replica-load: ${text}\r\n`, load);
+  const counts = {running: 3, waiting: 0, slots: 12};
+  doTestLoadText('3,0,12,175', {...counts, workFactor: 1.75});
+  doTestLoadText(' 3, 0 ,12, 70.5 ', {...counts, workFactor: 0.705});
+  doTestLoadText('3,0,12', {...counts, workFactor: undefined});
+  doTestLoadText('3,0,12,10000', {...counts, workFactor: 100});
+  doTestLoad('', undefined);
+  for (const text of ['', '3', '3,0', '3,0,12,', '3,0,12,100,1', 'a,0,12,100', '3;0;12;100']) {
+    doTestLoadText(text, undefined);
+  }
+  for (const text of ['3,0,12,0', '3,0,12,-100', '3,0,12,NaN', '3,0,12,1e2', '3,0,12,10001']) {
+    doTestLoadText(text, undefined);
+  }
+  for (const text of ['-3,0,12,100', '3,NaN,12,100', '3,0,9999999999,100', '3,0,1.5,100']) {
+    doTestLoadText(text, undefined);
+  }
+
   doTest(
     'reports bytes that are no HTTP response as a failure',
     socket => socket.write('hello\r\n\r\n'),
--- a/tests/platform/records.test.ts
+++ b/tests/platform/records.test.ts
@@ -38,6 +38,7 @@
       kind: 'stream',
       timeout_ms: 15_000,
       goal_ms: 800,
+      gap_aim_ms: 500,
       priority: 1,
       split: [
         {service: 'llm', weight: 90},
@@ -170,12 +171,13 @@
       isResumable: true,
       maxAttempts: 2,
       latencyTargetMs: 800,
+      longestPauseMs: 500,
       shares: [
         {service: 'llm', weight: 90},
         {service: 'app', weight: 10},
       ],
     },
-    {kind: 'at-most-once', shares: [{service: 'app', weight: 1}]},
+    {kind: 'at-most-once', longestPauseMs: 0, shares: [{service: 'app', weight: 1}]},
   ]);
   t.match(configuration?.services.get('llm'), {
     coldStartMs: 3_000,
