Place requests by the speeds that servers report and show

For services whose servers report a work factor, the score is the expected time to the first event at the server's speed, plus what the placement costs others. Other services are placed exactly as before.

The limits of the log lines of all events together reached the bound that the tests check. The events that occur once per process now allow one line per second, which makes room for the new event.

--- /dev/null
+++ b/bench/placement/index.ts
@@ -0,0 +1,2 @@
+export {PlacementSimulation, type SimulationOptions} from './PlacementSimulation.js';
+export type {SimulationResult} from './SimulationResult.js';
--- a/src/controllers/placement/index.ts
+++ b/src/controllers/placement/index.ts
@@ -10,9 +10,17 @@
 } from './getAvailability.js';
 export {ServerLoads, type ServerLoad} from './ServerLoads.js';
 export {
-  choosePlacement,
-  type PlacementDecision,
-  type PlacementRequest,
-  type PlacementView,
-  type PromptPart,
-} from './choosePlacement.js';
+  ServerSpeeds,
+  type FactorChange,
+  type FactorSummary,
+  type FirstEventTime,
+  type SpeedView,
+} from './ServerSpeeds.js';
+export {choosePlacement} from './choosePlacement.js';
+export type {
+  PlacementDecision,
+  PlacementRequest,
+  PlacementTargets,
+  PlacementView,
+  PromptPart,
+} from './PlacementTypes.js';
--- a/src/exchange/Attempt.ts
+++ b/src/exchange/Attempt.ts
@@ -8,11 +8,19 @@
 import {ResumePoint} from './ResumePoint.js';
 import type {AttemptMeasurement} from './RunServices.js';
 
+/** What was expected of an attempt when its server was chosen. */
+export interface Expectation {
+  readonly firstEventMs: number;
+  /** Work factor of the server on which that is based; undefined if its service reports none. */
+  readonly workFactor: number | undefined;
+}
+
 /** An attempt in progress. */
 export interface Attempt {
   readonly server: KnownServer;
   /** Prompt tokens that the server is expected to prefill. */
   readonly promptTokens: number;
+  readonly expectation: Expectation;
   readonly sentAtMs: number;
   readonly framer: EventFramer;
   readonly resumePoint: ResumePoint;
@@ -37,6 +45,7 @@
 /** Properties of an attempt that are known before it is sent. */
 export interface AttemptOptions {
   readonly promptTokens: number;
+  readonly expectation: Expectation;
   readonly sentAtMs: number;
   /** Id of the event after which the server resumes the stream; undefined for a new stream. */
   readonly resumeAfterEventId: string | undefined;
@@ -45,11 +54,12 @@
 /** Returns an attempt that is about to be sent. */
 export function createAttempt(
   server: KnownServer,
-  {promptTokens, sentAtMs, resumeAfterEventId}: AttemptOptions,
+  {promptTokens, expectation, sentAtMs, resumeAfterEventId}: AttemptOptions,
 ): Attempt {
   return {
     server,
     promptTokens,
+    expectation,
     sentAtMs,
     framer: new EventFramer(),
     resumePoint: new ResumePoint(resumeAfterEventId),
@@ -107,7 +117,8 @@
 ): AttemptMeasurement {
   const hasFailed = result !== 'good';
   const isConnectionLost = result === 'lost';
-  const base = {server, promptTokens, hasFailed, isConnectionLost};
+  const durationMs = nowMs - sentAtMs;
+  const base = {server, promptTokens, hasFailed, isConnectionLost, durationMs};
   if (firstEventAtMs === undefined) {
     return {...base, firstEventMs: undefined, interEventMs: undefined};
   }
--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -116,7 +116,7 @@
     if (decision.kind === 'none') {
       return this.fail('no-server', decision.reason, decision.retryAfterMs);
     }
-    const {server, uncachedTokens} = decision;
+    const {server, uncachedTokens, expectedFirstEventMs, workFactor} = decision;
     this.attempts += 1;
     this.attemptedServerIds.add(server.entry.id);
     this.serverId = server.entry.id;
@@ -124,6 +124,7 @@
     services.onSent(admitted, server, uncachedTokens, this.attempts, nowMs);
     const attempt = createAttempt(server, {
       promptTokens: uncachedTokens,
+      expectation: {firstEventMs: expectedFirstEventMs, workFactor},
       sentAtMs: nowMs,
       resumeAfterEventId: admitted.route.isResumable ? this.lastEventId : undefined,
     });
@@ -432,7 +433,7 @@
     attempt.firstEventAtMs = nowMs;
     this.firstEventMs ??= nowMs - admitted.request.receivedAtMs;
     services.onPrefillEnd(attempt.server, attempt.promptTokens);
-    services.onRunning(admitted, attempt.sentAtMs, nowMs, this.attempts);
+    services.onRunning(admitted, attempt, nowMs, this.attempts);
   }
 
   private isStreamed(head: BackendHead): boolean {
--- a/src/exchange/RunServices.ts
+++ b/src/exchange/RunServices.ts
@@ -3,6 +3,7 @@
 import type {HealthOutcome, PlacementDecision} from '../controllers/placement/index.js';
 import type {QuarantineCheck} from '../controllers/quarantine/index.js';
 import type {BufferAccount} from '../utils/index.js';
+import type {Expectation} from './Attempt.js';
 import type {AdmittedRequest} from './RunTypes.js';
 import type {BackendHead, RefusalKind} from './ExchangeTypes.js';
 
@@ -25,6 +26,15 @@
   readonly isFramed: boolean;
 }
 
+/** An attempt that is known to run. */
+export interface RunningAttempt {
+  readonly server: KnownServer;
+  /** Prompt tokens that the server was expected to prefill. */
+  readonly promptTokens: number;
+  readonly expectation: Expectation;
+  readonly sentAtMs: number;
+}
+
 /** How an attempt that its server has begun or completed went. */
 export interface AttemptMeasurement {
   readonly server: KnownServer;
@@ -35,6 +45,8 @@
   readonly isConnectionLost: boolean;
   /** Time from its sending to its first event or head; undefined if there was none. */
   readonly firstEventMs: number | undefined;
+  /** Time from its sending to its end. */
+  readonly durationMs: number;
   /** Mean time between its events; undefined if there were fewer than two. */
   readonly interEventMs: number | undefined;
 }
@@ -79,7 +91,12 @@
   /** Called once per attempt: when its prompt has been prefilled, or when it ends before that. */
   onPrefillEnd(server: KnownServer, promptTokens: number): void;
   /** Called when an attempt is known to run, by its first event or the head of its response. */
-  onRunning(admitted: AdmittedRequest, sentAtMs: number, nowMs: number, attempt: number): void;
+  onRunning(
+    admitted: AdmittedRequest,
+    running: RunningAttempt,
+    nowMs: number,
+    attempt: number,
+  ): void;
   /** Called with the outcome of an attempt for the health of its server; not called if the caller disconnected. */
   onAttemptEnd(server: KnownServer, outcome: HealthOutcome, nowMs: number): void;
   /** Called once per attempt that was answered, failed, or timed out; not if its server didn't run it. */
--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -15,7 +15,13 @@
   ReportedLoad,
   ServingRequest,
 } from './ExchangeTypes.js';
-export type {Answer, AttemptMeasurement, LostAttempt, RunServices} from './RunServices.js';
+export type {
+  Answer,
+  AttemptMeasurement,
+  LostAttempt,
+  RunningAttempt,
+  RunServices,
+} from './RunServices.js';
 export {checkRequest, type RequestCheck, type RequestCheckOptions} from './checkRequest.js';
 export {
   decideAfterFailure,
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -6,7 +6,10 @@
   ServerRateShares,
   ServerHealth,
   ServerPauses,
+  ServerSpeeds,
   choosePlacement,
+  type FactorChange,
+  type FactorSummary,
   type RateShare,
   type HealthOutcome,
   type PlacementDecision,
@@ -27,6 +30,7 @@
   BackendHead,
   LostAttempt,
   RefusalKind,
+  RunningAttempt,
   RunServices,
 } from '../exchange/index.js';
 import type {QuarantineCheck, SuspectRequest} from '../controllers/quarantine/index.js';
@@ -41,6 +45,7 @@
 import type {RequestQuarantine} from './RequestQuarantine.js';
 import type {RolloutGate} from './RolloutGate.js';
 import type {ServerLimits} from './ServerLimits.js';
+import {ServiceTargets} from './ServiceTargets.js';
 
 /** Constructor options of `GatewayRunServices`. */
 export interface GatewayRunServicesOptions {
@@ -99,6 +104,8 @@
   private readonly options: GatewayRunServicesOptions;
   private readonly health = new ServerHealth();
   private readonly pauses = new ServerPauses();
+  private readonly speeds: ServerSpeeds;
+  private readonly targets = new ServiceTargets();
   private readonly coldLimiter = new ServerRateLimiter(USED_COLD_FRACTION);
   private readonly coldShares: ServerRateShares;
   /** By route: times from the sending of an attempt to its first event or head. */
@@ -107,9 +114,22 @@
 
   constructor(options: GatewayRunServicesOptions) {
     this.options = options;
+    this.speeds = new ServerSpeeds(
+      serverId => options.catalog.servers.getServer(serverId) !== undefined,
+    );
     this.coldShares = new ServerRateShares(options.settings.id, MIN_COLD_SHARE_PER_SECOND);
   }
 
+  /** Returns whether servers of a service report work factors. */
+  hasWorkFactors(service: string, nowMs: number): boolean {
+    return this.speeds.isActive(service, nowMs);
+  }
+
+  /** Returns the believed work factors of the servers, by service. */
+  getFactorSummaries(nowMs: number): readonly FactorSummary[] {
+    return this.speeds.getSummaries(nowMs);
+  }
+
   recheck(admitted: AdmittedRequest): RefusalKind | undefined {
     return this.options.recheck(admitted);
   }
@@ -136,8 +156,9 @@
     attemptedServerIds: ReadonlySet<string>,
     nowMs: number,
   ): PlacementDecision {
-    const {loads, random} = this.options;
+    const {catalog, loads, random} = this.options;
     const service = this.getService(admitted.service);
+    const configuration = catalog.routeTable?.configuration;
     return choosePlacement(
       {
         servers,
@@ -147,8 +168,13 @@
         isInBackoff: serverId => this.health.isInBackoff(serverId, nowMs),
         hasColdCapacity: server => this.hasColdCapacity(server, service, nowMs),
         hasLimitCapacity: server => this.options.serverLimits.hasCapacity(server, nowMs),
+        speeds: this.speeds.getView(admitted.service, nowMs),
+      },
+      {
+        promptParts: admitted.request.promptParts,
+        attemptedServerIds,
+        targets: this.targets.getTargets(configuration, admitted.service, admitted.route),
       },
-      {promptParts: admitted.request.promptParts, attemptedServerIds},
       random,
     );
   }
@@ -198,6 +224,7 @@
     this.applyRequestLimit(server, head, nowMs);
     this.applyPause(server, head, nowMs);
     this.applyLeaving(server, head, nowMs);
+    this.applyWorkFactor(server, head, nowMs);
     if (head.isMisdirected) this.options.catalog.servers.removeServer(server.entry.id, nowMs);
     else if (head.coldMs !== undefined && head.coldMs > 0) {
       this.options.catalog.servers.markCold(server.entry.id, nowMs + head.coldMs, nowMs);
@@ -226,7 +253,13 @@
     });
   }
 
-  onRunning(admitted: AdmittedRequest, sentAtMs: number, nowMs: number): void {
+  onRunning(admitted: AdmittedRequest, running: RunningAttempt, nowMs: number): void {
+    const {server, promptTokens, expectation, sentAtMs} = running;
+    if (expectation.workFactor !== undefined) {
+      const {firstEventMs: expectedMs, workFactor} = expectation;
+      const time = {promptTokens, expectedMs, workFactor, tookMs: nowMs - sentAtMs};
+      this.logFactorChange(server, this.speeds.addFirstEvent(server.entry, time, nowMs));
+    }
     this.firstEventDurations.addDuration(admitted.route.name, nowMs - sentAtMs, nowMs);
     if (admitted.workspace === undefined) return;
     const runningForMs = admitted.route.kind === 'stream' ? 0 : nowMs - sentAtMs;
@@ -268,6 +301,9 @@
     const {service, route} = admitted;
     const {server, promptTokens, hasFailed, isConnectionLost} = measurement;
     const {catalog, rollouts, evidence, loads, getWallMs} = this.options;
+    if (promptTokens > 0 && !hasFailed) {
+      this.speeds.addDuration(server.entry, measurement.durationMs, nowMs);
+    }
     const order = catalog.rollouts.get(service);
     if (!order || !rollouts.isRunning(service) || server.entry.isDraining) return;
     const isComparable =
@@ -295,6 +331,22 @@
     this.options.loads.removeRequest(server.entry.id);
   }
 
+  private applyWorkFactor({entry}: KnownServer, head: BackendHead, nowMs: number): void {
+    if (head.isMisdirected || head.load?.workFactor === undefined) return;
+    const change = this.speeds.addReport(entry, head.load.workFactor, nowMs);
+    this.logFactorChange({entry}, change);
+  }
+
+  private logFactorChange(
+    {entry}: Pick<KnownServer, 'entry'>,
+    change: FactorChange | undefined,
+  ): void {
+    if (!change) return;
+    const {id: server, service} = entry;
+    const [before, after] = [change.before, change.after].map(toPercent);
+    this.options.events.log('server speed', {server, service, before, after});
+  }
+
   private applyPause({entry}: KnownServer, {pauseMs}: BackendHead, nowMs: number): void {
     if (pauseMs === undefined) return;
     this.pauses.addPause(entry, pauseMs, nowMs);
@@ -384,6 +436,10 @@
   }
 }
 
+function toPercent(factor: number): number {
+  return Math.round(factor * PERCENT);
+}
+
 function toSuspectRequest({service, workspace, request}: AdmittedRequest): SuspectRequest {
   const {method, path, body, promptParts} = request;
   const promptPartIds = promptParts.map(({id}) => id);
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -18,6 +18,8 @@
 const REQUEST_EVENTS_PER_SECOND = 300;
 /** Rate limit of events that are caused by changes of the deployment. */
 const STATE_CHANGES_PER_SECOND = 50;
+/** Rate limit of events that occur once in the life of a process. */
+const LIFE_EVENTS_PER_SECOND = 1;
 /** What servers say of themselves when they refuse requests. */
 const HINTS_PER_SECOND = 5;
 /** All connections of a pool may go silent at once; the first ones tell it. */
@@ -33,19 +35,19 @@
     level: 'info',
     meaning: 'The gateway has started and accepts requests.',
     fields: ['startMs', 'rssMb'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: LIFE_EVENTS_PER_SECOND,
   },
   stopping: {
     level: 'info',
     meaning: 'SIGTERM was received: new requests are refused, open ones continue.',
     fields: ['openRequests'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: LIFE_EVENTS_PER_SECOND,
   },
   stopped: {
     level: 'info',
     meaning: 'The gateway has shut down, and the process exits.',
     fields: ['openRequests'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: LIFE_EVENTS_PER_SECOND,
   },
   'settings reloaded': {
     level: 'info',
@@ -182,6 +184,13 @@
     fields: ['server', 'text'],
     maxPerSecond: HINTS_PER_SECOND,
   },
+  'server speed': {
+    level: 'info',
+    meaning:
+      'The work factor in percent that this gateway believes a backend server to have for long has changed by more than half, by its reports or by its responses.',
+    fields: ['server', 'service', 'before', 'after'],
+    maxPerSecond: HINTS_PER_SECOND,
+  },
   'roll-out step': {
     level: 'info',
     meaning:
