--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -12,9 +12,16 @@
   HeaderFields,
   Refusal,
   RefusalKind,
+  ReportedLoad,
   ServingRequest,
 } from './ExchangeTypes.js';
-export type {Answer, AttemptMeasurement, LostAttempt, RunServices} from './RunServices.js';
+export type {
+  Answer,
+  AttemptMeasurement,
+  LostAttempt,
+  RunningAttempt,
+  RunServices,
+} from './RunServices.js';
 export {checkRequest, type RequestCheck, type RequestCheckOptions} from './checkRequest.js';
 export {
   decideAfterFailure,
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -78,6 +78,7 @@
   maxAttempts: 2,
   timeoutMs: 1_000,
   latencyTargetMs: 100,
+  longestPauseMs: 0,
   priority: 1,
   shares: [{service: 'app', weight: 1}],
   homeRegions: [],
@@ -211,7 +212,13 @@
       choose: (_admitted, attemptedServerIds) => {
         const id = serverIds.find(candidate => !attemptedServerIds.has(candidate));
         if (id === undefined) return {kind: 'none', reason: 'all-tried'};
-        return {kind: 'chosen', server: createServer(id), uncachedTokens: 10, expectedWaitMs: 0};
+        return {
+          kind: 'chosen',
+          server: createServer(id),
+          uncachedTokens: 10,
+          expectedWaitMs: 0,
+          expectedFirstEventMs: 0,
+        };
       },
       consumeRetry: () => (this.remainingRetries -= 1) >= 0,
       getMaxConnections: () => 10,
