--- a/src/catalog/ServerCatalog.ts
+++ b/src/catalog/ServerCatalog.ts
@@ -82,6 +82,8 @@
   private readonly servers = new Map<string, KnownServer>();
   /** Starts that are leaving or have left, by server id. */
   private readonly departures = new Map<string, Departure>();
+  /** Servers that aren't draining, by service; cleared after a change. */
+  private readonly activeByService = new Map<string, readonly KnownServer[]>();
   /** Cached digest; undefined after a change. */
   private digest: bigint | undefined;
 
@@ -101,10 +103,12 @@
     if (entry.isDraining) this.recordDeparture(entry, 'draining', nowMs);
     else if (this.departures.get(entry.id)?.reason === 'removed') this.departures.delete(entry.id);
     const change = getChange(isRestarted ? undefined : known, {...entry, isDraining});
+    // Registrations are renewed all the time; the lists of servers are kept if nothing has changed.
+    if (known && change === 'same' && isRenewal(known, entry, nowMs)) return change;
     if (change !== 'same' || known?.expiredAtMs !== undefined) this.digest = undefined;
     const isNewlyCold = entry.coldMs > 0 && !(known && !isRestarted && known.coldUntilMs > nowMs);
     const isChanged = change !== 'same' || isNewlyCold || known === undefined;
-    this.servers.set(entry.id, {
+    this.setServer(entry.id, {
       entry: {...entry, isDraining},
       firstSeenAtMs: isRestarted ? nowMs : (known?.firstSeenAtMs ?? nowMs),
       changedAtMs: isChanged ? nowMs : known.changedAtMs,
@@ -153,7 +157,7 @@
     const known = this.servers.get(id);
     if (known && known.expiredAtMs === undefined) {
       this.digest = undefined;
-      this.servers.set(id, {...known, expiredAtMs: nowMs});
+      this.setServer(id, {...known, expiredAtMs: nowMs});
     }
   }
 
@@ -221,7 +225,7 @@
     this.recordDeparture(start, reason, nowMs);
     const entry = {...known.entry, isDraining: true};
     this.digest = undefined;
-    this.servers.set(start.id, {...known, entry, changedAtMs: nowMs});
+    this.setServer(start.id, {...known, entry, changedAtMs: nowMs});
     return 'draining';
   }
 
@@ -274,7 +278,7 @@
     const known = this.servers.get(id);
     if (!known) return;
     const changedAtMs = known.coldUntilMs > nowMs ? known.changedAtMs : nowMs;
-    this.servers.set(id, {...known, coldUntilMs, changedAtMs});
+    this.setServer(id, {...known, coldUntilMs, changedAtMs});
   }
 
   /** Returns all known backend servers, including draining ones. */
@@ -302,7 +306,8 @@
   }
 
   /**
-   * Returns the backend servers of a service to which new requests may be sent.
+   * Returns the backend servers of a service to which new requests may be sent. The list is the same one until a server
+   * changes, if no domain is excluded.
    * @param service - Name of the service.
    * @param excludedDomains - Failure domains whose servers are left out.
    */
@@ -310,10 +315,25 @@
     service: string,
     excludedDomains: ReadonlySet<string>,
   ): readonly KnownServer[] {
-    return this.getServers().filter(
-      ({entry}) =>
-        entry.service === service && !entry.isDraining && !excludedDomains.has(entry.failureDomain),
+    const active = this.getActiveServers(service);
+    if (excludedDomains.size === 0) return active;
+    return active.filter(({entry}) => !excludedDomains.has(entry.failureDomain));
+  }
+
+  private getActiveServers(service: string): readonly KnownServer[] {
+    const cached = this.activeByService.get(service);
+    if (cached) return cached;
+    const active = this.getServers().filter(
+      ({entry}) => entry.service === service && !entry.isDraining,
     );
+    // Only services with servers are kept, whose number is bounded.
+    if (active.length > 0) this.activeByService.set(service, active);
+    return active;
+  }
+
+  private setServer(id: string, server: KnownServer): void {
+    this.servers.set(id, server);
+    this.activeByService.clear();
   }
 
   private hasAnnouncedDeparture(start: ServerStart): boolean {
@@ -322,6 +342,7 @@
 
   private deleteServer(id: string): void {
     this.servers.delete(id);
+    this.activeByService.clear();
     this.digest = undefined;
   }
 
@@ -344,6 +365,12 @@
   return isSameEntry(known.entry, entry) ? 'same' : 'changed';
 }
 
+/** Returns whether a registration that is the same as the known one changes nothing else, such as the cold time. */
+function isRenewal(known: KnownServer, entry: ServerEntry, nowMs: number): boolean {
+  const isWarm = entry.coldMs === 0 && known.entry.coldMs === 0 && known.coldUntilMs <= nowMs;
+  return isWarm && known.expiredAtMs === undefined && known.entry.slots === entry.slots;
+}
+
 function isSameEntry(a: ServerEntry, b: ServerEntry): boolean {
   return (
     a.address === b.address &&
--- a/src/controllers/placement/prefixAffinity.ts
+++ b/src/controllers/placement/prefixAffinity.ts
@@ -9,8 +9,9 @@
 /** Servers that are tried in the order of preference; further ones are as good as any. */
 const MAX_TRIED = 4;
 
-/** Keys of the servers in a list, in its order. */
+/** Keys of the servers in a list, in its order; most lists are used for many requests. */
 const keysByList = new WeakMap<readonly KnownServer[], Uint32Array>();
+const keyByServer = new WeakMap<KnownServer, number>();
 
 /**
  * Returns the server that rendezvous hashing prefers for a segment. All gateways get the same one, so that a shared
@@ -74,11 +75,19 @@
 function getKeys(servers: readonly KnownServer[]): Uint32Array {
   const known = keysByList.get(servers);
   if (known) return known;
-  const keys = Uint32Array.from(servers, ({entry}) => getTextKey(entry.id));
+  const keys = Uint32Array.from(servers, getKey);
   keysByList.set(servers, keys);
   return keys;
 }
 
+function getKey(server: KnownServer): number {
+  const known = keyByServer.get(server);
+  if (known !== undefined) return known;
+  const key = getTextKey(server.entry.id);
+  keyByServer.set(server, key);
+  return key;
+}
+
 /** Returns the finalized 32-bit hash of a number. */
 function mix(value: number): number {
   let mixed = value ^ (value >>> 16);
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -144,7 +144,9 @@
     const request = {service: admitted.service, isRetry: attemptedServerIds.size > 0};
     let decision: PlacementDecision = {kind: 'none', reason: 'no-server'};
     for (const isWanted of rollouts.getVersions(request, random(), nowMs)) {
-      decision = this.chooseAmong(servers.filter(isWanted), admitted, attemptedServerIds, nowMs);
+      // The same list is passed on if possible: what is computed of it is kept.
+      const wanted = servers.every(isWanted) ? servers : servers.filter(isWanted);
+      decision = this.chooseAmong(wanted, admitted, attemptedServerIds, nowMs);
       if (decision.kind === 'chosen') return decision;
     }
     return decision;
@@ -255,7 +257,8 @@
 
   onRunning(admitted: AdmittedRequest, running: RunningAttempt, nowMs: number): void {
     const {server, promptTokens, expectation, sentAtMs} = running;
-    if (expectation.workFactor !== undefined) {
+    // A cold server is slower than later; what it does says nothing about its speed.
+    if (expectation.workFactor !== undefined && server.coldUntilMs <= sentAtMs) {
       const {firstEventMs: expectedMs, workFactor} = expectation;
       const time = {promptTokens, expectedMs, workFactor, tookMs: nowMs - sentAtMs};
       this.logFactorChange(server, this.speeds.addFirstEvent(server.entry, time, nowMs));
@@ -301,7 +304,7 @@
     const {service, route} = admitted;
     const {server, promptTokens, hasFailed, isConnectionLost} = measurement;
     const {catalog, rollouts, evidence, loads, getWallMs} = this.options;
-    if (promptTokens > 0 && !hasFailed) {
+    if (promptTokens > 0 && !hasFailed && server.coldUntilMs <= nowMs) {
       this.speeds.addDuration(server.entry, measurement.durationMs, nowMs);
     }
     const order = catalog.rollouts.get(service);
