--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -288,6 +288,7 @@
       gossip: this.gossip.traffic,
       droppedLogLines,
       leftOutLogLines,
+      factors: this.services.getFactorSummaries(nowMs),
     };
   }
 
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -1,6 +1,7 @@
 /** Counters, gauges and latency histograms of a gateway, in the Prometheus text exposition format. */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import {isFinalStep, type RolloutStep} from '../controllers/moves/index.js';
+import type {FactorSummary} from '../controllers/placement/index.js';
 import type {RefusalKind, RunOutcome} from '../exchange/index.js';
 import type {GossipTraffic} from '../gossip/index.js';
 
@@ -19,10 +20,12 @@
   readonly droppedLogLines: number;
   readonly leftOutLogLines: number;
   readonly gossip: GossipTraffic;
+  /** Believed work factors of the servers that report some, by service. */
+  readonly factors: readonly FactorSummary[];
 }
 
 /** Gauges with a single value, which are exported without labels. */
-type PlainGauge = Exclude<keyof GatewayGauges, 'gossip'>;
+type PlainGauge = Exclude<keyof GatewayGauges, 'gossip' | 'factors'>;
 
 /** Label value for a request without a route, workspace or refusal. */
 const NO_VALUE = 'none';
@@ -171,6 +174,7 @@
       });
     }
     this.addGossipCounters(() => getGauges().gossip);
+    this.addFactorGauges(() => getGauges().factors);
   }
 
   private addGossipCounters(getTraffic: () => GossipTraffic): void {
@@ -200,6 +204,33 @@
     });
   }
 
+  private addFactorGauges(getFactors: () => readonly FactorSummary[]): void {
+    const factors: Gauge = new Gauge({
+      name: 'buckthorn_server_work_factor',
+      help: 'Believed work factors of the servers of a service: lowest, median and highest.',
+      labelNames: ['service', 'of'],
+      registers: [this.registry],
+      collect: () => {
+        factors.reset();
+        for (const {service, min, median, max} of getFactors()) {
+          factors.set({service, of: 'min'}, min);
+          factors.set({service, of: 'median'}, median);
+          factors.set({service, of: 'max'}, max);
+        }
+      },
+    });
+    const ages: Gauge = new Gauge({
+      name: 'buckthorn_server_work_factor_age_ms',
+      help: 'Time since a server of the service last reported a work factor to this gateway.',
+      labelNames: ['service'],
+      registers: [this.registry],
+      collect: () => {
+        ages.reset();
+        for (const {service, ageMs} of getFactors()) ages.set({service}, ageMs);
+      },
+    });
+  }
+
   /** Returns all metrics in the text exposition format. */
   async getText(): Promise<string> {
     return this.registry.metrics();
--- a/tests/gateway/GatewayMetrics.test.ts
+++ b/tests/gateway/GatewayMetrics.test.ts
@@ -23,6 +23,7 @@
     droppedLogLines: 0,
     leftOutLogLines: 0,
     gossip: {sentDatagrams: 1, sentBytes: 2, receivedDatagrams: 3, receivedBytes: 4},
+    factors: [{service: 'llm', min: 0.7, median: 1, max: 1.75, ageMs: 40}],
   }));
   const text = await metrics.getText();
   const exported = [...text.matchAll(/^# HELP (\S+)/gm)].map(([, name]) => name);
