--- a/bench/placement/run-simulation.ts
+++ b/bench/placement/run-simulation.ts
@@ -1,4 +1,4 @@
-/** Prints the results of placement simulations: by load alone, and by speed. Usage: node run-simulation.js [SEED] */
+/** Prints the results of placement simulations: by load alone, and by speed. Usage: node run-simulation.js [SEED] [REQUESTS_PER_SECOND] */
 import {PlacementSimulation, type SimulationOptions} from './index.js';
 
 const PERCENT = 100;
--- a/src/controllers/placement/ServerFactor.ts
+++ b/src/controllers/placement/ServerFactor.ts
@@ -32,6 +32,15 @@
   readonly deviationLog: number;
 }
 
+/** Weight of one observation in the usual pending tokens. */
+const PENDING_WEIGHT = 0.1;
+/**
+ * Share of the usual pending tokens in the expected ones. The reported ones are a few hundred milliseconds old: prompts
+ * sent since then are missing, and mostly at servers that everybody prefers. In the simulation with 70 gateways, 0 gave more
+ * late requests than 0.2.
+ */
+const USUAL_PENDING_SHARE = 0.2;
+
 /** Estimates the present work factor of one start of a server. */
 export class ServerFactor {
   private readonly start: ServerStart;
@@ -44,6 +53,7 @@
   private deviationLog = 0;
   private responses = 0;
   private respondedAtMs = -Infinity;
+  private usualPendingTokens = 0;
   /** Factor that was last reported as a notable change. */
   announcedFactor = 1;
   /** Time of the last report or response. */
@@ -107,6 +117,12 @@
     return lasting + weight * (reported - lasting);
   }
 
+  /** Returns the prompt tokens that are probably pending now, given those that were reported. */
+  expectPendingTokens(reportedTokens: number): number {
+    this.usualPendingTokens += PENDING_WEIGHT * (reportedTokens - this.usualPendingTokens);
+    return reportedTokens + USUAL_PENDING_SHARE * (this.usualPendingTokens - reportedTokens);
+  }
+
   /** Returns the logarithm of the factor by which responses contradict the reports; 0 if they don't. */
   private getCorrectionLog(nowMs: number): number {
     if (this.responses < MIN_JUDGED_RESPONSES) return 0;
--- a/src/controllers/placement/ServerSpeeds.ts
+++ b/src/controllers/placement/ServerSpeeds.ts
@@ -24,6 +24,8 @@
   readonly plainMs: number | undefined;
   /** Returns the believed work factor of a server. */
   getFactor(server: ServerEntry): number;
+  /** Returns the prompt tokens that are probably pending at a server now, given those that were reported. */
+  expectPendingTokens(server: ServerEntry, reportedTokens: number): number;
 }
 
 /** Distribution of the believed work factors of a service's servers. */
@@ -135,6 +137,10 @@
       requestMs: state.speed.requestMs,
       plainMs: state.speed.plainMs,
       getFactor: server => this.getFactor(state, server, nowMs),
+      expectPendingTokens: (server, reportedTokens) => {
+        const factor = state.factors.get(server.id);
+        return factor?.isOf(server) ? factor.expectPendingTokens(reportedTokens) : reportedTokens;
+      },
     };
   }
 
--- a/src/controllers/placement/speedScore.ts
+++ b/src/controllers/placement/speedScore.ts
@@ -48,7 +48,7 @@
   const queueMs = queued * getQueueingMs(speeds, isPlain, slots);
   const runningMs = openRequests * RUNNING_REQUEST_MS;
   const uncachedTokens = isPlain ? 0 : getUncachedTokens(promptParts, isPreferred);
-  const pendingTokens = isPlain ? 0 : pendingPromptTokens;
+  const pendingTokens = isPlain ? 0 : speeds.expectPendingTokens(server.entry, pendingPromptTokens);
   const expectedWaitMs =
     workFactor * (queueMs + runningMs + pendingTokens / speeds.promptTokensPerMs);
   const ownMs = isPlain ? (speeds.plainMs ?? 0) : uncachedTokens / speeds.promptTokensPerMs;
--- a/tests/catalog/ServerCatalog.test.ts
+++ b/tests/catalog/ServerCatalog.test.ts
@@ -25,6 +25,36 @@
     t.end();
   });
 
+  t.test('keeps its list of servers over renewals, but over no change', t => {
+    // Placement computes data for each new list; an outdated list would send requests to servers that are gone.
+    const catalog = new ServerCatalog();
+    const list = () => catalog.getAvailableServers('app', NONE);
+    catalog.applyEntry(entry('s1'), 0);
+    catalog.applyEntry(entry('s2'), 0);
+    const before = list();
+    t.equal(catalog.applyEntry(entry('s1'), 10), 'same');
+    t.equal(list(), before);
+    catalog.applyEntry(entry('s1', {slots: 3}), 20);
+    t.equal(list()[0].entry.slots, 3);
+    catalog.applyEntry(entry('s1', {slots: 3, coldMs: 500}), 30);
+    t.equal(list()[0].coldUntilMs, 530);
+    catalog.markCold('s2', 900, 40);
+    t.equal(list()[1].coldUntilMs, 900);
+    catalog.applyEntry(entry('s2'), 50);
+    t.equal(list()[1].coldUntilMs, 50, 'warm again by its registration');
+    catalog.markExpired('s2', 60);
+    t.equal(list()[1].expiredAtMs, 60);
+    catalog.applyEntry(entry('s2'), 70);
+    t.equal(list()[1].expiredAtMs, undefined);
+    catalog.applyDeparture(entry('s1'), 'draining', 80);
+    t.same(getAvailableIds(catalog), ['s2']);
+    catalog.removeServer('s2', 90);
+    t.same(getAvailableIds(catalog), []);
+    catalog.applyEntry(entry('s3'), 100);
+    t.same(getAvailableIds(catalog), ['s3']);
+    t.end();
+  });
+
   t.test('an older record does not make a draining server available again', t => {
     const catalog = new ServerCatalog();
     catalog.applyEntry(entry('s1'), 0);
--- a/tests/controllers/placement/ServerSpeeds.test.ts
+++ b/tests/controllers/placement/ServerSpeeds.test.ts
@@ -158,6 +158,20 @@
     t.end();
   });
 
+  t.test('expects more pending tokens than reported where there usually are some', t => {
+    // Reports are old when they arrive; all gateways would send their requests to the same idle servers.
+    const speeds = createSpeeds();
+    const [, second, third] = SERVERS;
+    for (const server of [FIRST, second]) speeds.addReport(server, 1, 0);
+    const view = speeds.getView(SERVICE, 0);
+    for (let index = 0; index < 50; index += 1) view?.expectPendingTokens(FIRST, 10_000);
+    const expected = view?.expectPendingTokens(FIRST, 0) ?? NaN;
+    t.ok(expected > 1_000 && expected < 3_000, `${expected}`);
+    t.equal(view?.expectPendingTokens(second, 0), 0);
+    t.equal(view?.expectPendingTokens(third, 500), 500, 'a server without reports');
+    t.end();
+  });
+
   t.test('learns how long plain requests take', t => {
     const speeds = createSpeeds();
     for (let nowMs = 0; nowMs < 20_000; nowMs += 1_000) {
--- a/tests/controllers/placement/placementBySpeed.test.ts
+++ b/tests/controllers/placement/placementBySpeed.test.ts
@@ -24,6 +24,7 @@
     requestMs: 480,
     plainMs: 40,
     getFactor: ({id}) => factors[id] ?? 1,
+    expectPendingTokens: (_server, reportedTokens) => reportedTokens,
   };
 }
 
--- a/tests/controllers/placement/placementSimulation.test.ts
+++ b/tests/controllers/placement/placementSimulation.test.ts
@@ -37,7 +37,7 @@
         });
         // Requests are concentrated on fast servers, but no more than that.
         const busiest = [before, after].map(({busiestOverMean}) => busiestOverMean);
-        t.ok(busiest[1] < busiest[0] * 1.25, `busiest/mean ${busiest.join(', now ')}`);
+        t.ok(busiest[1] < busiest[0] * 1.1, `busiest/mean ${busiest.join(', now ')}`);
         t.ok(after.sharedTokensPerRequest < before.sharedTokensPerRequest * 1.25 + 1);
         t.end();
       });
