Order the admission queue in logarithmic time, by slack within a workspace

The queue scanned all waiting requests for each decision. It now keeps heaps, orders the requests of a workspace by the slack to their targets, puts callers that were refused before ahead, and serves the least recently served kind in every sixteenth turn, so that no kind of request starves.

--- /dev/null
+++ b/bench/admission/index.ts
@@ -0,0 +1,1 @@
+export {measureAdmission, type AdmissionTimes} from './measureAdmission.js';
--- a/bench/bin/run-bench.ts
+++ b/bench/bin/run-bench.ts
@@ -2,6 +2,7 @@
 /** Command line of the measurements, for example `npm run bench -- capacity`. */
 import {command, flag, number, option, string, subcommands} from 'cmd-ts';
 import {writeFile} from 'node:fs/promises';
+import {measureAdmission} from '../admission/index.js';
 import {runCapacityBench} from '../capacity/index.js';
 import {
   createCostReport,
@@ -25,8 +26,18 @@
 import {runCommandLine, type RunnableCommand} from '../../src/settings/index.js';
 
 const GOSSIP_FLEET_SIZES = [7, 18, 91, 195, 300];
+const ADMISSION_QUEUE_SIZES = [100, 1_000, 10_000];
 const PAGE_PATH = 'docs/CAPACITY.md';
 
+function runAdmission(): void {
+  writeLine('waiting | added, us | next admitted, us | added to a full queue, us');
+  for (const times of measureAdmission(ADMISSION_QUEUE_SIZES)) {
+    const {waiting, addMicros, completeMicros, fullMicros} = times;
+    const columns = [addMicros, completeMicros, fullMicros].map(micros => micros.toFixed(2));
+    writeLine(`${waiting} | ${columns.join(' | ')}`);
+  }
+}
+
 async function runRelated(): Promise<void> {
   const {serverCounts, swapMicros, inPlaceMicros, swapFit} = measureTableSwap();
   writeLine('backend servers | table replaced, us | changed in place, us');
@@ -93,6 +104,12 @@
       args: {},
       handler: runGossip,
     }),
+    admission: command({
+      name: 'admission',
+      description: 'Measures the decisions of the admission queue with many waiting requests',
+      args: {},
+      handler: runAdmission,
+    }),
     related: command({
       name: 'related',
       description:
--- a/src/controllers/admission/AdmissionQueue.ts
+++ b/src/controllers/admission/AdmissionQueue.ts
@@ -1,7 +1,7 @@
 /** Admission control: a limit on running requests, with a bounded, weighted-fair queue for those above it. */
 import {ServingError, type ErrorKind} from '../../errors/index.js';
 import type {AdmissionDecision, AdmissionLimits, AdmissionRequest} from './AdmissionTypes.js';
-import {FairQueue, getWorkspaceLimit} from './FairQueue.js';
+import {FairQueue, getPriority, getWorkspaceLimit, type QueuePlace} from './FairQueue.js';
 
 /** Options of an `AdmissionQueue`. */
 export interface AdmissionQueueOptions {
@@ -49,7 +49,7 @@
       return refuse('over-workspace-limit', `workspace ${workspace} has too many open requests`);
     }
     if (this.queue.getSize() === 0 && this.running.size < limits.maxRunningRequests) {
-      this.queue.recordAdmission(limits, workspace);
+      this.queue.recordAdmission(workspace, getWorkspaceLimit(limits, workspace).shareWeight);
       this.running.set(requestId, request);
       this.changeOpenCount(workspace, 1);
       return {kind: 'admitted'};
@@ -79,7 +79,7 @@
     const limits = this.options.getLimits();
     const admitted: string[] = [];
     while (this.running.size < limits.maxRunningRequests) {
-      const next = this.queue.dequeueNext(limits, nowMs);
+      const next = this.queue.dequeueNext(nowMs);
       if (!next) break;
       this.running.set(next.requestId, next);
       admitted.push(next.requestId);
@@ -92,11 +92,8 @@
    * @returns Ids of the removed requests.
    */
   removeExpired(nowMs: number): readonly string[] {
-    const expired = this.queue.getRequests().filter(({deadlineAtMs}) => deadlineAtMs <= nowMs);
-    for (const {requestId, workspace} of expired) {
-      this.queue.removeRequest(requestId);
-      this.changeOpenCount(workspace, -1);
-    }
+    const expired = this.queue.removeExpired(nowMs);
+    for (const {workspace} of expired) this.changeOpenCount(workspace, -1);
     return expired.map(({requestId}) => requestId);
   }
 
@@ -111,9 +108,8 @@
   }
 
   /** Estimates a new request's queueing time from the mean interval between completions; 0 until one was measured. */
-  getExpectedWaitMs(requestClass: string): number {
-    const requestsAhead = this.queue.getCountAhead(this.options.getLimits(), requestClass);
-    return (requestsAhead + 1) * (this.meanCompletionIntervalMs ?? 0);
+  getExpectedWaitMs(place: QueuePlace): number {
+    return (this.queue.getCountAhead(place) + 1) * (this.meanCompletionIntervalMs ?? 0);
   }
 
   private enqueueOrRefuse(
@@ -122,7 +118,12 @@
     nowMs: number,
   ): AdmissionDecision {
     const {workspace, requestClass, deadlineAtMs} = request;
-    const waitMs = this.getExpectedWaitMs(requestClass);
+    const place = {
+      workspace,
+      priority: getPriority(limits, requestClass),
+      shareWeight: getWorkspaceLimit(limits, workspace).shareWeight,
+    };
+    const waitMs = this.getExpectedWaitMs(place);
     if (nowMs + waitMs >= deadlineAtMs) {
       return refuse(
         'deadline-unreachable',
@@ -130,7 +131,7 @@
       );
     }
     const isFull = this.queue.getSize() >= limits.maxQueuedRequests;
-    const displaced = isFull ? this.queue.getDisplaceableRequest(limits, workspace) : undefined;
+    const displaced = isFull ? this.queue.getDisplaceableRequest(place) : undefined;
     if (isFull && !displaced) {
       return refuse('overloaded', `queue is full with ${this.queue.getSize()} requests`);
     }
@@ -138,7 +139,7 @@
       this.queue.removeRequest(displaced.requestId);
       this.changeOpenCount(displaced.workspace, -1);
     }
-    this.queue.addRequest({...request, queuedAtMs: nowMs});
+    this.queue.addRequest({...request, ...place, queuedAtMs: nowMs});
     this.changeOpenCount(workspace, 1);
     return {kind: 'queued', displacedRequestId: displaced?.requestId};
   }
@@ -156,10 +157,7 @@
   }
 
   private hasRequest(requestId: string): boolean {
-    return (
-      this.running.has(requestId) ||
-      this.queue.getRequests().some(request => request.requestId === requestId)
-    );
+    return this.running.has(requestId) || this.queue.hasRequest(requestId);
   }
 
   private getOpenCount(workspace: string): number {
--- a/src/controllers/admission/AdmissionTypes.ts
+++ b/src/controllers/admission/AdmissionTypes.ts
@@ -8,6 +8,10 @@
   readonly requestClass: string;
   /** Deadline for the first token. The request is refused if its expected queueing time exceeds it. */
   readonly deadlineAtMs: number;
+  /** Time until which a start meets the request's latency target; undefined if it has none. */
+  readonly latestStartAtMs?: number;
+  /** Time of the caller's first try, if an earlier one was refused; undefined if it isn't known. */
+  readonly firstTryAtMs?: number;
 }
 
 /** Whether a request is admitted now, queued, or refused. */
--- a/src/controllers/admission/index.ts
+++ b/src/controllers/admission/index.ts
@@ -1,3 +1,4 @@
+export {FairQueue, type QueuedRequest, type QueuePlace} from './FairQueue.js';
 export {AdmissionQueue, type AdmissionQueueOptions} from './AdmissionQueue.js';
 export type {
   AdmissionDecision,
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,5 +1,6 @@
 export {BufferBudget, type BufferAccount} from './BufferBudget.js';
 export {ByteBuffer} from './ByteBuffer.js';
+export {IndexedHeap} from './IndexedHeap.js';
 export {afterNextPoll} from './afterNextPoll.js';
 export {
   BLOCK_TOKENS,
