Let requests wait at the gateway until a slot is free in time

Each gateway decides from the reported load whether it may start another request, and refuses at once what it can't serve in time. No service uses the queue until its servers report a work factor.

--- a/src/controllers/admission/FairQueue.ts
+++ b/src/controllers/admission/FairQueue.ts
@@ -89,9 +89,12 @@
   private readonly earliestDeadlineFirst = new IndexedHeap<Entry>(
     (a, b) => a.request.deadlineAtMs < b.request.deadlineAtMs,
   );
-  /** Workspaces with queued requests, by their queued requests per weight. */
+  private readonly latestStartFirst = new IndexedHeap<Entry>(
+    (a, b) => a.latestStartAtMs < b.latestStartAtMs,
+  );
+  /** Workspaces with queued requests; the one whose newest request is furthest above its share is first. */
   private readonly largestFirst = new IndexedHeap<WorkspaceState>(
-    (a, b) => getQueuedPerWeight(a) > getQueuedPerWeight(b),
+    (a, b) => getLastFinishTime(a) > getLastFinishTime(b),
   );
   private virtualTime = 0;
   private dequeuedCount = 0;
@@ -124,6 +127,7 @@
     kind.oldestFirst.add(entry);
     this.oldestFirst.add(entry);
     this.earliestDeadlineFirst.add(entry);
+    if (latestStartAtMs < Infinity) this.latestStartFirst.add(entry);
     workspace.newestFirst.add(entry);
     if (this.largestFirst.has(workspace)) this.largestFirst.update(workspace);
     else this.largestFirst.add(workspace);
@@ -140,6 +144,7 @@
     const {workspace} = entry;
     this.entries.delete(requestId);
     this.earliestDeadlineFirst.remove(entry);
+    this.latestStartFirst.remove(entry);
     workspace.newestFirst.remove(entry);
     if (workspace.newestFirst.size > 0) this.largestFirst.update(workspace);
     else this.largestFirst.remove(workspace);
@@ -172,6 +177,7 @@
         : Math.max(this.virtualTime, workspace.virtualTime);
     this.virtualTime = Math.max(this.virtualTime, startTime);
     workspace.virtualTime = startTime + 1 / shareWeight;
+    this.largestFirst.update(workspace);
   }
 
   /**
@@ -189,9 +195,9 @@
   }
 
   /**
-   * Returns the request to displace from a full queue: the newest one of the workspace with the most queued requests
-   * per weight. Undefined if that is the given workspace, or if the given one would have at least as many with the new
-   * request.
+   * Returns the request to displace for a new one: the newest one of the workspace furthest above its share, by what it
+   * has been served and has queued. Undefined if that is the given workspace, or if the given one would be as far above
+   * its share with the new request.
    */
   getDisplaceableRequest({
     workspace,
@@ -199,11 +205,20 @@
   }: Omit<QueuePlace, 'priority'>): QueuedRequest | undefined {
     const largest = this.largestFirst.peek();
     if (!largest || largest.name === workspace) return undefined;
-    const queued = this.workspaces.get(workspace)?.newestFirst.size ?? 0;
-    if (getQueuedPerWeight(largest) <= (queued + 1) / shareWeight) return undefined;
+    const own = this.workspaces.get(workspace);
+    const queued = own?.newestFirst.size ?? 0;
+    const ownTime = own?.virtualTime ?? 0;
+    const startTime = queued > 0 ? ownTime : Math.max(this.virtualTime, ownTime);
+    if (getLastFinishTime(largest) <= startTime + (queued + 1) / shareWeight) return undefined;
     return largest.newestFirst.peek()?.request;
   }
 
+  /** Returns a queued request that can't meet its target any more; undefined if there is none. */
+  getLateRequest(nowMs: number): QueuedRequest | undefined {
+    const entry = this.latestStartFirst.peek();
+    return entry && entry.latestStartAtMs < nowMs ? entry.request : undefined;
+  }
+
   hasRequest(requestId: string): boolean {
     return this.entries.has(requestId);
   }
@@ -367,8 +382,9 @@
   return timely.size + late.size;
 }
 
-function getQueuedPerWeight({newestFirst, shareWeight}: WorkspaceState): number {
-  return newestFirst.size / shareWeight;
+/** Returns the virtual time at which the newest queued request of a workspace would end. */
+function getLastFinishTime({virtualTime, newestFirst, shareWeight}: WorkspaceState): number {
+  return virtualTime + newestFirst.size / shareWeight;
 }
 
 function getCountAheadInLevel(level: Level, workspace: string, shareWeight: number): number {
--- a/src/controllers/admission/index.ts
+++ b/src/controllers/admission/index.ts
@@ -20,3 +20,11 @@
   type BaselineLatencySample,
   type BaselineLatencyState,
 } from './baselineLatency.js';
+export {
+  ServiceQueue,
+  type QueueDecision,
+  type QueueRefusal,
+  type ServiceQueueOptions,
+  type ServiceRequest,
+} from './ServiceQueue.js';
+export {ServiceRoom, type ServiceLoadView} from './ServiceRoom.js';
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,5 +1,6 @@
 /** A gateway process: admits requests, runs them at backend servers, and shares its state with the other gateways. */
 import type {Catalog} from '../catalog/index.js';
+import type {ServiceLoadView} from '../controllers/admission/index.js';
 import {QuotaLedger} from '../controllers/quotas/index.js';
 import {UsageLedger} from '../controllers/duties/index.js';
 import {PromptRates, type ServiceLoad} from '../controllers/fleetSize/index.js';
@@ -26,6 +27,7 @@
 import type {DutyCalls, DutyLog, RolloutLog} from './ports.js';
 import {LogReadCoordinator} from './LogReadCoordinator.js';
 import {RequestHandler, type OpenRequest} from './RequestHandler.js';
+import {RequestQueue} from './RequestQueue.js';
 import {RequestQuarantine} from './RequestQuarantine.js';
 import {RolloutDuty} from './RolloutDuty.js';
 import {RolloutGate} from './RolloutGate.js';
@@ -86,6 +88,7 @@
   private dutyTimer: NodeJS.Timeout | undefined;
   private rolloutTimer: NodeJS.Timeout | undefined;
   private readonly startedAtMs: number;
+  private readonly queue: RequestQueue;
   private readonly requests: RequestHandler;
   private isStopping = false;
 
@@ -156,6 +159,15 @@
       describeSelf,
       getAwareNowMs: options.getAwareNowMs,
     });
+    this.queue = new RequestQueue({
+      // Requests wait only for services whose servers report a work factor, which placement doesn't read yet.
+      isWaitingEnabled: () => false,
+      getView: (service, ownRequests, nowMs) => this.getLoadView(service, ownRequests, nowMs),
+      metrics: options.metrics,
+      events,
+      getNowMs,
+      random,
+    });
     this.requests = new RequestHandler({
       revocationMs: settings.revocationMs,
       catalog,
@@ -165,6 +177,7 @@
       quotaLedger: this.quotaLedger,
       metrics: options.metrics,
       events,
+      queue: this.queue,
       getConfigurationProofAgeMs: () => this.logReadCoordinator.getOperatorProofAgeMs(),
       getNowMs,
       random,
@@ -286,6 +299,7 @@
       isDutyHolder: this.duties.claim.holderId === settings.id,
       quarantines: this.quarantine.getQuarantineCount(),
       gossip: this.gossip.traffic,
+      waitingRequests: this.queue.getWaitingCounts(),
       droppedLogLines,
       leftOutLogLines,
     };
@@ -354,6 +368,24 @@
     };
   }
 
+  private getLoadView(service: string, ownRequests: number, nowMs: number): ServiceLoadView {
+    const {catalog} = this.options;
+    const servers = catalog.servers.getAvailableServers(service, catalog.evacuatedDomains);
+    const live = this.members.getLiveMembers(nowMs).filter(({isLeaving}) => !isLeaving);
+    const isAlone = live.length === 0 && this.members.getKnownCount(nowMs) === 0;
+    const openRequests = servers.reduce(
+      (sum, {entry}) => sum + this.loads.getLoad(entry.id, nowMs).openRequests,
+      0,
+    );
+    return {
+      slots: servers.reduce((sum, {entry}) => sum + entry.slots, 0),
+      ownRequests,
+      peerRequests: Math.max(0, openRequests - ownRequests),
+      gateways: live.length + 1,
+      isFleetKnown: this.isFleetKnown(nowMs) && (live.length > 0 || isAlone),
+    };
+  }
+
   private getServiceLoad(service: string, nowMs: number): ServiceLoad {
     const serverLoads = this.options.catalog.servers
       .getServers()
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -19,10 +19,12 @@
   readonly droppedLogLines: number;
   readonly leftOutLogLines: number;
   readonly gossip: GossipTraffic;
+  /** Requests that wait for a slot, by service. */
+  readonly waitingRequests: ReadonlyMap<string, number>;
 }
 
 /** Gauges with a single value, which are exported without labels. */
-type PlainGauge = Exclude<keyof GatewayGauges, 'gossip'>;
+type PlainGauge = Exclude<keyof GatewayGauges, 'gossip' | 'waitingRequests'>;
 
 /** Label value for a request without a route, workspace or refusal. */
 const NO_VALUE = 'none';
@@ -96,6 +98,19 @@
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
+  private readonly queueTimes = new Histogram({
+    name: 'buckthorn_queue_seconds',
+    help: 'Time for which started requests have waited for a slot, without those that did not wait.',
+    labelNames: ['service'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+  private readonly queueRefusals = new Counter({
+    name: 'buckthorn_queue_refusals_total',
+    help: 'Requests that were refused because no slot would be free in time, by reason.',
+    labelNames: ['service', 'reason'],
+    registers: [this.registry],
+  });
   private readonly storeCalls = new Counter({
     name: 'buckthorn_store_calls_total',
     help: 'Calls to the store by what they ask and how they ended.',
@@ -141,6 +156,19 @@
     this.requests.inc({route: NO_VALUE, workspace: workspace ?? NO_VALUE, outcome, refusal});
   }
 
+  /** Records how long a request has waited for a slot before it was started. */
+  addQueueTime(service: string, waitedMs: number): void {
+    this.queueTimes.observe({service}, waitedMs / MS_PER_SECOND);
+  }
+
+  /**
+   * Counts a request that was refused at the queue or while it waited.
+   * @param reason - Used as a label value.
+   */
+  addQueueRefusal(service: string, reason: string): void {
+    this.queueRefusals.inc({service, reason});
+  }
+
   /**
    * Counts a call to the store.
    * @param call - Name of the operation, used as a label value.
@@ -171,6 +199,15 @@
       });
     }
     this.addGossipCounters(() => getGauges().gossip);
+    const waiting: Gauge = new Gauge({
+      name: 'buckthorn_waiting_requests',
+      help: 'Requests that wait for a slot.',
+      labelNames: ['service'],
+      registers: [this.registry],
+      collect: () => {
+        for (const [service, count] of getGauges().waitingRequests) waiting.set({service}, count);
+      },
+    });
   }
 
   private addGossipCounters(getTraffic: () => GossipTraffic): void {
--- a/src/gateway/RequestHandler.ts
+++ b/src/gateway/RequestHandler.ts
@@ -18,6 +18,7 @@
 import type {EventLogger} from '../logging/index.js';
 import type {GatewayMetrics} from './GatewayMetrics.js';
 import {RecentDurations} from '../utils/index.js';
+import type {RequestQueue} from './RequestQueue.js';
 import {StartGate} from './StartGate.js';
 
 /** Constructor options of `RequestHandler`. */
@@ -31,6 +32,7 @@
   readonly quotaLedger: QuotaLedger;
   readonly metrics: GatewayMetrics;
   readonly events: EventLogger;
+  readonly queue: RequestQueue;
   /** Returns the time since the operators' records were last certainly complete. */
   readonly getConfigurationProofAgeMs: () => number;
   /** Returns the monotonic time in milliseconds. */
@@ -55,6 +57,16 @@
 const RETRY_ELSEWHERE_MS = 100;
 const REFUSED_REQUEST: OpenRequest = {abandon: () => undefined};
 
+/** Result of a request that wasn't sent to a server. */
+const UNSENT_OUTCOME = {
+  status: undefined,
+  attempts: 0,
+  serverId: undefined,
+  softwareVersion: undefined,
+  hasRun: false,
+  firstEventMs: undefined,
+} as const;
+
 /** Monotonic times of a stop of the process. */
 interface PlannedStop {
   /** When the process was asked to stop. */
@@ -85,7 +97,7 @@
 
   /** Number of requests in progress. */
   get openRequests(): number {
-    return this.runs.size;
+    return this.runs.size + this.options.queue.size;
   }
 
   /** Returns whether the configuration is recent enough to admit requests: keys may be revoked. */
@@ -99,10 +111,12 @@
    */
   beginStop(endsRequestsAtMs: number): void {
     this.stop = {beganAtMs: this.options.getNowMs(), endsRequestsAtMs};
+    this.options.queue.refuseAll();
   }
 
   /** Ends all requests in progress with an error, since the process is about to exit. */
   endOpenRequests(): void {
+    this.options.queue.refuseAll();
     for (const run of [...this.runs]) run.stop();
   }
 
@@ -178,28 +192,74 @@
     return check.workspace?.name === workspace ? undefined : 'no-key';
   }
 
+  /** Runs a request, now or after it has waited for a slot. */
   private run(
     request: ServingRequest,
     route: Route,
     workspace: Workspace | undefined,
     sink: ResponseSink,
   ): OpenRequest {
-    const {transport, services, getNowMs, random} = this.options;
-    const run: ExchangeRun = new ExchangeRun({
-      admitted: {
-        request,
-        route,
-        service: selectService(route, random),
-        workspace: workspace?.name,
-        priority: workspace?.priority ?? route.priority,
-        homeRegions: [route.homeRegions, workspace?.homeRegions ?? []],
-        deadlineAtMs: request.receivedAtMs + getMaxWaitMs(request, route),
+    const {queue, services, getNowMs, random} = this.options;
+    const admitted: AdmittedRequest = {
+      request,
+      route,
+      service: selectService(route, random),
+      workspace: workspace?.name,
+      priority: workspace?.priority ?? route.priority,
+      homeRegions: [route.homeRegions, workspace?.homeRegions ?? []],
+      deadlineAtMs: request.receivedAtMs + getMaxWaitMs(request, route),
+    };
+    let run: ExchangeRun | undefined;
+    const finishUnsent = (kind: 'refused' | 'abandoned', refusal?: RefusalKind, detail?: string) =>
+      this.finishRun(request, route, workspace, {
+        ...UNSENT_OUTCOME,
+        kind,
+        refusal,
+        totalMs: getNowMs() - request.receivedAtMs,
+        detail,
+      });
+    const refuse = (kind: RefusalKind, retryAfterMs: number | undefined, detail?: string) => {
+      sink.refuse({kind, isNotRun: true, retryAfterMs});
+      finishUnsent('refused', kind, detail);
+    };
+    const leave = queue.enter(admitted, {
+      start: waitedMs => {
+        const refusal = waitedMs > 0 ? this.recheck(admitted) : undefined;
+        if (refusal) {
+          queue.addEnd(admitted, undefined, waitedMs);
+          return refuse(refusal, services.getRetryAfterMs(refusal, admitted));
+        }
+        run = this.startRun(admitted, workspace, sink, waitedMs);
+      },
+      refuse: (reason, retryAfterMs) =>
+        refuse(reason === 'stopping' ? 'stopping' : 'overloaded', retryAfterMs, reason),
+    });
+    return {
+      abandon: () => {
+        if (run) run.abandon();
+        else if (leave()) finishUnsent('abandoned');
       },
+    };
+  }
+
+  private startRun(
+    admitted: AdmittedRequest,
+    workspace: Workspace | undefined,
+    sink: ResponseSink,
+    waitedMs: number,
+  ): ExchangeRun {
+    const {transport, services, queue, getNowMs} = this.options;
+    const run: ExchangeRun = new ExchangeRun({
+      admitted,
       sink,
       transport,
       services,
       getNowMs,
-      onOutcome: outcome => this.finishRun(run, request, route, workspace, outcome),
+      onOutcome: outcome => {
+        this.runs.delete(run);
+        this.finishRun(admitted.request, admitted.route, workspace, outcome);
+        queue.addEnd(admitted, outcome, waitedMs);
+      },
     });
     this.runs.add(run);
     run.start();
@@ -207,13 +267,11 @@
   }
 
   private finishRun(
-    run: ExchangeRun,
     request: ServingRequest,
     route: Route,
     workspace: Workspace | undefined,
     outcome: RunOutcome,
   ): void {
-    this.runs.delete(run);
     if (outcome.hasRun) {
       this.durations.addDuration(route.name, outcome.totalMs, this.options.getNowMs());
     }
--- a/tests/gateway/GatewayMetrics.test.ts
+++ b/tests/gateway/GatewayMetrics.test.ts
@@ -22,6 +22,7 @@
     isDutyHolder: false,
     droppedLogLines: 0,
     leftOutLogLines: 0,
+    waitingRequests: new Map([['app', 5]]),
     gossip: {sentDatagrams: 1, sentBytes: 2, receivedDatagrams: 3, receivedBytes: 4},
   }));
   const text = await metrics.getText();
--- a/tests/gateway/RequestHandler.test.ts
+++ b/tests/gateway/RequestHandler.test.ts
@@ -4,6 +4,7 @@
 import type {BackendResponseHandler, Refusal} from '../../src/exchange/index.js';
 import {GatewayMetrics} from '../../src/gateway/index.js';
 import {RequestHandler, type RequestHandlerOptions} from '../../src/gateway/RequestHandler.js';
+import {RequestQueue} from '../../src/gateway/RequestQueue.js';
 import {silentEvents} from '../../src/logging/index.js';
 import {REQUEST, ROUTE, RunHarness, SUCCESS} from '../exchange/exchangeFixtures.js';
 
@@ -30,6 +31,7 @@
       limits: {maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
     });
     catalog.markRegistrationsCurrent(0);
+    const metrics = new GatewayMetrics();
     const options: Partial<RequestHandlerOptions> = {
       revocationMs: 5_000,
       catalog,
@@ -41,7 +43,17 @@
         hasStopped: async () => false,
       },
       services: new RunHarness({}, []).createServices(['s1']),
-      metrics: new GatewayMetrics(),
+      metrics,
+      queue: new RequestQueue({
+        isWaitingEnabled: () => false,
+        getView: () => {
+          throw new Error('no view is needed while no request may wait');
+        },
+        metrics,
+        events: silentEvents,
+        getNowMs: () => this.nowMs,
+        random: () => 0,
+      }),
       events: silentEvents,
       getConfigurationProofAgeMs: () => 0,
       getNowMs: () => this.nowMs,
