--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -164,7 +164,6 @@
       isWaitingEnabled: () => false,
       getView: (service, ownRequests, nowMs) => this.getLoadView(service, ownRequests, nowMs),
       metrics: options.metrics,
-      events,
       getNowMs,
       random,
     });
--- a/src/gateway/RequestQueue.ts
+++ b/src/gateway/RequestQueue.ts
@@ -6,7 +6,6 @@
   type ServiceRequest,
 } from '../controllers/admission/index.js';
 import type {AdmittedRequest, RunOutcome} from '../exchange/index.js';
-import type {EventLogger} from '../logging/index.js';
 import type {GatewayMetrics} from './GatewayMetrics.js';
 
 /** Constructor options of `RequestQueue`. */
@@ -19,7 +18,6 @@
    */
   readonly getView: (service: string, ownRequests: number, nowMs: number) => ServiceLoadView;
   readonly metrics: Pick<GatewayMetrics, 'addQueueTime' | 'addQueueRefusal'>;
-  readonly events: EventLogger;
   /** Returns the monotonic time in milliseconds. */
   readonly getNowMs: () => number;
   /** Returns a random number from 0 to less than 1. */
@@ -179,18 +177,12 @@
   }
 
   private refuse(
-    {service, waiting}: ServiceState,
+    {service}: ServiceState,
     handler: QueueHandler,
     reason: QueueRefusal | 'stopping',
     retryAfterMs: number,
   ): void {
     this.options.metrics.addQueueRefusal(service, reason);
-    this.options.events.log('request not queued', {
-      service,
-      reason,
-      waiting: waiting.size,
-      retryAfterMs: Math.round(retryAfterMs),
-    });
     handler.refuse(reason, retryAfterMs);
   }
 
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -85,13 +85,6 @@
     fields: ['request', 'path', 'workspace', 'refusal', 'version', 'configurationAgeMs'],
     maxPerSecond: REQUEST_EVENTS_PER_SECOND,
   },
-  'request not queued': {
-    level: 'info',
-    meaning:
-      'A request was refused because no slot would be free in time (`too-late`), because the queue of its service was full (`queue-full`), because another request took its place (`displaced`), at its deadline (`expired`), or because the gateway stops (`stopping`).',
-    fields: ['service', 'reason', 'waiting', 'retryAfterMs'],
-    maxPerSecond: HINTS_PER_SECOND,
-  },
   'attempt overdue': {
     level: 'info',
     meaning:
--- a/tests/gateway/RequestHandler.test.ts
+++ b/tests/gateway/RequestHandler.test.ts
@@ -50,7 +50,6 @@
           throw new Error('no view is needed while no request may wait');
         },
         metrics,
-        events: silentEvents,
         getNowMs: () => this.nowMs,
         random: () => 0,
       }),
--- a/tests/gateway/RequestQueue.test.ts
+++ b/tests/gateway/RequestQueue.test.ts
@@ -63,7 +63,6 @@
         ...view,
       }),
       metrics: this.metrics,
-      events: silentEvents,
       getNowMs,
       random: () => 0.5,
     });
