Test the queue of the gateways in overload and after faults

A queue that grew before its rate was known stayed long, since each new request displaced only one that was late. Several are displaced now, and all kinds of requests may wait for the same time.

--- a/src/controllers/admission/ServiceQueue.ts
+++ b/src/controllers/admission/ServiceQueue.ts
@@ -1,5 +1,5 @@
 /** One gateway's waiting requests of one service: which start, which wait, and which are refused. */
-import {FairQueue} from './FairQueue.js';
+import {FairQueue, type QueuePlace} from './FairQueue.js';
 import {ServiceRoom, type ServiceLoadView} from './ServiceRoom.js';
 import {ServiceTimes} from './ServiceTimes.js';
 import {StartRate} from './StartRate.js';
@@ -29,8 +29,8 @@
   | {readonly kind: 'started'}
   | {
       readonly kind: 'waiting';
-      /** Request that was removed for this one; undefined if the queue wasn't full. */
-      readonly displacedRequestId: string | undefined;
+      /** Requests that were removed for this one; empty if the queue wasn't full. */
+      readonly displacedRequestIds: readonly string[];
     }
   | {readonly kind: 'refused'; readonly reason: QueueRefusal; readonly retryAfterMs: number};
 
@@ -48,6 +48,12 @@
 const USED_SLACK_SHARE = 0.5;
 /** Share of the target that a request may wait in any case, so that requests are ready when slots become free. */
 const MIN_WAIT_SHARE = 0.2;
+/** Multiple of the shortest useful wait after which a request may be displaced, whatever its kind. */
+const MAX_WAIT_FACTOR = 1.4;
+/** Requests that may wait while nothing is known of the rate, at least. */
+const MIN_WAITING = 2;
+/** Requests that one new request may displace, so that a queue that is too long becomes shorter. */
+const MAX_DISPLACED = 3;
 /** Callers come back within a third of the time that they have left. */
 const MAX_RETRY_SHARE = 0.3;
 /** Bounds of the delay before a retry. Sooner, a retry meets the same queue. */
@@ -85,19 +91,14 @@
     const {workspace} = request;
     const place = {workspace, priority: request.priority, shareWeight: 1};
     const maxWaitMs = this.getMaxWaitMs(request, nowMs);
-    const intervalMs = this.getIntervalMs(nowMs) ?? 0;
+    const intervalMs = this.getIntervalMs(nowMs);
     const late = this.queue.getLateRequest(nowMs);
     const aheadCount = this.queue.getCountAhead(place) - (late ? 1 : 0);
-    if (aheadCount > 0 && (aheadCount + 1) * intervalMs > maxWaitMs) {
+    if (aheadCount > 0 && (aheadCount + 1) * (intervalMs ?? 0) > maxWaitMs) {
       return this.refuse(request, 'too-late', nowMs);
     }
-    const size = this.queue.getSize();
-    const isFull =
-      size >= this.options.maxWaiting ||
-      (size > 0 && (size + 1) * intervalMs > this.shortestWaitMs);
-    const displaced = isFull ? (late ?? this.queue.getDisplaceableRequest(place)) : undefined;
-    if (isFull && !displaced) return this.refuse(request, 'queue-full', nowMs);
-    if (displaced) this.queue.removeRequest(displaced.requestId);
+    const displacedRequestIds = this.makePlace(place, this.getMaxWaiting(intervalMs), nowMs);
+    if (!displacedRequestIds) return this.refuse(request, 'queue-full', nowMs);
     const {requestId, kind, firstTryAtMs, deadlineAtMs} = request;
     this.queue.addRequest({
       ...place,
@@ -105,11 +106,14 @@
       requestClass: kind,
       firstTryAtMs,
       deadlineAtMs: deadlineAtMs - (this.times.getFirstEventMs(kind) ?? 0),
-      latestStartAtMs: this.getLatestStartAtMs(request),
+      latestStartAtMs: Math.min(
+        this.getLatestStartAtMs(request),
+        nowMs + MAX_WAIT_FACTOR * this.shortestWaitMs,
+      ),
       queuedAtMs: nowMs,
     });
     this.waitingSinceMs ??= nowMs;
-    return {kind: 'waiting', displacedRequestId: displaced?.requestId};
+    return {kind: 'waiting', displacedRequestIds};
   }
 
   /** Removes a waiting request whose caller has disconnected or whose gateway stops. */
@@ -159,6 +163,43 @@
     return minMs + this.options.random() * (maxMs - minMs);
   }
 
+  /**
+   * Returns how many requests may wait. While nothing is known of the rate, they may be as many as this gateway may have
+   * open; otherwise as many as are started while the one with the least time waits.
+   */
+  private getMaxWaiting(intervalMs: number | undefined): number {
+    const {maxWaiting} = this.options;
+    if (intervalMs === undefined) {
+      return Math.min(
+        maxWaiting,
+        Math.max(MIN_WAITING, Math.ceil(this.room.getEvenPart() ?? Infinity)),
+      );
+    }
+    return Math.min(maxWaiting, Math.max(1, Math.floor(this.shortestWaitMs / intervalMs)));
+  }
+
+  /**
+   * Removes requests if the queue is full: first those that can't meet their targets any more, then one of a workspace
+   * above its share.
+   * @returns Ids of the removed requests; undefined if there is no place.
+   */
+  private makePlace(
+    place: QueuePlace,
+    maxWaiting: number,
+    nowMs: number,
+  ): readonly string[] | undefined {
+    const displacedIds: string[] = [];
+    while (this.queue.getSize() >= maxWaiting && displacedIds.length < MAX_DISPLACED) {
+      const late = this.queue.getLateRequest(nowMs);
+      const displaced =
+        late ?? (displacedIds.length === 0 ? this.queue.getDisplaceableRequest(place) : undefined);
+      if (!displaced) return displacedIds.length > 0 ? displacedIds : undefined;
+      this.queue.removeRequest(displaced.requestId);
+      displacedIds.push(displaced.requestId);
+    }
+    return displacedIds;
+  }
+
   /** Returns the interval between the starts of waiting requests; undefined while nothing is known of it. */
   private getIntervalMs(nowMs: number): number | undefined {
     const sinceMs = nowMs - (this.waitingSinceMs ?? nowMs);
--- a/src/gateway/RequestQueue.ts
+++ b/src/gateway/RequestQueue.ts
@@ -110,9 +110,7 @@
     state.waiting.set(request.requestId, {request, handler, sinceMs: nowMs});
     this.waitingCount += 1;
     this.timer ??= setInterval(() => this.poll(), POLL_MS);
-    const {displacedRequestId} = decision;
-    if (displacedRequestId !== undefined)
-      this.refuseWaiting(state, displacedRequestId, 'displaced');
+    for (const id of decision.displacedRequestIds) this.refuseWaiting(state, id, 'displaced');
     return () => {
       if (!this.takeWaiting(state, request.requestId)) return false;
       state.queue.removeWaiting(request.requestId);
--- a/tests/controllers/admission/overload.test.ts
+++ b/tests/controllers/admission/overload.test.ts
@@ -61,12 +61,25 @@
       t.comment(JSON.stringify(result));
       t.ok(result.usefulShare >= 0.9, `useful share of the slots: ${result.usefulShare}`);
       t.ok(result.leastKind >= 0.85, `least-served kind: ${result.leastKind}`);
+      t.ok(result.leastWorkspace >= 0.4, `least-served workspace: ${result.leastWorkspace}`);
       t.equal(result.lateRefusals, 0);
       t.ok(result.usefulShare > 1.5 * run(7, load, {hasQueue: false}).usefulShare);
       t.end();
     });
   }
 
+  // The deployments have up to 300 gateways, of which each has only a few slots; 0.9 isn't reached there.
+  for (const load of [1.2, 1.5, 2, 3, 5]) {
+    t.test(`70 gateways at ${load} times the capacity`, t => {
+      const result = run(70, load);
+      t.comment(JSON.stringify(result));
+      t.ok(result.usefulShare >= 0.8, `useful share of the slots: ${result.usefulShare}`);
+      t.ok(result.leastKind >= 0.8, `least-served kind: ${result.leastKind}`);
+      t.equal(result.lateRefusals, 0);
+      t.end();
+    });
+  }
+
   t.test('nothing waits at a third of the capacity', t => {
     for (const gateways of [7, 70]) {
       const result = run(gateways, 0.33);
@@ -77,3 +90,66 @@
   });
   t.end();
 });
+
+t.test('overloaded servers recover', t => {
+  const FAULT_MS = 6_000;
+  const END_MS = 15_000;
+
+  function doTest(name: string, fault: (simulation: OverloadSimulation) => void, sinceMs: number) {
+    t.test(name, t => {
+      const simulation = create(7, 1.5, {durationMs: END_MS + 4_000});
+      fault(simulation);
+      simulation.run();
+      const result = simulation.getResult(sinceMs, END_MS);
+      t.comment(JSON.stringify(result));
+      t.ok(result.usefulShare >= 0.85, `useful share of the slots: ${result.usefulShare}`);
+      t.equal(result.lateRefusals, 0);
+      t.end();
+    });
+  }
+
+  doTest(
+    'after a gateway has died with its requests',
+    simulation => simulation.at(FAULT_MS, () => simulation.kill(0)),
+    FAULT_MS + 2_000,
+  );
+  doTest(
+    'after a gateway was frozen for 2 s',
+    simulation => {
+      simulation.at(FAULT_MS, () => simulation.setFrozen(0, true));
+      simulation.at(FAULT_MS + 2_000, () => simulation.setFrozen(0, false));
+    },
+    FAULT_MS + 4_000,
+  );
+  doTest(
+    'after a gateway was cut off from the others for 3 s',
+    simulation => {
+      simulation.at(FAULT_MS, () => simulation.setCutOff(0, true));
+      simulation.at(FAULT_MS + 3_000, () => simulation.setCutOff(0, false));
+    },
+    FAULT_MS + 5_000,
+  );
+  doTest(
+    'after all gateways were started again at once',
+    simulation => {
+      simulation.at(FAULT_MS, () => {
+        for (let index = 0; index < 7; index += 1) simulation.kill(index);
+      });
+      simulation.at(FAULT_MS + 200, () => {
+        for (let index = 0; index < 7; index += 1) simulation.restart(index);
+      });
+    },
+    FAULT_MS + 3_000,
+  );
+  doTest(
+    'after the fleet has doubled',
+    simulation => {
+      simulation.at(FAULT_MS, () => {
+        for (let index = 0; index < 7; index += 1) simulation.addGateway();
+        for (const slots of SERVER_SLOTS) simulation.addServer(slots);
+      });
+    },
+    FAULT_MS + 3_000,
+  );
+  t.end();
+});
