Test gateway processes against hostile callers

The test checks that the process runs, its peak of resident memory, its descriptors, and that one ordinary request is answered afterwards.

run-tests.mjs runs the files of FILES_RUN_ALONE after all others, one at a time.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -2,7 +2,7 @@
  * Runs the compiled test files, some of them in parallel, and prints `N passed, N failed` as the last line. Failures of
  * tests listed in KNOWN-RED.txt are printed but don't fail the run; every other failure does, and so do skipped tests.
  * Usage: node scripts/run-tests.mjs [FILE ...]
- * FILE is a part of a path, such as tests/operator; without one, all tests run.
+ * FILE is a part of a path, such as tests/operator; without one, all tests run. The files of FILES_RUN_ALONE run last.
  */
 import {spawn} from 'node:child_process';
 import {existsSync, readFileSync, readdirSync, statSync} from 'node:fs';
@@ -21,6 +21,8 @@
 const MAX_FAILURES = 10;
 /** Files that run at the same time; a third of the cores, because some tests start several processes. */
 const MAX_PARALLEL = Math.max(2, Math.floor(cpus().length / 3));
+/** Files that run after all others, one at a time: they load the machine or measure processes under load. */
+const FILES_RUN_ALONE = ['tests/platform/hostileCallers.test.ts'];
 
 /** Returns the paths of all test files below a folder. */
 function listTests(folder) {
@@ -116,16 +118,20 @@
     patterns.length === 0 || patterns.some(pattern => path.includes(pattern.replace(/\.ts$/, ''))),
 );
 const knownFailures = readKnownFailures();
-const queue = [...selectedFiles];
 let passed = 0;
 let failed = 0;
 const toleratedFailures = [];
 
+/** Returns the path of a compiled test's source, from the root of the repository. */
+function getSource(path) {
+  return relative(join(ROOT, 'dist'), path).replace(/\.js$/, '.ts');
+}
+
 /** Runs queued files one at a time until the queue is empty. */
-async function worker() {
+async function worker(queue) {
   for (let path = queue.shift(); path !== undefined; path = queue.shift()) {
     const {output, code} = await runFile(path);
-    const source = relative(join(ROOT, 'dist'), path).replace(/\.js$/, '.ts');
+    const source = getSource(path);
     const results = readResults(output);
     const failures = results.filter(result => !result.isOk);
     const tolerated = failures.filter(result =>
@@ -146,7 +152,10 @@
   }
 }
 
-await Promise.all(Array.from({length: MAX_PARALLEL}, worker));
+const runsAlone = path => FILES_RUN_ALONE.includes(getSource(path));
+const parallelQueue = selectedFiles.filter(path => !runsAlone(path));
+await Promise.all(Array.from({length: MAX_PARALLEL}, () => worker(parallelQueue)));
+await worker(selectedFiles.filter(runsAlone));
 for (const name of toleratedFailures) console.log(`KNOWN RED, passed over: ${name}`);
 // A run without any passed test fails, for example if no file matches.
 if (passed === 0) failed += 1;
--- a/tests/platform/GatewayProcess.ts
+++ b/tests/platform/GatewayProcess.ts
@@ -1,6 +1,6 @@
 /** Runs the bundled gateway as a process of its own, against stand-ins for the store and for backend servers. */
 import {execFileSync, spawn, type ChildProcess} from 'node:child_process';
-import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync} from 'node:fs';
 import {request as httpRequest} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -79,6 +79,12 @@
   });
 }
 
+/** Limits of a machine, as the settings file names them. */
+export interface ProcessLimits {
+  readonly memory_mb: number;
+  readonly max_fds: number;
+}
+
 /** What a gateway process is started with. */
 export interface GatewayProcessOptions {
   /** Holds the configuration and the backend servers' entries before the start. */
@@ -86,12 +92,15 @@
   readonly graceSeconds: number;
   /** Options of Node.js before the bundle. */
   readonly nodeOptions: readonly string[];
+  /** Limits in the settings file; the process uses its defaults if undefined. */
+  readonly limits?: ProcessLimits;
 }
 
 /** A gateway process that is ready for callers. */
 export class GatewayProcess {
   readonly process: ChildProcess;
   private output = '';
+  private sampledPeakBytes = 0;
 
   private constructor(child: ChildProcess) {
     this.process = child;
@@ -101,7 +110,7 @@
 
   /** Bundles the gateway, starts it and waits until it is ready; everything ends with the test. */
   static async start(t: Test, options: GatewayProcessOptions): Promise<GatewayProcess> {
-    const {store, graceSeconds, nodeOptions} = options;
+    const {store, graceSeconds, nodeOptions, limits} = options;
     const storeAddress = await store.start();
     t.teardown(() => store.stop());
     const folder = mkdtempSync(join(tmpdir(), 'gateway-'));
@@ -109,7 +118,10 @@
     const bundle = join(folder, 'gateway.mjs');
     execFileSync(process.execPath, ['scripts/bundle.mjs', 'dist/platform/main.js', bundle]);
     const settings = join(folder, 'settings.json');
-    writeFileSync(settings, JSON.stringify(createSettings(storeAddress, graceSeconds)));
+    writeFileSync(
+      settings,
+      JSON.stringify({...createSettings(storeAddress, graceSeconds), limits}),
+    );
     const child = spawn(process.execPath, [...nodeOptions, bundle], {
       env: {...process.env, BUCKTHORNGW_CONFIG: settings},
     });
@@ -132,10 +144,38 @@
     return this.output;
   }
 
-  /** Returns the largest resident memory of the process since its start, in bytes. */
+  /**
+   * Returns the largest resident memory of the process since its start, in bytes. That is the largest sample if the
+   * process has ended, or if the operating system keeps no peak.
+   */
   getPeakMemoryBytes(): number {
-    const status = readFileSync(`/proc/${this.process.pid}/status`, 'utf8');
-    return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * KIB;
+    if (this.isRunning) this.sampledPeakBytes = Math.max(this.sampledPeakBytes, this.readMemory());
+    return this.sampledPeakBytes;
+  }
+
+  /** Samples the resident memory; returns the number of open descriptors, or 0 if the process has ended. */
+  sampleUse(): number {
+    if (!this.isRunning) return 0;
+    this.getPeakMemoryBytes();
+    try {
+      return readdirSync(`/proc/${this.process.pid}/fd`).length;
+    } catch {
+      // The process has ended since the check.
+      return 0;
+    }
+  }
+
+  /** Returns the peak of the resident memory if the operating system keeps it, and otherwise its present value. */
+  private readMemory(): number {
+    const {pid} = this.process;
+    try {
+      const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+      const [, peakKb] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
+      return Number(peakKb ?? execFileSync('ps', ['-o', 'rss=', '-p', String(pid)])) * KIB;
+    } catch {
+      // The process has ended since the check.
+      return 0;
+    }
   }
 }
 
