Bound what callers may take from a gateway process

Callers saw all their requests end when 200 hostile connections made the process run out of memory: bodies were kept in one buffer for each chunk without any bound on all of them together, heads and pipelined requests were not counted, and connections had no limit. The requests behind the first one of a closed connection were never abandoned and were kept for ever.

All requests until they are answered are now charged to a budget of 15% of limits.memory_mb, by source address. If it is exceeded, the largest incomplete request of the source that holds most gets 503. Bodies are copied into blocks that are used again. Bodies above the limit get 413 and late ones 408, and their connections are closed without reading on. Connections and running requests are bounded by limits.max_fds. Bodies in very many chunks share the turns of the event loop with other requests. Header lines beyond 2,000 of a legal head are no longer dropped, and max_header_bytes is enforced.

Events that a process logs once may be logged 5 times a second instead of 50, as the sum of all rates is bounded.

--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -21,6 +21,13 @@
   readonly gossip: GossipTraffic;
 }
 
+/** Gauge values of the callers' connections, read each time the metrics are scraped. */
+export interface CallerGauges {
+  /** Memory of the requests that haven't been answered. */
+  readonly incomingBytes: number;
+  readonly connections: number;
+}
+
 /** Gauges with a single value, which are exported without labels. */
 type PlainGauge = Exclude<keyof GatewayGauges, 'gossip'>;
 
@@ -103,6 +110,12 @@
     registers: [this.registry],
   });
 
+  private readonly callerRefusals = new Counter({
+    name: 'buckthorn_callers_refused_total',
+    help: 'Requests refused and connections closed to keep the bounds of memory and connections.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   private readonly rolloutShares = new Gauge({
     name: 'buckthorn_rollout_share_percent',
     help: 'Share of the new requests of a service that may go to the version that it is moved to.',
@@ -150,6 +163,14 @@
     this.storeCalls.inc({call, result});
   }
 
+  /**
+   * Counts a request that was refused, or a connection that was closed, before the gateway got to decide.
+   * @param reason - Used as a label value.
+   */
+  addCallerRefusal(reason: string): void {
+    this.callerRefusals.inc({reason});
+  }
+
   /** Records the share of a roll-out, and counts it if it has ended. */
   addRolloutStep({service, targetVersion: version, phase, sharePercent}: RolloutStep): void {
     this.rolloutShares.set({service, version}, sharePercent);
@@ -173,6 +194,25 @@
     this.addGossipCounters(() => getGauges().gossip);
   }
 
+  /**
+   * Registers the gauges of the callers' connections; call it once.
+   * @param getGauges - Returns the current values.
+   */
+  setCallerGauges(getGauges: () => CallerGauges): void {
+    const incoming: Gauge = new Gauge({
+      name: 'buckthorn_incoming_bytes',
+      help: "Memory of the requests that haven't been answered.",
+      registers: [this.registry],
+      collect: () => incoming.set(getGauges().incomingBytes),
+    });
+    const connections: Gauge = new Gauge({
+      name: 'buckthorn_caller_connections',
+      help: 'Open connections of callers.',
+      registers: [this.registry],
+      collect: () => connections.set(getGauges().connections),
+    });
+  }
+
   private addGossipCounters(getTraffic: () => GossipTraffic): void {
     const datagrams: Counter = new Counter({
       name: 'buckthorn_gossip_datagrams_total',
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -20,6 +20,10 @@
 const STATE_CHANGES_PER_SECOND = 50;
 /** What servers say of themselves when they refuse requests. */
 const HINTS_PER_SECOND = 5;
+/** A process starts and stops once. */
+const PROCESS_EVENTS_PER_SECOND = 5;
+/** A hostile crowd causes thousands; the counter has their number. */
+const CALLER_REFUSALS_PER_SECOND = 5;
 /** All connections of a pool may go silent at once; the first ones tell it. */
 const STALLS_PER_SECOND = 2;
 /** Steps of roll-outs, of which a gateway sees a few per service. */
@@ -33,19 +37,19 @@
     level: 'info',
     meaning: 'The gateway has started and accepts requests.',
     fields: ['startMs', 'rssMb'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: PROCESS_EVENTS_PER_SECOND,
   },
   stopping: {
     level: 'info',
     meaning: 'SIGTERM was received: new requests are refused, open ones continue.',
     fields: ['openRequests'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: PROCESS_EVENTS_PER_SECOND,
   },
   stopped: {
     level: 'info',
     meaning: 'The gateway has shut down, and the process exits.',
     fields: ['openRequests'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: PROCESS_EVENTS_PER_SECOND,
   },
   'settings reloaded': {
     level: 'info',
@@ -85,6 +89,13 @@
     fields: ['request', 'path', 'workspace', 'refusal', 'version', 'configurationAgeMs'],
     maxPerSecond: REQUEST_EVENTS_PER_SECOND,
   },
+  'caller refused': {
+    level: 'warn',
+    meaning:
+      'A request was refused or a connection closed before the gateway got to decide, because its caller (`source`) exceeded a bound, or most of what all callers held. `reason` is listed in docs/OPERATIONS.md.',
+    fields: ['reason', 'source'],
+    maxPerSecond: CALLER_REFUSALS_PER_SECOND,
+  },
   'attempt overdue': {
     level: 'info',
     meaning:
--- a/tests/gateway/GatewayMetrics.test.ts
+++ b/tests/gateway/GatewayMetrics.test.ts
@@ -24,6 +24,7 @@
     leftOutLogLines: 0,
     gossip: {sentDatagrams: 1, sentBytes: 2, receivedDatagrams: 3, receivedBytes: 4},
   }));
+  metrics.setCallerGauges(() => ({incomingBytes: 0, connections: 0}));
   const text = await metrics.getText();
   const exported = [...text.matchAll(/^# HELP (\S+)/gm)].map(([, name]) => name);
   const page = readFileSync('docs/OPERATIONS.md', 'utf8');
--- a/tests/platform/CallerServer.test.ts
+++ b/tests/platform/CallerServer.test.ts
@@ -1,6 +1,7 @@
 /** Tests of `CallerServer` with callers that write raw bytes, in front of a gateway that records its requests. */
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import t, {type Test} from 'tap';
+import type {CallerBounds} from '../../platform/CallerBounds.js';
 import {CallerServer} from '../../platform/CallerServer.js';
 import type {ResponseSink, ServingRequest} from '../../src/exchange/index.js';
 import type {Gateway} from '../../src/gateway/index.js';
@@ -16,6 +17,8 @@
   readonly port: number;
   readonly callers: CallerServer;
   readonly accepted: AcceptedRequest[];
+  /** Reasons of refusals. */
+  readonly refused: string[];
 }
 
 const WAIT_MS = 2_000;
@@ -32,8 +35,9 @@
   return port;
 }
 
-async function startServer(t: Test): Promise<StartedServer> {
+async function startServer(t: Test, bounds?: CallerBounds): Promise<StartedServer> {
   const accepted: AcceptedRequest[] = [];
+  const refused: string[] = [];
   const gateway = {
     isLeaving: false,
     accept: (request: ServingRequest, sink: ResponseSink) => {
@@ -47,11 +51,13 @@
     events: silentEvents,
     getNowMs: () => performance.now(),
     headCheckIntervalMs: HEAD_CHECK_INTERVAL_MS,
+    bounds,
+    onRefused: reason => refused.push(reason),
   });
   const port = await findFreePort();
   await callers.listen(`127.0.0.1:${port}`);
   t.teardown(() => callers.close());
-  return {port, callers, accepted};
+  return {port, callers, accepted, refused};
 }
 
 async function openConnection(t: Test, port: number): Promise<Socket> {
@@ -164,5 +170,90 @@
     await waitFor(() => accepted[0].isAbandoned);
   });
 
+  // Node.js reports the end of a connection only to the first response; the others were kept, and ran, for ever.
+  t.test('abandons all requests of a connection whose caller leaves', async t => {
+    const {port, accepted, callers} = await startServer(t);
+    const socket = await openConnection(t, port);
+    socket.write(REQUEST.repeat(3));
+    await waitFor(() => accepted.length === 3);
+    socket.destroy();
+    await waitFor(() => accepted.every(({isAbandoned}) => isAbandoned));
+    t.equal(callers.openExchanges, 0);
+    t.equal(callers.incomingBytes, 0);
+  });
+
+  t.test('closes a connection with too many requests before the first response', async t => {
+    const {port, callers, refused} = await startServer(t);
+    const socket = await openConnection(t, port);
+    let isClosed = false;
+    socket.on('close', () => (isClosed = true));
+    socket.write(REQUEST.repeat(17));
+    await waitFor(() => isClosed);
+    t.same(refused, ['too-many-pipelined']);
+    await waitFor(() => callers.openExchanges === 0 && callers.openConnections === 0);
+  });
+
+  const HEAD = 'POST /a/1 HTTP/1.1\r\nhost: h\r\nx-buckthorngw-attempt-id: q7\r\n';
+  for (const {name, bytes, expected, reason} of [
+    {
+      name: 'an announced body above the limit',
+      bytes: `${HEAD}content-length: 1001\r\n\r\n`,
+      expected: /^HTTP\/1.1 413 .*\r\nx-buckthorngw-attempt-id: q7\r\n/,
+      reason: 'body-too-large',
+    },
+    {
+      name: 'a body above the limit',
+      bytes: `${HEAD}transfer-encoding: chunked\r\n\r\n3e9\r\n${'x'.repeat(1_001)}`,
+      expected: /^HTTP\/1.1 413 .*\r\nx-buckthorngw-attempt-id: q7\r\n/,
+      reason: 'body-too-large',
+    },
+    {
+      name: 'a body that stops until the deadline',
+      bytes: `${HEAD}x-buckthorngw-deadline-ms: 300\r\ncontent-length: 9\r\n\r\nhi`,
+      expected: /^HTTP\/1.1 408 .*\r\nx-buckthorngw-attempt-id: q7\r\n/,
+      reason: 'body-late',
+    },
+  ]) {
+    t.test(`answers ${name}, and closes without reading on`, async t => {
+      const {port, accepted, callers, refused} = await startServer(t);
+      callers.setLimits({
+        maxHeaderBytes: 1_000,
+        maxBodyBytes: 1_000,
+        headerTimeoutMs: WAIT_MS,
+        idleTimeoutMs: WAIT_MS,
+      });
+      const socket = await openConnection(t, port);
+      let received = '';
+      let isClosed = false;
+      socket.on('data', data => (received += String(data)));
+      socket.on('close', () => (isClosed = true));
+      socket.write(bytes);
+      await waitFor(() => isClosed);
+      t.match(received, expected);
+      t.same(refused, [reason]);
+      await waitFor(() => callers.openConnections === 0);
+      t.equal(callers.incomingBytes, 0);
+      t.same(accepted, []);
+    });
+  }
+
+  t.test('refuses requests beyond those that may run, as not run', async t => {
+    const {port, accepted, refused} = await startServer(t, {
+      maxIncomingBytes: 1_000_000,
+      maxConnections: 1,
+    });
+    const socket = await openConnection(t, port);
+    let received = '';
+    socket.on('data', data => (received += String(data)));
+    socket.write(REQUEST.repeat(2));
+    await waitFor(() => refused.length === 1);
+    t.same(refused, ['too-many-running']);
+    t.equal(accepted.length, 1);
+    accepted[0].sink.start(200, {'content-length': '0'});
+    accepted[0].sink.end();
+    await waitFor(() => received.includes('HTTP/1.1 503 '));
+    t.match(received, /^HTTP\/1.1 200 OK\r\n[^]*HTTP\/1.1 503 [^]*\r\nretry-after: 1.00\r\n/i);
+  });
+
   t.end();
 });
--- a/tests/platform/settingsFile.test.ts
+++ b/tests/platform/settingsFile.test.ts
@@ -25,6 +25,13 @@
     gateway: {duties: {reportsUsage: false, ordersServers: false}},
     dutyAddress: undefined,
   });
+  const {callerBounds} = decodeSettings(
+    {...FILE, limits: {memory_mb: 100, max_fds: 1_000}},
+    'file',
+    42,
+  );
+  t.same(callerBounds, {maxIncomingBytes: 15_728_640, maxConnections: 400});
+  t.match(decodeSettings(FILE, 'file', 42), {callerBounds: {maxConnections: 1_006}});
   const doTest = (name: string, fields: object, expected: RegExp) => {
     t.test(`names the invalid field: ${name}`, t => {
       t.throws(() => decodeSettings({...FILE, ...fields}, 'file', 42), {message: expected});
