--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -22,6 +22,8 @@
 const LIFE_EVENTS_PER_SECOND = 1;
 /** What servers say of themselves when they refuse requests. */
 const HINTS_PER_SECOND = 5;
+/** A hostile crowd causes thousands; the counter has their number. */
+const CALLER_REFUSALS_PER_SECOND = 5;
 /** All connections of a pool may go silent at once; the first ones tell it. */
 const STALLS_PER_SECOND = 2;
 /** Steps of roll-outs, of which a gateway sees a few per service. */
@@ -87,6 +89,13 @@
     fields: ['request', 'path', 'workspace', 'refusal', 'version', 'configurationAgeMs'],
     maxPerSecond: REQUEST_EVENTS_PER_SECOND,
   },
+  'caller refused': {
+    level: 'warn',
+    meaning:
+      'A request was refused or a connection closed before the gateway got to decide, because its caller (`source`) exceeded a bound, or most of what all callers held. `reason` is listed in docs/OPERATIONS.md.',
+    fields: ['reason', 'source'],
+    maxPerSecond: CALLER_REFUSALS_PER_SECOND,
+  },
   'attempt overdue': {
     level: 'info',
     meaning:
--- a/tests/gateway/RequestQueue.test.ts
+++ b/tests/gateway/RequestQueue.test.ts
@@ -45,7 +45,14 @@
   readonly catalog = new Catalog();
   readonly metrics = new GatewayMetrics();
   private readonly attempts: BackendResponseHandler[] = [];
-  private readonly ledger = new QuotaLedger({startsFull: true, toleratedShare: 0});
+  private readonly ledger = new QuotaLedger({
+    startsFull: true,
+    toleratedShare: 0,
+    toleratedTokens: 0,
+    windowMs: 8_000,
+    findQuota: () => undefined,
+    random: () => 0.5,
+  });
   private readonly members = new MemberTable('g1', {unresponsiveAfterMs: 1, removedAfterMs: 1});
 
   constructor(view: Partial<ServiceLoadView> = {}, isEnabled = true) {
