--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -381,7 +381,7 @@
       ownRequests,
       peerRequests: Math.max(0, openRequests - ownRequests),
       gateways: live.length + 1,
-      isFleetKnown: this.isFleetKnown(nowMs) && (live.length > 0 || isAlone),
+      isFleetKnown: live.length > 0 || (isAlone && this.isFleetKnown(nowMs)),
     };
   }
 
