--- a/tests/controllers/admission/overload.test.ts
+++ b/tests/controllers/admission/overload.test.ts
@@ -68,12 +68,12 @@
     });
   }
 
-  // The deployments have up to 300 gateways, of which each has only a few slots; 0.9 isn't reached there.
+  // With 70 gateways, each has only a few slots as its even part.
   for (const load of [1.2, 1.5, 2, 3, 5]) {
     t.test(`70 gateways at ${load} times the capacity`, t => {
       const result = run(70, load);
       t.comment(JSON.stringify(result));
-      t.ok(result.usefulShare >= 0.8, `useful share of the slots: ${result.usefulShare}`);
+      t.ok(result.usefulShare >= 0.9, `useful share of the slots: ${result.usefulShare}`);
       t.ok(result.leastKind >= 0.8, `least-served kind: ${result.leastKind}`);
       t.equal(result.lateRefusals, 0);
       t.end();
