--- a/src/catalog/RouteTable.ts
+++ b/src/catalog/RouteTable.ts
@@ -1,18 +1,10 @@
 /** Looks up routes by host and path, and workspaces by key, in one version of the configuration. */
-import {getTextKey} from '../utils/index.js';
-import type {
-  Route,
-  ServingConfiguration,
-  Workspace,
-  WorkspaceQuota,
-} from './ServingConfiguration.js';
+import type {Route, ServingConfiguration, Workspace} from './ServingConfiguration.js';
 
 /** Lookup table for one version of the configuration: routes by host, workspaces by key. */
 export class RouteTable {
   private readonly routesByHost = new Map<string, Route[]>();
   private readonly workspacesByKey = new Map<string, Workspace>();
-  /** By the keys of the workspaces' names. */
-  private readonly quotas = new Map<number, WorkspaceQuota>();
   readonly configuration: ServingConfiguration;
 
   constructor(configuration: ServingConfiguration) {
@@ -20,7 +12,6 @@
     for (const route of configuration.routes) this.addRoute(route);
     for (const workspace of configuration.workspaces) {
       for (const key of workspace.keys) this.workspacesByKey.set(key, workspace);
-      if (workspace.quota) this.quotas.set(getTextKey(workspace.name), workspace.quota);
     }
   }
 
@@ -47,14 +38,6 @@
     return this.workspacesByKey.get(key);
   }
 
-  /**
-   * Returns the quota of a workspace.
-   * @param workspaceKey - Key of the workspace's name, as gateways report it to each other.
-   */
-  findQuota(workspaceKey: number): WorkspaceQuota | undefined {
-    return this.quotas.get(workspaceKey);
-  }
-
   /** Adds a route to those of its host, sorted by descending length of the prefix. */
   private addRoute(route: Route): void {
     const host = route.host.toLowerCase();
--- a/src/controllers/quotas/index.ts
+++ b/src/controllers/quotas/index.ts
@@ -1,8 +1,6 @@
 export {
   QuotaLedger,
   type AdmissionReport,
-  type BucketState,
-  type QuotaCaller,
   type QuotaDecision,
   type QuotaLedgerOptions,
   type PeerReachability,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -105,10 +105,6 @@
     this.quotaLedger = new QuotaLedger({
       startsFull: settings.isFirstStart,
       toleratedShare: settings.quotaToleratedShare,
-      toleratedTokens: settings.quotaToleratedTokens,
-      windowMs: settings.quotaWindowMs,
-      findQuota: key => catalog.routeTable?.findQuota(key),
-      random,
     });
     this.responseBuffers = new BufferBudget(settings.maxBufferedBytes);
     this.usageLedger = new UsageLedger(settings.usageWindowSeconds);
--- a/src/gateway/GatewaySettings.ts
+++ b/src/gateway/GatewaySettings.ts
@@ -34,10 +34,6 @@
   readonly rolloutExposure: {readonly share: number; readonly slack: number};
   /** Share of a workspace's quota by which admissions may exceed the quota. */
   readonly quotaToleratedShare: number;
-  /** Tokens by which the admissions of a workspace in a window may exceed its quota in addition to that share. */
-  readonly quotaToleratedTokens: number;
-  /** Length of the windows in which the admissions of a workspace are limited. */
-  readonly quotaWindowMs: number;
   readonly usageWindowSeconds: number;
   /** Time after the end of a usage window within which its report must be sent. */
   readonly usageDueMs: number;
--- a/src/gateway/GroupExchange.ts
+++ b/src/gateway/GroupExchange.ts
@@ -95,7 +95,7 @@
     this.groups = planGossipGroups(own, members.getPresentMembers(nowMs));
     const fellowIds = this.groups.flatMap(({fellows}) => fellows.map(({id}) => id));
     members.setExpected(new Set(fellowIds), nowMs);
-    this.dropFormerSources(nowMs);
+    this.dropFormerSources();
     return this.groups;
   }
 
@@ -254,24 +254,23 @@
   }
 
   /** Drops the reports of gateways that are no longer in a group with this one. */
-  private dropFormerSources(nowMs: number): void {
+  private dropFormerSources(): void {
     const levels = new Map(
       this.groups.flatMap(({level, fellows}) => fellows.map(({id}) => [id, level] as const)),
     );
     for (const [id, {level}] of this.reports) {
-      if (levels.get(id) !== level) this.removeSource(id, nowMs);
+      if (levels.get(id) !== level) this.removeSource(id);
     }
     const {headId} = this.groups[this.groups.length - 1];
     if (headId === this.options.describeSelf().id) {
       this.rest = undefined;
-      this.removeSource(REST_SOURCE, nowMs);
+      this.removeSource(REST_SOURCE);
     }
   }
 
-  private removeSource(sourceId: string, nowMs: number): void {
+  private removeSource(sourceId: string): void {
     this.reports.delete(sourceId);
     this.options.loads.removePeerReport(sourceId);
-    this.options.quotaLedger.removeSource(sourceId, nowMs);
     this.options.usageLedger.removeCombinedUsage(sourceId);
     this.options.evidence.removeCombined(sourceId);
   }
--- a/tests/controllers/quotas/QuotaLedger.test.ts
+++ b/tests/controllers/quotas/QuotaLedger.test.ts
@@ -5,7 +5,6 @@
   QuotaLedger,
   type AdmissionReport,
   type PeerReachability,
-  type QuotaLedgerOptions,
 } from '../../../src/controllers/quotas/index.js';
 import {createSeededRandom, getTextKey} from '../../../src/utils/index.js';
 
@@ -40,8 +39,9 @@
 function simulate(scenario: Scenario, seed: number): SimulationResult {
   const random = createSeededRandom(seed);
   const {gateways, partitioned} = scenario;
-  const ledgers = Array.from({length: gateways}, () =>
-    createLedger({startsFull: scenario.startsFull, random}),
+  const ledgers = Array.from(
+    {length: gateways},
+    () => new QuotaLedger({startsFull: scenario.startsFull, toleratedShare: TOLERANCE.share}),
   );
   const admissions: {atMs: number; cost: number}[] = [];
   let requestedCost = 0;
@@ -66,18 +66,6 @@
   return {admissions, admittedShare: admitted / requestedCost};
 }
 
-function createLedger(options: Partial<QuotaLedgerOptions> = {}): QuotaLedger {
-  return new QuotaLedger({
-    startsFull: true,
-    toleratedShare: TOLERANCE.share,
-    toleratedTokens: TOLERANCE.slack,
-    windowMs: WINDOW_MS,
-    findQuota: () => QUOTA,
-    random: createSeededRandom(1),
-    ...options,
-  });
-}
-
 function createReport(admitted: number, baseline?: number): AdmissionReport {
   const workspaceKey = getTextKey('w');
   return {workspaceKey, admitted, baseline, composition: 1n, gateways: 1, ageMs: 0};
@@ -160,7 +148,7 @@
   // The total in a peer's first report was admitted before this gateway started; deducting it would refuse requests
   // that are within the quota.
   t.test('does not deduct the first report of a peer', t => {
-    const ledger = createLedger();
+    const ledger = new QuotaLedger({startsFull: true, toleratedShare: TOLERANCE.share});
     ledger.applyPeerReport('g1', createReport(5_000), 0);
     const decision = ledger.admit('w', QUOTA, 100_000, {reportingGateways: 2, knownGateways: 2}, 1);
     t.equal(decision.kind, 'admitted');
@@ -168,7 +156,7 @@
   });
 
   t.test('refunds a request that no backend server ran', t => {
-    const ledger = createLedger({toleratedTokens: 0});
+    const ledger = new QuotaLedger({startsFull: true, toleratedShare: TOLERANCE.share});
     const reach = {reportingGateways: 1, knownGateways: 1};
     ledger.admit('w', QUOTA, 150_000, reach, 0);
     t.equal(ledger.admit('w', QUOTA, 150_000, reach, 0).kind, 'over');
--- a/tests/gateway/RequestQueue.test.ts
+++ b/tests/gateway/RequestQueue.test.ts
@@ -48,10 +48,6 @@
   private readonly ledger = new QuotaLedger({
     startsFull: true,
     toleratedShare: 0,
-    toleratedTokens: 0,
-    windowMs: 8_000,
-    findQuota: () => undefined,
-    random: () => 0.5,
   });
   private readonly members = new MemberTable('g1', {unresponsiveAfterMs: 1, removedAfterMs: 1});
 
--- a/tests/gateway/gatewayFixtures.ts
+++ b/tests/gateway/gatewayFixtures.ts
@@ -29,8 +29,6 @@
     retrySlack: 50,
     rolloutExposure: {share: 0.1, slack: 50},
     quotaToleratedShare: 0.1,
-    quotaToleratedTokens: 140_000,
-    quotaWindowMs: 8_000,
     usageWindowSeconds: 5,
     usageDueMs: 10_000,
     stopGraceMs: 8_000,
--- a/tests/support/GossipFleet.ts
+++ b/tests/support/GossipFleet.ts
@@ -2,7 +2,7 @@
  * Simulates the gossip of a fleet of gateways in virtual time, over a network that counts the bytes of the encoded
  * datagrams and can lose them.
  */
-import {Catalog, type WorkspaceQuota} from '../../src/catalog/index.js';
+import {Catalog} from '../../src/catalog/index.js';
 import {UsageLedger} from '../../src/controllers/duties/index.js';
 import {PromptRates} from '../../src/controllers/fleetSize/index.js';
 import {FleetEvidence} from '../../src/controllers/moves/index.js';
@@ -25,7 +25,7 @@
 } from '../../src/gossip/index.js';
 import {BROADCAST_INTERVAL_MS} from '../../src/controllers/gossip/index.js';
 import {silentEvents} from '../../src/logging/index.js';
-import {createSeededRandom, getTextKey} from '../../src/utils/index.js';
+import {createSeededRandom} from '../../src/utils/index.js';
 import {createServer} from '../exchange/exchangeFixtures.js';
 import {createSettings} from '../gateway/gatewayFixtures.js';
 
@@ -65,7 +65,7 @@
   readonly members: MemberTable;
   readonly loads = new ServerLoads();
   readonly promptRates = new PromptRates();
-  readonly quotaLedger: QuotaLedger;
+  readonly quotaLedger = new QuotaLedger({startsFull: true, toleratedShare: 0.1});
   readonly usageLedger = new UsageLedger(5);
   readonly duties = new FakeDuties();
   readonly logReadCoordinator: LogReadCoordinator;
@@ -90,14 +90,6 @@
     this.member = member;
     this.nextBroadcastAtMs = firstBroadcastAtMs;
     const getNowMs = () => fleet.nowMs;
-    this.quotaLedger = new QuotaLedger({
-      startsFull: true,
-      toleratedShare: 0.1,
-      toleratedTokens: 140_000,
-      windowMs: 8_000,
-      findQuota: key => fleet.quotas.get(key),
-      random: createSeededRandom(getTextKey(member.id) % 1_000),
-    });
     const getWallMs = () => fleet.wallMs;
     const describeSelf = () => this.member;
     const [ip, port] = member.gossipAddress.split(':');
@@ -174,8 +166,6 @@
 export class GossipFleet {
   nowMs = 0;
   readonly gateways: GossipGateway[] = [];
-  /** Quotas of the configuration, by the keys of the workspaces' names. */
-  readonly quotas = new Map<number, WorkspaceQuota>();
   private readonly options: GossipFleetOptions;
   private readonly random: () => number;
   /** Apart from the other random numbers, so that times in transit don't change which datagrams are lost. */
