Add buckthornctl config check, which checks a configuration before it is published

Operators who edit a configuration file learned only of schema violations, and only by publishing. Duplicates, unknown workspaces, entries that no request can use and limits that contradict each other were accepted and took effect.

The findings are computed by a pure function (src/configuration/check).

--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -9,3 +9,11 @@
   type ServiceVersion,
   type Workspace,
 } from './Configuration.js';
+export {
+  checkConfiguration,
+  createError,
+  formatFinding,
+  type ConfigurationCheck,
+  type ConfigurationFinding,
+  type FindingKind,
+} from './check/index.js';
--- a/src/operator/ConfigurationCommands.ts
+++ b/src/operator/ConfigurationCommands.ts
@@ -1,10 +1,10 @@
-/** `buckthornctl config`: publishes a configuration, shows the one in force and which entries use it. */
-import {readFile} from 'node:fs/promises';
+/** `buckthornctl config`: checks and publishes a configuration, shows the one in force and which entries use it. */
 import {subcommands} from 'cmd-ts';
 import {z} from 'zod';
 import {configurationSchema, type Configuration} from '../configuration/index.js';
 import {ServingError} from '../errors/index.js';
 import type {RunnableCommand} from '../settings/index.js';
+import {createCheckCommand} from './ConfigurationCheckCommand.js';
 import {throwUnlessAccepted} from './publishAnswersFile.js';
 import type {ConfigurationStream} from './ConfigurationStream.js';
 import {countInForce, waitUntilInForce, type InForceCount} from './waitUntilInForce.js';
@@ -24,14 +24,16 @@
   type PublishSettings,
 } from './OperatorSettings.js';
 import {formatTable} from './formatTable.js';
+import {readJsonFile} from './readJsonFile.js';
 
-/** Builds the `config` commands: `publish`, `show` and `status`. */
+/** Builds the `config` commands: `check`, `publish`, `show` and `status`. */
 export function createConfigurationCommands(context: OperatorContext): RunnableCommand {
   return subcommands({
     name: 'config',
     description:
-      'Publishes a configuration file, shows the configuration in force and which entries use it',
+      'Checks or publishes a configuration file, shows the configuration in force and which entries use it',
     cmds: {
+      check: createCheckCommand(context),
       publish: createPublishCommand(context),
       show: createShowCommand(context),
       status: createStatusCommand(context),
@@ -168,13 +170,7 @@
 }
 
 async function readConfigurationFile(path: string): Promise<Configuration> {
-  let value: unknown;
-  try {
-    value = JSON.parse(await readFile(path, 'utf8'));
-  } catch (cause) {
-    throw new ServingError(`"${path}" can't be read as JSON`, {kind: 'invalid-settings', cause});
-  }
-  const parsed = configurationSchema.safeParse(value);
+  const parsed = configurationSchema.safeParse(await readJsonFile(path));
   if (parsed.success) return parsed.data;
   throw new ServingError(
     `"${path}" is not a valid configuration:\n${z.prettifyError(parsed.error)}`,
--- a/src/operator/index.ts
+++ b/src/operator/index.ts
@@ -5,6 +5,11 @@
   type PublishedAnswers,
 } from './publishAnswersFile.js';
 export {createConfigurationCommands} from './ConfigurationCommands.js';
+export {
+  formatReport,
+  type ConfigurationComparison,
+  type ConfigurationReport,
+} from './ConfigurationCheckCommand.js';
 export {
   ConfigurationStream,
   type ConfigurationInForce,
