--- a/src/controllers/fleetSize/NeededServers.ts
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -35,10 +35,8 @@
 const PEAK_RETENTION_MS = 45_000;
 /** Load that is observed for less time is no reason to return servers. */
 const OBSERVATION_MS = 30_000;
-/** Time after which the load is known well enough to replace lost servers by fewer ones. */
-const GAP_OBSERVATION_MS = 5_000;
-/** Time for which an estimate counts for a gap. */
-const GAP_RETENTION_MS = 10_000;
+/** Time after which the load is known well enough to replace lost servers by fewer ones, and for which it counts. */
+const GAP_OBSERVATION_MS = 10_000;
 /** Time without new servers after which those provided at first are taken to be complete. */
 const REGISTRATION_MS = 2_500;
 
@@ -46,7 +44,7 @@
  * Factor on the estimate by the load for servers that fill a gap: they have no cached prefixes at first, and must carry
  * bursts without the spares of a full fleet.
  */
-const GAP_FACTOR = 2;
+const GAP_FACTOR = 3;
 /** Factor on the servers while requests wait too long. */
 const TOO_FEW_FACTOR = 1.3;
 /** Share by which the need falls in a second: the rest must show first that it carries the load with its own caches. */
@@ -105,7 +103,7 @@
   /** Returns the peak of the recent estimates for a gap; all servers until the load has been observed. */
   private getLeastServers(servers: number, nowMs: number): number {
     if (!this.isObserved(nowMs, GAP_OBSERVATION_MS)) return servers;
-    const recent = this.samples.filter(({atMs}) => nowMs - atMs <= GAP_RETENTION_MS);
+    const recent = this.samples.filter(({atMs}) => nowMs - atMs <= GAP_OBSERVATION_MS);
     return Math.max(...recent.map(({least}) => least));
   }
 
