--- a/src/controllers/admission/ServiceQueue.ts
+++ b/src/controllers/admission/ServiceQueue.ts
@@ -44,17 +44,21 @@
   readonly random: () => number;
 }
 
-/** Share of the time to the target that a request may wait; the rest covers errors of the estimate. */
-const USED_SLACK_SHARE = 0.5;
+/** Share of the time to the target that counts as its useful wait, which bounds the length of the queue. */
+const USEFUL_SLACK_SHARE = 0.5;
+/** Share of the time to the target that a new request may be expected to wait; the rest covers errors of the estimate. */
+const MAX_SLACK_SHARE = 0.9;
 /** Share of the target that a request may wait in any case, so that requests are ready when slots become free. */
 const MIN_WAIT_SHARE = 0.2;
+/** Time after which the shortest useful wait is replaced by a longer one, as when no requests of its kind arrive any more. */
+const SHORTEST_WAIT_EXPIRY_MS = 1_000;
 /** Multiple of the shortest useful wait after which a request may be displaced, whatever its kind. */
 const MAX_WAIT_FACTOR = 1.4;
 /** Requests that may wait while nothing is known of the rate, at least. */
 const MIN_WAITING = 2;
 /** Requests that one new request may displace, so that a queue that is too long becomes shorter. */
 const MAX_DISPLACED = 3;
-/** Callers come back within a third of the time that they have left. */
+/** Share of the time left to the deadline; callers honour a delay of up to a third of it. */
 const MAX_RETRY_SHARE = 0.3;
 /** Bounds of the delay before a retry. Sooner, a retry meets the same queue. */
 const MIN_RETRY_MS = 100;
@@ -66,8 +70,10 @@
   private readonly queue = new FairQueue();
   private readonly room = new ServiceRoom();
   private readonly rate = new StartRate();
-  private waitingSinceMs: number | undefined;
   private readonly times = new ServiceTimes();
+  /** Time since which there has been a waiting request, or since which the first one has waited for the next start. */
+  private waitingSinceMs: number | undefined;
+  /** Shortest useful wait of the recent requests; their kinds may all wait for about as long. */
   private shortestWaitMs = Infinity;
   private shortestWaitAtMs = -Infinity;
 
@@ -90,6 +96,7 @@
     }
     const {workspace} = request;
     const place = {workspace, priority: request.priority, shareWeight: 1};
+    this.updateShortestWait(request, nowMs);
     const maxWaitMs = this.getMaxWaitMs(request, nowMs);
     const intervalMs = this.getIntervalMs(nowMs);
     const late = this.queue.getLateRequest(nowMs);
@@ -214,22 +221,30 @@
     return serviceMs === undefined || evenPart === undefined ? undefined : serviceMs / evenPart;
   }
 
+  /** Returns the estimated wait above which a new request is refused. */
   private getMaxWaitMs(request: ServiceRequest, nowMs: number): number {
     const {kind, latencyTargetMs, deadlineAtMs} = request;
     const untilDeadlineMs = deadlineAtMs - nowMs - (this.times.getTotalMs(kind) ?? 0);
     if (latencyTargetMs === 0) return untilDeadlineMs;
     const slackMs = this.getLatestStartAtMs(request) - nowMs;
-    const usefulMs = Math.max(slackMs * USED_SLACK_SHARE, latencyTargetMs * MIN_WAIT_SHARE);
-    if (usefulMs <= this.shortestWaitMs || nowMs - this.shortestWaitAtMs > 1_000) {
-      this.shortestWaitMs = usefulMs;
-      this.shortestWaitAtMs = nowMs;
-    }
-    if (this.queue.getSize() === 0) {
-      return Math.min(untilDeadlineMs, Math.max(usefulMs, slackMs * 0.9));
-    }
-    return Math.min(untilDeadlineMs, Math.max(usefulMs, slackMs * 0.9));
+    return Math.min(
+      untilDeadlineMs,
+      Math.max(slackMs * MAX_SLACK_SHARE, latencyTargetMs * MIN_WAIT_SHARE),
+    );
+  }
+
+  private updateShortestWait(request: ServiceRequest, nowMs: number): void {
+    const {latencyTargetMs} = request;
+    if (latencyTargetMs === 0) return;
+    const slackMs = this.getLatestStartAtMs(request) - nowMs;
+    const usefulMs = Math.max(slackMs * USEFUL_SLACK_SHARE, latencyTargetMs * MIN_WAIT_SHARE);
+    const isExpired = nowMs - this.shortestWaitAtMs > SHORTEST_WAIT_EXPIRY_MS;
+    if (usefulMs > this.shortestWaitMs && !isExpired) return;
+    this.shortestWaitMs = usefulMs;
+    this.shortestWaitAtMs = nowMs;
   }
 
+  /** Returns the last time at which a start meets the request's target. */
   private getLatestStartAtMs({kind, latencyTargetMs, receivedAtMs}: ServiceRequest): number {
     if (latencyTargetMs === 0) return Infinity;
     return receivedAtMs + latencyTargetMs - (this.times.getFirstEventMs(kind) ?? 0);
