--- a/src/controllers/placement/ServerFactor.ts
+++ b/src/controllers/placement/ServerFactor.ts
@@ -12,10 +12,10 @@
 const MIN_REPORT_WEIGHT = 0.1;
 /** Largest deviation of one report from the lasting factor that is learned, so that short peaks hardly count. */
 const MAX_REPORT_STEP = Math.log(2);
-/** Shortest expected time that judges a server; transmission and decoding matter more in a shorter one. */
-const MIN_JUDGED_MS = 30;
+/** Responses that were expected sooner aren't evaluated; transmission and decoding matter more in them. */
+const MIN_EVALUATED_MS = 30;
 /** Responses that must disagree with the reports before they are believed more. */
-const MIN_JUDGED_RESPONSES = 8;
+const MIN_EVALUATED_RESPONSES = 8;
 /** Weight of a response in the mean deviation. */
 const RESPONSE_WEIGHT = 0.1;
 /** Largest deviation of one response that is learned: it may also have waited for requests that weren't known. */
@@ -25,13 +25,6 @@
 /** Time after which a correction without new responses has lost most of its weight. */
 const CORRECTION_DECAY_MS = 20_000;
 
-/** A response compared with the expectation. */
-export interface Judgement {
-  readonly expectedMs: number;
-  /** Logarithm of the measured over the expected time. */
-  readonly deviationLog: number;
-}
-
 /** Weight of one observation in the usual pending tokens. */
 const PENDING_WEIGHT = 0.1;
 /**
@@ -41,6 +34,13 @@
  */
 const USUAL_PENDING_SHARE = 0.2;
 
+/** A response compared with the expectation. */
+export interface ResponseDeviation {
+  readonly expectedMs: number;
+  /** Logarithm of the measured over the expected time. */
+  readonly deviationLog: number;
+}
+
 /** Estimates the present work factor of one start of a server. */
 export class ServerFactor {
   private readonly start: ServerStart;
@@ -65,7 +65,7 @@
   }
 
   /** Returns whether the estimate is that of the given start. */
-  isOf({startedAtMs}: ServerStart): boolean {
+  isForStart({startedAtMs}: ServerStart): boolean {
     return this.start.startedAtMs === startedAtMs;
   }
 
@@ -74,6 +74,7 @@
     return Math.exp(this.lastingLog);
   }
 
+  /** Applies a work factor that the server reported. */
   addReport(workFactor: number, nowMs: number): void {
     this.lastReport = workFactor;
     this.reportedAtMs = nowMs;
@@ -88,10 +89,10 @@
 
   /**
    * Applies a response.
-   * @param judgement - The time that was expected with the believed factor, and how the measured one deviates.
+   * @param deviation - The time that was expected with the believed factor, and how the measured one deviates.
    */
-  addResponse({expectedMs, deviationLog}: Judgement, nowMs: number): void {
-    if (expectedMs < MIN_JUDGED_MS) return;
+  addResponse({expectedMs, deviationLog}: ResponseDeviation, nowMs: number): void {
+    if (expectedMs < MIN_EVALUATED_MS) return;
     const deviation = deviationLog + this.getCorrectionLog(nowMs);
     this.responses += 1;
     this.respondedAtMs = nowMs;
@@ -125,7 +126,7 @@
 
   /** Returns the logarithm of the factor by which responses contradict the reports; 0 if they don't. */
   private getCorrectionLog(nowMs: number): number {
-    if (this.responses < MIN_JUDGED_RESPONSES) return 0;
+    if (this.responses < MIN_EVALUATED_RESPONSES) return 0;
     if (Math.abs(this.deviationLog) < MIN_DISAGREEMENT) return 0;
     return this.deviationLog * getWeight(nowMs - this.respondedAtMs, CORRECTION_DECAY_MS);
   }
--- a/src/controllers/placement/ServerSpeeds.ts
+++ b/src/controllers/placement/ServerSpeeds.ts
@@ -11,6 +11,7 @@
   readonly expectedMs: number;
   /** Work factor with which that was expected. */
   readonly workFactor: number;
+  /** Measured time from the sending of the attempt to its first event or the head of its response. */
   readonly tookMs: number;
 }
 
@@ -57,7 +58,9 @@
 
 interface ServiceState {
   readonly speed: ServiceSpeed;
+  /** Time of the last report of any of its servers. */
   reportedAtMs: number;
+  /** Median of the lasting factors of its servers, without the corrections by responses. */
   medianFactor: number;
   maintainedAtMs: number;
   readonly factors: Map<string, ServerFactor>;
@@ -114,7 +117,12 @@
     const {tookMs, promptTokens} = time;
     if (!(expectedMs > 0) || !(tookMs > 0)) return undefined;
     const isLearned = state.speed.isLearned(promptTokens);
-    const deviationLog = state.speed.addFirstEvent({promptTokens, expectedMs, tookMs, believed});
+    const deviationLog = state.speed.addFirstEvent({
+      promptTokens,
+      expectedMs,
+      tookMs,
+      workFactor: believed,
+    });
     // Before the service's speed is known, a deviation isn't that of the server.
     if (isLearned) factor.addResponse({expectedMs, deviationLog}, nowMs);
     return getNotableChange(factor, factor.getLasting(state.medianFactor, nowMs));
@@ -139,7 +147,9 @@
       getFactor: server => this.getFactor(state, server, nowMs),
       expectPendingTokens: (server, reportedTokens) => {
         const factor = state.factors.get(server.id);
-        return factor?.isOf(server) ? factor.expectPendingTokens(reportedTokens) : reportedTokens;
+        return factor?.isForStart(server)
+          ? factor.expectPendingTokens(reportedTokens)
+          : reportedTokens;
       },
     };
   }
@@ -164,7 +174,7 @@
 
   private getFactor(state: ServiceState, server: ServerEntry, nowMs: number): number {
     const factor = state.factors.get(server.id);
-    if (!factor?.isOf(server)) return state.medianFactor;
+    if (!factor?.isForStart(server)) return state.medianFactor;
     return factor.getBelieved(state.medianFactor, nowMs);
   }
 
@@ -185,7 +195,7 @@
   /** Returns the estimate of a start of a server; one of an earlier start is replaced. */
   private getOrCreateFactor(state: ServiceState, server: ServerEntry, nowMs: number): ServerFactor {
     const known = state.factors.get(server.id);
-    if (known?.isOf(server)) return known;
+    if (known?.isForStart(server)) return known;
     if (known) this.deleteFactor(state, server.id);
     if (this.servers >= MAX_SERVERS) this.deleteOldest();
     const created = new ServerFactor(server, nowMs);
--- a/src/controllers/placement/ServiceSpeed.ts
+++ b/src/controllers/placement/ServiceSpeed.ts
@@ -5,16 +5,18 @@
 export interface MeasuredTime {
   /** 0 for requests without a prompt. */
   readonly promptTokens: number;
+  /** Time that is expected with `workFactor`. */
   readonly expectedMs: number;
   readonly tookMs: number;
-  /** Believed work factor of the server. */
-  readonly believed: number;
+  /** Estimated work factor of the server. */
+  readonly workFactor: number;
 }
 
 /** Shortest prompt that measures the speed; transmission and decoding matter more in a shorter one. */
 const MIN_MEASURED_TOKENS = 2_000;
 /** Step of the speed's logarithm at the first measurement; the n-th has an n-th of it. */
 const FIRST_SPEED_STEP = 0.4;
+/** Least step, so that the estimate follows a lasting change of the speed. */
 const MIN_SPEED_STEP = 0.01;
 /** Measurements after which the speed is taken as known. */
 const LEARNED_AFTER = 8;
@@ -30,7 +32,10 @@
   private speedLog = Math.log(ASSUMED_PROMPT_TOKENS_PER_MS);
   private measurements = 0;
   private plainResponses = 0;
-  /** The mean logarithm of durations is less than the logarithm of their mean. */
+  /**
+   * Mean deviation of requests without a prompt. It isn't 0: their expectation is a mean duration, and the mean logarithm
+   * of durations is less than the logarithm of their mean.
+   */
   private plainDeviationLog = 0;
   private readonly plain = new MeanDuration();
   private readonly requests = new MeanDuration();
@@ -63,7 +68,7 @@
       return deviationLog;
     }
     this.plainResponses += 1;
-    this.plain.add(time.tookMs / time.believed);
+    this.plain.add(time.tookMs / time.workFactor);
     const weight = Math.max(1 / this.plainResponses, DEVIATION_WEIGHT);
     this.plainDeviationLog += weight * (deviationLog - this.plainDeviationLog);
     return deviationLog - this.plainDeviationLog;
