--- a/src/controllers/admission/FairQueue.ts
+++ b/src/controllers/admission/FairQueue.ts
@@ -219,6 +219,7 @@
     return entry && entry.latestStartAtMs < nowMs ? entry.request : undefined;
   }
 
+  /** Returns whether a request is queued. */
   hasRequest(requestId: string): boolean {
     return this.entries.has(requestId);
   }
--- a/src/controllers/fleetSize/NeededServers.ts
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -37,7 +37,7 @@
 const OBSERVATION_MS = 30_000;
 /** Time after which the load is known well enough to replace lost servers by fewer ones. */
 const GAP_OBSERVATION_MS = 5_000;
-/** Time for which an estimate counts for a gap. */
+/** Time for which an estimate of the servers that fill a gap is kept. */
 const GAP_RETENTION_MS = 10_000;
 /** Time without new servers after which those provided at first are taken to be complete. */
 const REGISTRATION_MS = 2_500;
@@ -64,6 +64,7 @@
 interface NeedSample {
   readonly atMs: number;
   readonly needed: number;
+  /** Estimate of `leastServers`. */
   readonly least: number;
 }
 
@@ -96,14 +97,14 @@
     });
     const peak = Math.max(...this.samples.map(({needed}) => needed));
     const servers = this.isObserved(nowMs)
-      ? Math.max(peak, this.getLeastNeeded(nowMs))
+      ? Math.max(peak, this.getDeclinedNeed(nowMs))
       : this.getProvided(view, peak, nowMs);
     this.latest = {atMs: nowMs, needed: servers};
-    return {servers, leastServers: Math.min(servers, this.getLeastServers(servers, nowMs))};
+    return {servers, leastServers: Math.min(servers, this.getGapServers(servers, nowMs))};
   }
 
   /** Returns the peak of the recent estimates for a gap; all servers until the load has been observed. */
-  private getLeastServers(servers: number, nowMs: number): number {
+  private getGapServers(servers: number, nowMs: number): number {
     if (!this.isObserved(nowMs, GAP_OBSERVATION_MS)) return servers;
     const recent = this.samples.filter(({atMs}) => nowMs - atMs <= GAP_RETENTION_MS);
     return Math.max(...recent.map(({least}) => least));
@@ -119,7 +120,7 @@
   }
 
   /** Returns the lowest need to which the latest one may fall by now. */
-  private getLeastNeeded(nowMs: number): number {
+  private getDeclinedNeed(nowMs: number): number {
     if (!this.latest) return 0;
     const seconds = (nowMs - this.latest.atMs) / MS_PER_SECOND;
     return this.latest.needed * (1 - DECLINE_PER_SECOND) ** seconds;
