--- a/tests/support/OverloadSimulation.ts
+++ b/tests/support/OverloadSimulation.ts
@@ -40,7 +40,7 @@
    * one that takes its place. `scored`: the placement of the gateways, which doesn't know that others choose the same.
    */
   readonly placement?: 'sampled' | 'scored';
-  /** Age of the reports of other gateways when they are replaced. */
+  /** Age of the reports of other gateways when they are replaced; 300 ms by default. */
   readonly reportAgeMs?: number;
 }
 
@@ -64,6 +64,7 @@
   readonly waited: number;
   /** Longest wait at a gateway of a started request. */
   readonly maxWaitMs: number;
+  /** Most requests that were open at the servers at one time, relative to their slots. */
   readonly maxOpenShare: number;
 }
 
@@ -108,13 +109,19 @@
 const GOSSIP_INTERVAL_MS = 250;
 const POLL_MS = 20;
 const SERVICE = 'app';
-/** Requests of a dead gateway end at their servers when the connections are closed. */
+/** Work of a request varies by up to this share of the mean of its kind. */
 const WORK_SPREAD = 0.6;
 /** Share of its slots that a server counts as free at least. */
 const MIN_FREE_SHARE = 0.02;
 const MAX_WAITING = 500;
 /** Time after which reports of a silent gateway are no longer counted as those of a member. */
 const MEMBER_EXPIRY_MS = 8_000;
+/** Time after which a silent gateway no longer shows that the fleet is heard; reports of load expire then too. */
+const REPORT_EXPIRY_MS = 2_000;
+/** Age of reports if the options set none. */
+const DEFAULT_REPORT_AGE_MS = 300;
+/** Share of the target after which a refusal counts as late. */
+const LATE_REFUSAL_SHARE = 1 / 8;
 
 /** One run; `at` schedules faults before `run` is called. */
 export class OverloadSimulation {
@@ -130,7 +137,7 @@
   private readonly requests: Request[] = [];
   private readonly refusedAtMs = new Map<Request, number>();
   private readonly displaced = new Set<Request>();
-  /** Slot time by the end of its use, and whether the request was answered in time. */
+  /** Periods in which requests used slots. */
   private readonly uses: {request: Request; sinceMs: number; untilMs: number}[] = [];
   private slotsMs: {sinceMs: number; slots: number}[] = [];
   private maxOpenShare = 0;
@@ -149,6 +156,7 @@
     this.schedule(atMs, change);
   }
 
+  /** Adds a server, also during a run. */
   addServer(slots: number): void {
     const id = `s${this.servers.length}`;
     const entry = {
@@ -168,6 +176,7 @@
     this.recordSlots();
   }
 
+  /** Adds a gateway, also during a run. */
   addGateway(): void {
     const gateway: Gateway = {
       id: `g${this.gateways.length}`,
@@ -183,7 +192,7 @@
     this.schedule(this.nowMs + this.random() * POLL_MS, () => this.poll(gateway));
   }
 
-  /** Ends a gateway; servers notice it, since its connections are closed. */
+  /** Ends a gateway. Its requests end at their servers too, since its connections are closed. */
   kill(index: number): void {
     const gateway = this.gateways[index];
     gateway.state = 'dead';
@@ -202,10 +211,12 @@
     gateway.state = 'live';
   }
 
+  /** Stops or resumes a gateway whose connections stay open. */
   setFrozen(index: number, isFrozen: boolean): void {
     this.gateways[index].state = isFrozen ? 'frozen' : 'live';
   }
 
+  /** Interrupts or restores the exchange of reports between a gateway and all others. */
   setCutOff(index: number, isCutOff: boolean): void {
     this.gateways[index].isCutOff = isCutOff;
   }
@@ -238,7 +249,7 @@
       request =>
         !this.displaced.has(request) &&
         (this.refusedAtMs.get(request) ?? 0) - request.arrivedAtMs >
-          request.kind.latencyTargetMs / 8,
+          request.kind.latencyTargetMs * LATE_REFUSAL_SHARE,
     );
     const waits = arrived
       .filter(({startedAtMs}) => startedAtMs !== undefined)
@@ -318,7 +329,7 @@
       total += gateway.loads.getLoad(known.entry.id, nowMs).openRequests;
     }
     const isReported = members.some(
-      other => nowMs - (this.lastHeardMs.get(`${gateway.id} ${other.id}`) ?? 0) < 2_000,
+      other => nowMs - (this.lastHeardMs.get(`${gateway.id} ${other.id}`) ?? 0) < REPORT_EXPIRY_MS,
     );
     return {
       slots,
@@ -335,7 +346,10 @@
     const loads: ReadonlyMap<number, ServerLoad> = new Map(
       [...gateway.loads.getOwnLoadsByKey()].map(([key, load]) => [key, {...load}]),
     );
-    const delayMs = Math.max(0, (this.options.reportAgeMs ?? 300) - GOSSIP_INTERVAL_MS);
+    const delayMs = Math.max(
+      0,
+      (this.options.reportAgeMs ?? DEFAULT_REPORT_AGE_MS) - GOSSIP_INTERVAL_MS,
+    );
     this.schedule(this.nowMs + delayMs, () => {
       for (const other of this.gateways) {
         if (other === gateway || other.state !== 'live' || other.isCutOff) continue;
