--- a/bench/placement/EngineModel.ts
+++ b/bench/placement/EngineModel.ts
@@ -19,9 +19,11 @@
   remainingEvents: number;
 }
 
+/** Speed and step of the engines in docs/design/overload.md. */
 const PROMPT_TOKENS_PER_MS = 66;
-const CHUNK_TOKENS = 4_096;
 const STEP_MS = 3.8;
+/** Prompt tokens that are prefilled between two decoding steps; assumed, like the cache size and the peaks. */
+const CHUNK_TOKENS = 4_096;
 /** Additional duration of a decoding step for each request of the batch. */
 const STEP_PER_REQUEST_MS = 0.05;
 const CACHE_TOKENS = 400_000;
@@ -66,6 +68,7 @@
     this.nextPeakMs = this.getPeakDelayMs();
   }
 
+  /** Number of waiting and running requests. */
   get openRequests(): number {
     return this.running.size + this.waiting.length;
   }
@@ -75,6 +78,7 @@
     return nowMs < this.peakUntilMs ? this.peakFactor : this.lastingFactor * this.noise;
   }
 
+  /** Starts a request, or queues it if all slots are in use. */
   add(job: EngineJob): void {
     if (this.running.size < this.server.entry.slots) this.start(job);
     else this.waiting.push(job);
--- a/bench/placement/PlacementSimulation.ts
+++ b/bench/placement/PlacementSimulation.ts
@@ -8,6 +8,7 @@
   type ServerLoad,
 } from '../../src/controllers/placement/index.js';
 import {createSeededRandom} from '../../src/utils/index.js';
+import {SERVICE, createEngineServer} from './createEngineServer.js';
 import {EngineModel, type ChunkOrder} from './EngineModel.js';
 import {createRequest, type RequestKind, type SimulatedRequest} from './RequestMix.js';
 import {SimulationResult} from './SimulationResult.js';
@@ -45,9 +46,10 @@
 const REPORT_INTERVAL_MS = 250;
 /** Age at which a report reaches the other gateways; with the interval, reports in use are 300 ms old on average. */
 const REPORT_DELAY_MS = 175;
+/** Lasting work factors of the engines, in turn. */
 const FACTORS = [0.7, 0.7, 1.0, 1.3, 1.75];
-const SLOTS = 12;
-const SERVICE = 'chat';
+/** Requests of the last seconds aren't counted: the run ends before many of them get their first event. */
+const UNCOUNTED_END_MS = 5_000;
 const MS_PER_SECOND = 1_000;
 const NO_LOAD: ServerLoad = {openRequests: 0, pendingPromptTokens: 0};
 const SHORTEST_TARGET_MS = 500;
@@ -81,6 +83,7 @@
     }));
   }
 
+  /** Runs to the end; call it once. */
   run(): SimulationResult {
     const {warmUpMs, measuredMs, requestsPerSecond} = this.options;
     let nextRequestMs = 0;
@@ -130,7 +133,7 @@
     const {id} = server.entry;
     loads.addRequest(id, uncachedTokens);
     const engine = this.enginesById.get(id);
-    const isCounted = nowMs >= warmUpMs && nowMs < warmUpMs + measuredMs - MS_PER_SECOND * 5;
+    const isCounted = nowMs >= warmUpMs && nowMs < warmUpMs + measuredMs - UNCOUNTED_END_MS;
     const entry = isCounted ? this.result.addRequest(request, id) : undefined;
     engine?.add({
       promptParts: request.promptParts,
@@ -210,24 +213,3 @@
     shortestPauseMs: PAUSE_TARGET_MS,
   };
 }
-
-function createEngineServer(id: string): KnownServer {
-  return {
-    entry: {
-      id,
-      service: SERVICE,
-      address: '127.0.0.1:1',
-      failureDomain: 'a',
-      softwareVersion: 'v1',
-      slots: SLOTS,
-      isDraining: false,
-      isReclaimable: false,
-      coldMs: 0,
-      startedAtMs: 1,
-    },
-    firstSeenAtMs: 0,
-    changedAtMs: 0,
-    coldUntilMs: 0,
-    expiredAtMs: undefined,
-  };
-}
--- a/bench/placement/measurePlacement.ts
+++ b/bench/placement/measurePlacement.ts
@@ -9,14 +9,13 @@
   type ServerLoad,
 } from '../../src/controllers/placement/index.js';
 import {createSeededRandom, getTextKey} from '../../src/utils/index.js';
+import {SERVICE, createEngineServer} from './createEngineServer.js';
 import {createRequest} from './RequestMix.js';
 
-const SERVICE = 'chat';
 const SEED = 1;
 /** Groups of gateways and single gateways whose reports a gateway adds up. */
 const PEER_SOURCES = 20;
 const FACTORS = [0.7, 1, 1.75];
-const SLOTS = 12;
 const NO_DOMAINS: ReadonlySet<string> = new Set();
 
 /** Options of a measurement. */
@@ -37,7 +36,7 @@
   const pauses = new ServerPauses();
   const nowMs = 1_000;
   for (let index = 0; index < servers; index += 1) {
-    catalog.applyEntry(createEntry(`server-${index}`), 0);
+    catalog.applyEntry(createEngineServer(`server-${index}`).entry, 0);
   }
   const entries = catalog.getServers().map(({entry}) => entry);
   for (let source = 0; source < PEER_SOURCES; source += 1) {
@@ -77,18 +76,3 @@
   const {user, system} = process.cpuUsage(before);
   return (user + system) / decisions;
 }
-
-function createEntry(id: string) {
-  return {
-    id,
-    service: SERVICE,
-    address: '127.0.0.1:1',
-    failureDomain: 'a',
-    softwareVersion: 'v1',
-    slots: SLOTS,
-    isDraining: false,
-    isReclaimable: false,
-    coldMs: 0,
-    startedAtMs: 1,
-  };
-}
