--- a/src/exchange/checkRequest.ts
+++ b/src/exchange/checkRequest.ts
@@ -20,8 +20,8 @@
   readonly maxConfigurationAgeMs: number;
 }
 
-/** Short, since a caller that reached a gateway without a current configuration can retry at another gateway. */
-const RETRY_ELSEWHERE_MS = 100;
+/** Delay before a retry of a request that this gateway can't serve; short, since another gateway can serve it. */
+export const RETRY_ELSEWHERE_MS = 100;
 
 /** Finds the route and workspace of a request, or refuses it. */
 export function checkRequest(
--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -22,7 +22,12 @@
   RunningAttempt,
   RunServices,
 } from './RunServices.js';
-export {checkRequest, type RequestCheck, type RequestCheckOptions} from './checkRequest.js';
+export {
+  RETRY_ELSEWHERE_MS,
+  checkRequest,
+  type RequestCheck,
+  type RequestCheckOptions,
+} from './checkRequest.js';
 export {
   decideAfterFailure,
   type FailureDecision,
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -37,7 +37,6 @@
 const REJECTED_RETRY_MS = 1_000;
 /** Time beyond the boot of a server after which it has been registered. */
 const REGISTRATION_DELAY_MS = 4_000;
-
 /** Servers that one failure domain needs. */
 interface DomainNeed extends DomainOrder {
   /** False while some of the provided servers may not have registered yet: an order could return those. */
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -367,6 +367,7 @@
     };
   }
 
+  /** Returns what this gateway knows of the load of a service, for its queue. */
   private getLoadView(service: string, ownRequests: number, nowMs: number): ServiceLoadView {
     const {catalog} = this.options;
     const servers = catalog.servers.getAvailableServers(service, catalog.evacuatedDomains);
--- a/src/gateway/RequestHandler.ts
+++ b/src/gateway/RequestHandler.ts
@@ -4,6 +4,7 @@
 import type {QuotaLedger} from '../controllers/quotas/index.js';
 import {
   ExchangeRun,
+  RETRY_ELSEWHERE_MS,
   checkRequest,
   type AdmittedRequest,
   type BackendTransport,
@@ -53,8 +54,6 @@
 const MAX_CONFIGURATION_AGE_SHARE = 0.95;
 /** Long enough to contain requests of a kind that is rare on its route. */
 const MIN_REMEMBERED_MS = 60_000;
-/** Short, since the callers of a stopping gateway can go to another one. */
-const RETRY_ELSEWHERE_MS = 100;
 const REFUSED_REQUEST: OpenRequest = {abandon: () => undefined};
 
 /** Result of a request that wasn't sent to a server. */
@@ -242,6 +241,7 @@
     };
   }
 
+  /** @param waitedMs - Time in the queue, which isn't part of the service time that the queue learns. */
   private startRun(
     admitted: AdmittedRequest,
     workspace: Workspace | undefined,
--- a/src/gateway/RequestQueue.ts
+++ b/src/gateway/RequestQueue.ts
@@ -5,7 +5,7 @@
   type ServiceLoadView,
   type ServiceRequest,
 } from '../controllers/admission/index.js';
-import type {AdmittedRequest, RunOutcome} from '../exchange/index.js';
+import {RETRY_ELSEWHERE_MS, type AdmittedRequest, type RunOutcome} from '../exchange/index.js';
 import type {GatewayMetrics} from './GatewayMetrics.js';
 
 /** Constructor options of `RequestQueue`. */
@@ -50,14 +50,12 @@
 
 /** Bounds the memory of waiting requests. */
 const MAX_WAITING = 1_000;
-/** Interval at which waiting requests are started as the reports of other gateways come in. */
+/** Interval at which waiting requests are started or expire as the reports of other gateways come in. */
 const POLL_MS = 20;
 /** Requests of one kind differ in their prompt tokens by less than this factor. */
 const SIZE_BAND_FACTOR = 4;
 /** Prompts up to this size are of one kind. */
 const SMALL_PROMPT_TOKENS = 1_000;
-/** Short, since the callers of a stopping gateway can go to another one. */
-const RETRY_ELSEWHERE_MS = 100;
 
 /** Waiting and started requests of one gateway. */
 export class RequestQueue {
@@ -184,6 +182,7 @@
     handler.refuse(reason, retryAfterMs);
   }
 
+  /** Removes a waiting request from the state of this class, but not from the `ServiceQueue`. */
   private takeWaiting(state: ServiceState, requestId: string): WaitingRequest | undefined {
     const waiting = state.waiting.get(requestId);
     if (!waiting) return undefined;
