--- a/src/callers/BodyBlocks.ts
+++ b/src/callers/BodyBlocks.ts
@@ -1,5 +1,6 @@
-/** Bodies of requests while they arrive, in blocks that are used again. */
+/** Bodies of requests while they arrive, in blocks that are reused. */
 
+/** An incomplete body wastes less than this. */
 const BLOCK_BYTES = 8_192;
 const NO_BYTES = Buffer.alloc(0);
 /** Chunks up to this size are copied byte by byte, which takes less time than a call of `copy`. */
--- a/src/callers/ConnectionTable.ts
+++ b/src/callers/ConnectionTable.ts
@@ -6,6 +6,7 @@
 /** `serving` is missing: its requests may be running. */
 const CLOSED_FIRST: readonly ConnectionUse[] = ['closing', 'idle', 'receiving'];
 
+/** Open connection. */
 interface Entry {
   readonly source: string;
   use: ConnectionUse;
@@ -73,6 +74,7 @@
     if (countConnections(source) === 0) this.sources.delete(entry.source);
   }
 
+  /** Returns the connection to close, so that the number is within its bound again. */
   private chooseClosed(newConnection: Connection): Connection {
     let largest: SourceConnections<Connection> | undefined;
     let largestCount = 0;
--- a/src/callers/IncomingBudget.ts
+++ b/src/callers/IncomingBudget.ts
@@ -1,6 +1,6 @@
 /** Bounds the memory that requests of callers take, and decides whose request is dropped if it is exhausted. */
 
-/** What one request, or the beginning of one, takes. */
+/** Memory of one request, or of a head that is still arriving. */
 export interface IncomingAccount {
   /**
    * Sets the memory in bytes. Calls `onDropped` of other requests, or of this one, until all of them together are within
@@ -22,6 +22,7 @@
   readonly incomplete: Set<OpenAccount>;
 }
 
+/** Account with its state; callers of `open` get the functions on it. */
 interface OpenAccount {
   bytes: number;
   isOpen: boolean;
@@ -32,7 +33,7 @@
 /** Share of the budget that one source may take; the rest is left to the others, also while its requests run. */
 const MAX_SOURCE_SHARE = 0.75;
 
-/** A number of bytes that all requests share that callers have sent and that haven't been answered. */
+/** Memory that is shared by all requests that callers have sent and that haven't been answered. */
 export class IncomingBudget {
   private readonly maxBytes: number;
   private readonly sources = new Map<string, Source>();
--- a/src/callers/ReadPacer.ts
+++ b/src/callers/ReadPacer.ts
@@ -1,4 +1,4 @@
-/** Shares the time of the process between bodies that arrive in very many chunks, and everything else. */
+/** Limits the time that the process spends in one turn of the event loop on bodies that arrive in very many chunks. */
 
 /** A connection whose reading can be stopped for a while. */
 export interface PacedReader {
@@ -10,8 +10,8 @@
 const MAX_CHUNKS_PER_TURN = 4_096;
 
 /**
- * Stops reading all bodies once a turn of the event loop has handled very many chunks, and lets them go on one after the
- * other, each in a turn of its own. Requests that arrive in few chunks get their turns in between.
+ * Stops reading all bodies once a turn of the event loop has handled very many chunks, and resumes
+ * them one after the other, each in a turn of its own. Requests that arrive in few chunks are read in between.
  */
 export class ReadPacer<Reader extends PacedReader> {
   private readonly scheduleTurn: (callback: () => void) => void;
@@ -27,7 +27,7 @@
   /**
    * Counts a chunk.
    * @param reader - Connection on which it arrived.
-   * @param getReaders - Returns all connections on which bodies arrive; called once there were too many chunks.
+   * @param getReaders - Returns all connections on which bodies arrive; called once per turn, after too many chunks.
    */
   addChunk(reader: Reader, getReaders: () => Iterable<Reader>): void {
     this.chunks += 1;
@@ -43,7 +43,7 @@
     return this.waiting.has(reader);
   }
 
-  /** Forgets a connection that is closed or won't be read on, without resuming it. */
+  /** Removes a connection that is closed or won't be read on, without resuming it. */
   remove(reader: Reader): void {
     this.waiting.delete(reader);
   }
--- a/src/controllers/placement/choosePlacement.ts
+++ b/src/controllers/placement/choosePlacement.ts
@@ -19,7 +19,7 @@
 /** Upper bound of the random part of a score, which keeps gateways with the same view from choosing the same server. */
 const JITTER_MS = 4;
 
-/** Part of a pause over which the callers' returns are spread. */
+/** Share of a pause over which the retries of callers are spread. */
 const RETURN_SPREAD = 0.3;
 
 /** A server that may get the request. */
--- a/src/utils/IndexedHeap.ts
+++ b/src/utils/IndexedHeap.ts
@@ -21,6 +21,7 @@
     return this.items[0];
   }
 
+  /** Returns whether an item is contained. */
   has(item: Item): boolean {
     return this.indices.has(item);
   }
