--- a/src/controllers/fleetSize/NeededServers.ts
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -55,14 +55,18 @@
 export interface ServerNeed {
   /** Servers for a fleet at the lowest price per server. */
   readonly servers: number;
-  /** At most `servers`: those without which the present load isn't carried. */
+  /** At most `servers`: those that fill a gap, with a margin for cold caches and bursts. */
   readonly leastServers: number;
+  /** Those that carry the recent load, without any margin. */
+  readonly loadServers: number;
 }
 
 interface NeedSample {
   readonly atMs: number;
   readonly needed: number;
+  /** Estimate of `leastServers`. */
   readonly least: number;
+  readonly byLoad: number;
 }
 
 /** Tracks the need of one service. */
@@ -91,20 +95,22 @@
       atMs: nowMs,
       needed: this.estimateNeeded(view, pressure, nowMs),
       least: estimateLeast(view, pressure),
+      byLoad: estimateByLoad(view),
     });
     const peak = Math.max(...this.samples.map(({needed}) => needed));
     const servers = this.isObserved(nowMs)
-      ? Math.max(peak, this.getLeastNeeded(nowMs))
+      ? Math.max(peak, this.getDeclinedNeed(nowMs))
       : this.getProvided(view, peak, nowMs);
     this.latest = {atMs: nowMs, needed: servers};
-    return {servers, leastServers: Math.min(servers, this.getLeastServers(servers, nowMs))};
-  }
-
-  /** Returns the peak of the recent estimates for a gap; all servers until the load has been observed. */
-  private getLeastServers(servers: number, nowMs: number): number {
-    if (!this.isObserved(nowMs, GAP_OBSERVATION_MS)) return servers;
+    if (!this.isObserved(nowMs, GAP_OBSERVATION_MS)) {
+      return {servers, leastServers: servers, loadServers: servers};
+    }
     const recent = this.samples.filter(({atMs}) => nowMs - atMs <= GAP_OBSERVATION_MS);
-    return Math.max(...recent.map(({least}) => least));
+    return {
+      servers,
+      leastServers: Math.min(servers, Math.max(...recent.map(({least}) => least))),
+      loadServers: Math.max(...recent.map(({byLoad}) => byLoad)),
+    };
   }
 
   /** Returns the estimate by the load, or by the present servers if requests wait for long. */
@@ -117,7 +123,7 @@
   }
 
   /** Returns the lowest need to which the latest one may fall by now. */
-  private getLeastNeeded(nowMs: number): number {
+  private getDeclinedNeed(nowMs: number): number {
     if (!this.latest) return 0;
     const seconds = (nowMs - this.latest.atMs) / MS_PER_SECOND;
     return this.latest.needed * (1 - DECLINE_PER_SECOND) ** seconds;
--- a/src/controllers/fleetSize/decideFleetSize.ts
+++ b/src/controllers/fleetSize/decideFleetSize.ts
@@ -21,6 +21,8 @@
   readonly neededServers: number;
   /** Those of them without which the present load isn't carried; on-demand servers fill the gap up to these only. */
   readonly leastServers: number;
+  /** Those of them that just carry the load. */
+  readonly loadServers: number;
 }
 
 /** Number of servers to run in one failure domain; the platform starts or stops servers until it is reached. */
@@ -41,8 +43,8 @@
  *
  * Reclaimable servers are spread evenly over all failure domains, with enough spares to lose one domain. While fewer of
  * them accept requests than the present load needs, on-demand servers in the cheapest domains fill the gap; they are released
- * once enough reclaimable servers are available again. Where no reclaimable servers are to be had, on-demand ones take
- * the places that are kept for them, up to the maximum of both kinds together.
+ * once enough reclaimable servers are available again. Where reclaimable servers are refused, on-demand ones take the
+ * places that are kept for them as soon as the next reclaim would leave too few servers.
  * @param view - Limits, servers and load of one service.
  */
 export function decideFleetSize(view: FleetView): readonly DomainOrder[] {
@@ -53,8 +55,9 @@
   const offersReclaimable = bounds.reclaimablePriceShare !== undefined;
   const wanted = (offersReclaimable ? leastServers : neededServers) + reserve;
   const missing = Math.max(0, Math.ceil(wanted - reclaimable));
+  const survives = survivesNextReclaim(view);
   const onDemand = placeOnDemand(view, missing, domain =>
-    getOnDemandRoom(bounds, domain, wantedReclaimable),
+    getOnDemandRoom(bounds, domain, wantedReclaimable, !survives),
   );
   return domains.map(({failureDomain}) => {
     const minOnDemand = Math.max(0, bounds.minPerDomain - wantedReclaimable);
@@ -66,6 +69,13 @@
   });
 }
 
+/** Returns whether the load would still be carried if the failure domain with most reclaimable servers were reclaimed. */
+function survivesNextReclaim({domains, loadServers}: FleetView): boolean {
+  const counts = domains.map(({reclaimable}) => reclaimable);
+  const total = counts.reduce((sum, count) => sum + count, 0);
+  return total - Math.max(0, ...counts) >= loadServers;
+}
+
 /** A reclaim is assumed while some, but not all, failure domains have no reclaimable servers. */
 function isBeingReclaimed(domains: readonly DomainFleet[]): boolean {
   const reclaimed = domains.filter(({reclaimable}) => reclaimable === 0);
@@ -103,8 +113,9 @@
   {maxPerDomain}: ReplicaBounds,
   {reclaimable, refusesReclaimable}: DomainFleet,
   wantedReclaimable: number,
+  mayTakeRefused: boolean,
 ): number {
-  return maxPerDomain - (refusesReclaimable ? reclaimable : wantedReclaimable);
+  return maxPerDomain - (mayTakeRefused && refusesReclaimable ? reclaimable : wantedReclaimable);
 }
 
 function getPrice(bounds: ReplicaBounds, {failureDomain}: DomainFleet): number {
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -37,7 +37,6 @@
 const REJECTED_RETRY_MS = 1_000;
 /** Time beyond the boot of a server after which it has been registered. */
 const REGISTRATION_DELAY_MS = 4_000;
-
 /** Servers that one failure domain needs. */
 interface DomainNeed extends DomainOrder {
   /** False while some of the provided servers may not have registered yet: an order could return those. */
@@ -94,8 +93,9 @@
     }));
     const need = this.updateNeed(service, servers, nowMs);
     if (!this.hasOneVersion(service.name, nowMs)) return 'done';
-    const {servers: neededServers, leastServers, isKnown} = need;
-    for (const order of decideFleetSize({bounds, domains, neededServers, leastServers})) {
+    const {servers: neededServers, leastServers, loadServers, isKnown} = need;
+    const view = {bounds, domains, neededServers, leastServers, loadServers};
+    for (const order of decideFleetSize(view)) {
       const domainNeed: DomainNeed = {...order, mayReturnServers: isKnown};
       const result = await this.orderForDomain(service.name, domainNeed, servers, claim, nowMs);
       if (result === 'superseded') return result;
--- a/tests/controllers/fleetSize/decideFleetSize.test.ts
+++ b/tests/controllers/fleetSize/decideFleetSize.test.ts
@@ -39,8 +39,9 @@
   neededServers: number,
   bounds: Partial<ReplicaBounds> = {},
   leastServers = neededServers,
+  loadServers = leastServers,
 ): Orders {
-  const view = {bounds: {...BOUNDS, ...bounds}, domains, neededServers, leastServers};
+  const view = {bounds: {...BOUNDS, ...bounds}, domains, neededServers, leastServers, loadServers};
   const orders = decideFleetSize(view);
   return {
     onDemand: orders.map(({onDemand}) => onDemand),
@@ -119,6 +120,14 @@
       reclaimable: [2, 2, 2, 2],
     },
   );
+  doTest(
+    'the places of refused servers stay free while the loss of one more domain is borne',
+    decide(createFleet([2, 2, 0, 0], {refusesReclaimable: true}), 6, {maxPerDomain: 2}, 5, 2),
+    {
+      onDemand: [0, 0, 0, 0],
+      reclaimable: [2, 2, 2, 2],
+    },
+  );
   doTest(
     'a gap is filled only up to the servers that the present load needs',
     decide(createFleet([0, 0, 0, 0], {refusesReclaimable: true}), 5, {}, 2),
