--- a/src/controllers/fleetSize/NeededServers.ts
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -79,9 +79,9 @@
   private latest: {readonly atMs: number; readonly needed: number} | undefined;
 
   /**
-   * Returns the servers that the service needs to carry its load, without spares. Until the load has been
-   * observed for some time, these are the servers that were provided, less the spares for the loss of one domain. After
-   * that the estimate is corrected by how long prompts wait, since the speed of the servers isn't known.
+   * Returns the servers that the service needs to carry its load, without spares. Until the load has been observed for
+   * some time, these are the servers that were provided, less the spares for the loss of one domain. After that the
+   * estimate is corrected by how long prompts wait, since the speed of the servers isn't known.
    * @param view - Current load and servers.
    * @param nowMs - Current monotonic time in milliseconds.
    */
--- a/src/controllers/fleetSize/decideFleetSize.ts
+++ b/src/controllers/fleetSize/decideFleetSize.ts
@@ -40,9 +40,9 @@
  * Returns the servers to order in each failure domain.
  *
  * Reclaimable servers are spread evenly over all failure domains, with enough spares to lose one domain. While fewer of
- * them accept requests than the present load needs, on-demand servers in the cheapest domains fill the gap; they are released
- * once enough reclaimable servers are available again. Where no reclaimable servers are to be had, on-demand ones take
- * the places that are kept for them, up to the maximum of both kinds together.
+ * them accept requests than the present load needs, on-demand servers in the cheapest domains fill the gap; they are
+ * released once enough reclaimable servers are available again. Where the platform refuses to start reclaimable servers,
+ * on-demand ones take their places, up to the maximum of both kinds together.
  * @param view - Limits, servers and load of one service.
  */
 export function decideFleetSize(view: FleetView): readonly DomainOrder[] {
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -35,7 +35,7 @@
 const ACCEPTED_RETRY_MS = 5_000;
 /** Delay before a rejected order is repeated. */
 const REJECTED_RETRY_MS = 1_000;
-/** Time beyond the boot of a server after which it has been registered. */
+/** Time after the end of its boot within which a server registers and this gateway learns of it. */
 const REGISTRATION_DELAY_MS = 4_000;
 /** Servers that one failure domain needs. */
 interface DomainNeed extends DomainOrder {
--- a/tests/support/OverloadSimulation.ts
+++ b/tests/support/OverloadSimulation.ts
@@ -11,6 +11,7 @@
   type ServerLoad,
 } from '../../src/controllers/placement/index.js';
 import {IndexedHeap, createSeededRandom} from '../../src/utils/index.js';
+import {createServer} from '../exchange/exchangeFixtures.js';
 
 /** A kind of requests; times are those at a server, without its queue. */
 export interface SimulatedKind {
@@ -159,20 +160,9 @@
   /** Adds a server, also during a run. */
   addServer(slots: number): void {
     const id = `s${this.servers.length}`;
-    const entry = {
-      id,
-      service: SERVICE,
-      address: '10.0.0.1:80',
-      failureDomain: 'a',
-      softwareVersion: 'v1',
-      slots,
-      isDraining: false,
-      isReclaimable: false,
-      coldMs: 0,
-      startedAtMs: 1,
-    };
-    const known = {entry, firstSeenAtMs: 0, changedAtMs: 0, coldUntilMs: 0, expiredAtMs: undefined};
-    this.servers.push({known, running: 0, waiting: []});
+    const known = createServer(id, SERVICE);
+    const entry = {...known.entry, slots};
+    this.servers.push({known: {...known, entry}, running: 0, waiting: []});
     this.recordSlots();
   }
 
