--- a/src/controllers/fleetSize/NeededServers.ts
+++ b/src/controllers/fleetSize/NeededServers.ts
@@ -35,10 +35,8 @@
 const PEAK_RETENTION_MS = 45_000;
 /** Load that is observed for less time is no reason to return servers. */
 const OBSERVATION_MS = 30_000;
-/** Time after which the load is known well enough to replace lost servers by fewer ones. */
-const GAP_OBSERVATION_MS = 5_000;
-/** Time for which an estimate of the servers that fill a gap is kept. */
-const GAP_RETENTION_MS = 10_000;
+/** Time after which the load is known well enough to replace lost servers by fewer ones, and for which it counts. */
+const GAP_OBSERVATION_MS = 10_000;
 /** Time without new servers after which those provided at first are taken to be complete. */
 const REGISTRATION_MS = 2_500;
 
@@ -46,7 +44,7 @@
  * Factor on the estimate by the load for servers that fill a gap: they have no cached prefixes at first, and must carry
  * bursts without the spares of a full fleet.
  */
-const GAP_FACTOR = 2;
+const GAP_FACTOR = 3;
 /** Factor on the servers while requests wait too long. */
 const TOO_FEW_FACTOR = 1.3;
 /** Share by which the need falls in a second: the rest must show first that it carries the load with its own caches. */
@@ -57,8 +55,10 @@
 export interface ServerNeed {
   /** Servers for a fleet at the lowest price per server. */
   readonly servers: number;
-  /** At most `servers`: those without which the present load isn't carried. */
+  /** At most `servers`: those that fill a gap, with a margin for cold caches and bursts. */
   readonly leastServers: number;
+  /** Those that carry the recent load, without any margin. */
+  readonly loadServers: number;
 }
 
 interface NeedSample {
@@ -66,6 +66,7 @@
   readonly needed: number;
   /** Estimate of `leastServers`. */
   readonly least: number;
+  readonly byLoad: number;
 }
 
 /** Tracks the need of one service. */
@@ -94,20 +95,22 @@
       atMs: nowMs,
       needed: this.estimateNeeded(view, pressure, nowMs),
       least: estimateLeast(view, pressure),
+      byLoad: estimateByLoad(view),
     });
     const peak = Math.max(...this.samples.map(({needed}) => needed));
     const servers = this.isObserved(nowMs)
       ? Math.max(peak, this.getDeclinedNeed(nowMs))
       : this.getProvided(view, peak, nowMs);
     this.latest = {atMs: nowMs, needed: servers};
-    return {servers, leastServers: Math.min(servers, this.getGapServers(servers, nowMs))};
-  }
-
-  /** Returns the peak of the recent estimates for a gap; all servers until the load has been observed. */
-  private getGapServers(servers: number, nowMs: number): number {
-    if (!this.isObserved(nowMs, GAP_OBSERVATION_MS)) return servers;
-    const recent = this.samples.filter(({atMs}) => nowMs - atMs <= GAP_RETENTION_MS);
-    return Math.max(...recent.map(({least}) => least));
+    if (!this.isObserved(nowMs, GAP_OBSERVATION_MS)) {
+      return {servers, leastServers: servers, loadServers: servers};
+    }
+    const recent = this.samples.filter(({atMs}) => nowMs - atMs <= GAP_OBSERVATION_MS);
+    return {
+      servers,
+      leastServers: Math.min(servers, Math.max(...recent.map(({least}) => least))),
+      loadServers: Math.max(...recent.map(({byLoad}) => byLoad)),
+    };
   }
 
   /** Returns the estimate by the load, or by the present servers if requests wait for long. */
--- a/src/gateway/FleetDuty.ts
+++ b/src/gateway/FleetDuty.ts
@@ -93,8 +93,9 @@
     }));
     const need = this.updateNeed(service, servers, nowMs);
     if (!this.hasOneVersion(service.name, nowMs)) return 'done';
-    const {servers: neededServers, leastServers, isKnown} = need;
-    for (const order of decideFleetSize({bounds, domains, neededServers, leastServers})) {
+    const {servers: neededServers, leastServers, loadServers, isKnown} = need;
+    const view = {bounds, domains, neededServers, leastServers, loadServers};
+    for (const order of decideFleetSize(view)) {
       const domainNeed: DomainNeed = {...order, mayReturnServers: isKnown};
       const result = await this.orderForDomain(service.name, domainNeed, servers, claim, nowMs);
       if (result === 'superseded') return result;
--- a/tests/controllers/fleetSize/reclaimSeries.test.ts
+++ b/tests/controllers/fleetSize/reclaimSeries.test.ts
@@ -122,6 +122,7 @@
       domains,
       neededServers: NEEDED_SERVERS,
       leastServers: NEEDED_SERVERS,
+      loadServers: NEEDED_SERVERS,
     };
     for (const {failureDomain, onDemand, reclaimable} of this.decide(view)) {
       this.adjust(failureDomain, false, onDemand, nowMs);
