Apply registrations by the positions of their records

As its read position was past theirs, they believed it, and the news went in circles.

Registrations and removals now carry the position of their record in the log, in the catalog and in gossip. An older record never undoes a later one, whatever way it comes; a removal is applied also if its sender has read less since. Expired registrations are no longer told as changed. Gateways of older builds tell no positions; their records count as before.

--- a/src/catalog/ServerCatalog.ts
+++ b/src/catalog/ServerCatalog.ts
@@ -1,4 +1,5 @@
 /** Registrations of backend servers, and their departures, as known to this process. */
+import {comparePositions, type LogPosition} from '../controllers/reading/index.js';
 import {hashText} from '../utils/index.js';
 
 /** Identifies one start of a backend server. */
@@ -72,14 +73,31 @@
   readonly startedAtMs: number | undefined;
   readonly reason: DepartureReason;
   readonly recordedAtMs: number;
+  /** Position after the record that removed the registration; undefined if it is unknown. */
+  readonly position: LogPosition | undefined;
+}
+
+/** A departure with the position after the record of it; the position is undefined if it is unknown. */
+export interface RecordedDeparture extends ServerStart {
+  readonly recordPosition: LogPosition | undefined;
+}
+
+/** A registration with the position after its record; the position is undefined if it is unknown. */
+export interface RecordedEntry extends ServerEntry {
+  readonly recordPosition: LogPosition | undefined;
 }
 
 /**
  * All known backend servers, including draining ones and, for a short time after an outage of the store, those whose
  * registrations expired in it.
+ *
+ * Records reach a gateway by its own reads and from other gateways, in any order. Each is applied with its position in
+ * the log, so that an older one doesn't undo a later one. A record of unknown position counts as the latest.
  */
 export class ServerCatalog {
   private readonly servers = new Map<string, KnownServer>();
+  /** Positions after the latest record of each known server, by server id. */
+  private readonly positions = new Map<string, LogPosition>();
   /** Starts that are leaving or have left, by server id. */
   private readonly departures = new Map<string, Departure>();
   /** Servers that aren't draining, by service; cleared after a change. */
@@ -92,15 +110,18 @@
    * later.
    * @param entry - Registration read from the store.
    * @param nowMs - Current monotonic time in milliseconds.
+   * @param position - Position after its record; undefined if it is unknown.
    */
-  applyEntry(entry: ServerEntry, nowMs: number): ServerChange {
+  applyEntry(entry: ServerEntry, nowMs: number, position?: LogPosition): ServerChange {
+    if (this.isOutdatedEntry(entry, position)) return 'same';
+    this.setPosition(entry.id, position);
     const known = this.servers.get(entry.id);
     const isRestarted = known !== undefined && known.entry.startedAtMs !== entry.startedAtMs;
     const isDraining =
       entry.isDraining ||
       (!isRestarted && known?.entry.isDraining === true) ||
       this.hasAnnouncedDeparture(entry);
-    if (entry.isDraining) this.recordDeparture(entry, 'draining', nowMs);
+    if (entry.isDraining) this.recordDeparture(entry, 'draining', nowMs, position);
     else if (this.departures.get(entry.id)?.reason === 'removed') this.departures.delete(entry.id);
     const change = getChange(isRestarted ? undefined : known, {...entry, isDraining});
     // Registrations are renewed all the time; the lists of servers are kept if nothing has changed.
@@ -121,11 +142,12 @@
   /**
    * Applies a registration that another gateway has read. It may be outdated, and is ignored if its start has announced
    * its departure.
-   * @param entry - Registration received by gossip.
+   * @param relayed - Registration received by gossip.
    * @param nowMs - Current monotonic time in milliseconds.
    */
-  applyRelayedEntry(entry: ServerEntry, nowMs: number): ServerChange {
-    return this.hasAnnouncedDeparture(entry) ? 'same' : this.applyEntry(entry, nowMs);
+  applyRelayedEntry({recordPosition, ...entry}: RecordedEntry, nowMs: number): ServerChange {
+    if (this.hasAnnouncedDeparture(entry)) return 'same';
+    return this.applyEntry(entry, nowMs, recordPosition);
   }
 
   /** Returns whether a start has announced its departure, or its registration was removed, not long ago. */
@@ -138,12 +160,13 @@
    * Removes a backend server and records its departure.
    * @param id - Id of the server; an unknown one has no effect.
    * @param nowMs - Current monotonic time in milliseconds.
+   * @param position - Position after the record of the removal; undefined if there is none.
    */
-  removeServer(id: string, nowMs: number): ServerChange {
+  removeServer(id: string, nowMs: number, position?: LogPosition): ServerChange {
     const known = this.servers.get(id);
-    if (!known) return 'same';
+    if (!known || this.isOlderThanKnown(id, position)) return 'same';
+    this.recordDeparture(known.entry, 'removed', nowMs, position ?? this.positions.get(id));
     this.deleteServer(id);
-    this.recordDeparture(known.entry, 'removed', nowMs);
     return 'removed';
   }
 
@@ -152,13 +175,15 @@
    * running.
    * @param id - Id of the server; an unknown one has no effect.
    * @param nowMs - Current monotonic time in milliseconds.
+   * @param position - Position after the record of the removal; undefined if it is unknown.
    */
-  markExpired(id: string, nowMs: number): void {
+  markExpired(id: string, nowMs: number, position?: LogPosition): void {
     const known = this.servers.get(id);
-    if (known && known.expiredAtMs === undefined) {
-      this.digest = undefined;
-      this.setServer(id, {...known, expiredAtMs: nowMs});
-    }
+    if (!known || this.isOlderThanKnown(id, position)) return;
+    this.setPosition(id, position);
+    if (known.expiredAtMs !== undefined) return;
+    this.digest = undefined;
+    this.setServer(id, {...known, expiredAtMs: nowMs});
   }
 
   /**
@@ -194,7 +219,7 @@
    * @param reason - Reason of the departures to return.
    * @param nowMs - Current monotonic time in milliseconds.
    */
-  getRecentDepartures(reason: DepartureReason, nowMs: number): readonly ServerStart[] {
+  getRecentDepartures(reason: DepartureReason, nowMs: number): readonly RecordedDeparture[] {
     for (const [id, {recordedAtMs}] of this.departures) {
       if (nowMs - recordedAtMs > DEPARTURE_RETENTION_MS) this.departures.delete(id);
     }
@@ -203,7 +228,7 @@
         ([, departure]) =>
           departure.reason === reason && nowMs - departure.recordedAtMs <= DEPARTURE_REPORT_MS,
       )
-      .map(([id, {startedAtMs}]) => ({id, startedAtMs}));
+      .map(([id, {startedAtMs, position}]) => ({id, startedAtMs, recordPosition: position}));
   }
 
   /**
@@ -211,18 +236,20 @@
    * @param start - Start of the departing server.
    * @param reason - Marks the server as draining, or removes it.
    * @param nowMs - Current monotonic time in milliseconds.
+   * @param position - Position after the record of the departure; undefined if it is unknown.
    */
-  applyDeparture(start: ServerStart, reason: DepartureReason, nowMs: number): ServerChange {
+  applyDeparture(
+    start: ServerStart,
+    reason: DepartureReason,
+    nowMs: number,
+    position?: LogPosition,
+  ): ServerChange {
     const known = this.servers.get(start.id);
     if (!known || known.entry.startedAtMs !== start.startedAtMs) return 'same';
-    // Recorded here too, so that it is passed on to gateways that its sender doesn't reach.
-    if (reason === 'removed') {
-      this.deleteServer(start.id);
-      this.recordDeparture(start, reason, nowMs);
-      return 'removed';
-    }
+    // A departure is recorded here too, so that it is passed on to gateways that its sender doesn't reach.
+    if (reason === 'removed') return this.removeServer(start.id, nowMs, position);
     if (known.entry.isDraining) return 'same';
-    this.recordDeparture(start, reason, nowMs);
+    this.recordDeparture(start, reason, nowMs, position);
     const entry = {...known.entry, isDraining: true};
     this.digest = undefined;
     this.setServer(start.id, {...known, entry, changedAtMs: nowMs});
@@ -230,24 +257,30 @@
   }
 
   /**
-   * Returns the servers whose registrations changed or that turned cold recently, without draining ones.
+   * Returns the servers whose registrations changed or that turned cold recently, without draining and expired ones.
    * @param withinMs - Largest age of a change.
    * @param nowMs - Current monotonic time in milliseconds.
    */
   getRecentlyChanged(withinMs: number, nowMs: number): readonly KnownServer[] {
     return this.getServers().filter(
-      ({entry, changedAtMs}) => !entry.isDraining && nowMs - changedAtMs <= withinMs,
+      server => isRegistered(server) && nowMs - server.changedAtMs <= withinMs,
     );
   }
 
   /**
-   * Returns the servers that are cold, without draining ones.
+   * Returns the servers that are cold, without draining and expired ones.
    * @param nowMs - Current monotonic time in milliseconds.
    */
   getColdServers(nowMs: number): readonly KnownServer[] {
-    return this.getServers().filter(
-      ({entry, coldUntilMs}) => !entry.isDraining && coldUntilMs > nowMs,
-    );
+    return this.getServers().filter(server => isRegistered(server) && server.coldUntilMs > nowMs);
+  }
+
+  /**
+   * Returns the position after the latest record of a server; undefined if it is unknown.
+   * @param id - Id of the server.
+   */
+  getRecordPosition(id: string): LogPosition | undefined {
+    return this.positions.get(id);
   }
 
   /**
@@ -340,8 +373,28 @@
     return this.hasDeparted(start) && this.departures.get(start.id)?.reason === 'draining';
   }
 
+  /** Returns whether a later record of the same server id is known. */
+  private isOutdatedEntry({id}: ServerStart, position: LogPosition | undefined): boolean {
+    if (position === undefined) return false;
+    if (this.isOlderThanKnown(id, position)) return true;
+    const departure = this.departures.get(id);
+    const removedAt = departure?.reason === 'removed' ? departure.position : undefined;
+    return removedAt !== undefined && comparePositions(position, removedAt) <= 0;
+  }
+
+  private isOlderThanKnown(id: string, position: LogPosition | undefined): boolean {
+    const known = this.positions.get(id);
+    return known !== undefined && position !== undefined && comparePositions(position, known) < 0;
+  }
+
+  private setPosition(id: string, position: LogPosition | undefined): void {
+    if (position) this.positions.set(id, position);
+    else this.positions.delete(id);
+  }
+
   private deleteServer(id: string): void {
     this.servers.delete(id);
+    this.positions.delete(id);
     this.activeByService.clear();
     this.digest = undefined;
   }
@@ -351,13 +404,18 @@
     {id, startedAtMs}: ServerStart,
     reason: DepartureReason,
     nowMs: number,
+    position: LogPosition | undefined,
   ): void {
     const existing = this.departures.get(id);
     if (existing && existing.startedAtMs === startedAtMs && existing.reason === 'draining') return;
-    this.departures.set(id, {startedAtMs, reason, recordedAtMs: nowMs});
+    this.departures.set(id, {startedAtMs, reason, recordedAtMs: nowMs, position});
   }
 }
 
+function isRegistered({entry, expiredAtMs}: KnownServer): boolean {
+  return !entry.isDraining && expiredAtMs === undefined;
+}
+
 /** Compares a registration with the known one of the same start; `known` is undefined for a new start. */
 function getChange(known: KnownServer | undefined, entry: ServerEntry): ServerChange {
   if (!known) return 'added';
--- a/src/catalog/index.ts
+++ b/src/catalog/index.ts
@@ -4,6 +4,8 @@
   ServerCatalog,
   type KnownServer,
   type DepartureReason,
+  type RecordedDeparture,
+  type RecordedEntry,
   type ServerChange,
   type ServerEntry,
   getServerStartKey,
--- a/src/gateway/LogReadCoordinator.ts
+++ b/src/gateway/LogReadCoordinator.ts
@@ -2,7 +2,7 @@
  * Divides the reads of the deployment's two logs, the operators' records and the registrations, among the gateways:
  * decides when this gateway reads a log itself, and applies what its peers report that they have read.
  */
-import type {Catalog, DepartureReason, ServerEntry, ServerStart} from '../catalog/index.js';
+import type {Catalog, DepartureReason, RecordedDeparture, RecordedEntry} from '../catalog/index.js';
 import {
   ReadOrigins,
   ReadProof,
@@ -193,6 +193,7 @@
       changed: changed.map(({entry, coldUntilMs}) => ({
         ...entry,
         coldMs: Math.max(0, coldUntilMs - nowMs),
+        recordPosition: catalog.servers.getRecordPosition(entry.id),
       })),
       draining: catalog.servers.getRecentDepartures('draining', nowMs),
       removed: catalog.servers.getRecentDepartures('removed', nowMs),
@@ -248,15 +249,23 @@
   }
 
   /**
-   * Applies a peer's registrations unless this gateway has read further. If both then have the same digest, the
-   * registrations known here were complete at the time of the peer's read.
+   * Applies a peer's registrations and removals. If this gateway has read further, those of unknown position are
+   * ignored. Otherwise, if both then have the same digest, the registrations known here were complete at the time of the
+   * peer's read.
    */
   private applyRegistrations(update: RegistrationsUpdate, toldBy: string, nowMs: number): void {
     const {catalog} = this.options;
+    if (update.position.offset === 0) return;
     const isBehind = comparePositions(update.position, this.knownPositions.registrations) < 0;
-    if (update.position.offset === 0 || isBehind) return;
-    for (const start of update.removed) this.applyDeparture(start, 'removed', toldBy, nowMs);
-    for (const entry of update.changed) this.applyRegistration(entry, toldBy, nowMs);
+    const isUsable = ({recordPosition}: RecordedDeparture) =>
+      recordPosition !== undefined || !isBehind;
+    for (const start of update.removed.filter(isUsable)) {
+      this.applyDeparture(start, 'removed', toldBy, nowMs);
+    }
+    for (const entry of update.changed.filter(isUsable)) {
+      this.applyRegistration(entry, toldBy, nowMs);
+    }
+    if (isBehind) return;
     if (update.digest !== catalog.servers.getDigest()) return;
     this.knownPositions.registrations = update.position;
     catalog.markRegistrationsCurrent(nowMs - update.ageMs);
@@ -265,22 +274,25 @@
     }
   }
 
-  private applyRegistration(entry: ServerEntry, toldBy: string, nowMs: number): void {
+  private applyRegistration(entry: RecordedEntry, toldBy: string, nowMs: number): void {
     const change = this.options.catalog.servers.applyRelayedEntry(entry, nowMs);
     if (change === 'same') return;
-    const {id, service, failureDomain} = entry;
-    this.logServer({server: id, change, service, failureDomain, toldBy});
+    const {id, service, failureDomain, recordPosition} = entry;
+    const recordOffset = recordPosition?.offset;
+    this.logServer({server: id, change, service, failureDomain, toldBy, recordOffset});
   }
 
   /** Applies a server's departure that the gateway `toldBy` has reported. */
   private applyDeparture(
-    start: ServerStart,
+    {recordPosition, ...start}: RecordedDeparture,
     reason: DepartureReason,
     toldBy: string,
     nowMs: number,
   ): void {
-    const change = this.options.catalog.servers.applyDeparture(start, reason, nowMs);
-    if (change !== 'same') this.logServer({server: start.id, change, toldBy});
+    const {servers} = this.options.catalog;
+    const change = servers.applyDeparture(start, reason, nowMs, recordPosition);
+    if (change === 'same') return;
+    this.logServer({server: start.id, change, toldBy, recordOffset: recordPosition?.offset});
   }
 
   private logServer(fields: LogFields): void {
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -1,5 +1,5 @@
 /** State that gateways exchange by gossip, in its decoded form. */
-import type {ServerEntry, ServerStart} from '../catalog/index.js';
+import type {RecordedDeparture, RecordedEntry} from '../catalog/index.js';
 import type {NamedLimit, ServerLoad} from '../controllers/placement/index.js';
 import type {EvidenceRow} from '../controllers/moves/FleetEvidence.js';
 import type {RolloutStep} from '../controllers/moves/RolloutStep.js';
@@ -50,11 +50,11 @@
   /** Digest of all servers that are not draining; equal digests mean equal registrations. */
   readonly digest: bigint;
   /** Registrations that changed recently, and those of cold servers. */
-  readonly changed: readonly ServerEntry[];
+  readonly changed: readonly RecordedEntry[];
   /** Server starts that have announced that they are leaving. */
-  readonly draining: readonly ServerStart[];
+  readonly draining: readonly RecordedDeparture[];
   /** Server starts whose registrations have been removed. */
-  readonly removed: readonly ServerStart[];
+  readonly removed: readonly RecordedDeparture[];
 }
 
 /** State that a gateway sends in a datagram. */
--- a/src/gossip/gossipCodec.ts
+++ b/src/gossip/gossipCodec.ts
@@ -19,7 +19,7 @@
   type ServerStart as ServerStartMessage,
   type ServerStartSchema,
 } from '../peer/generated/buckthorn/gossip/v1/gossip_pb.js';
-import type {ServerEntry, ServerStart} from '../catalog/index.js';
+import type {RecordedDeparture, RecordedEntry} from '../catalog/index.js';
 import type {ServerLoad} from '../controllers/placement/index.js';
 import {getTextKey} from '../utils/index.js';
 import {fromCrash, fromSurvival, toCrash, toSurvival} from './findingsCodec.js';
@@ -240,15 +240,30 @@
   return BigInt(Math.max(0, Math.floor(stampMs)));
 }
 
-function toServerStart({id, startedAtMs}: ServerStart): MessageInitShape<typeof ServerStartSchema> {
-  return {id, startedAtMs: BigInt(startedAtMs ?? 0)};
+function toServerStart({
+  id,
+  startedAtMs,
+  recordPosition,
+}: RecordedDeparture): MessageInitShape<typeof ServerStartSchema> {
+  return {
+    id,
+    startedAtMs: BigInt(startedAtMs ?? 0),
+    recordEra: recordPosition?.era ?? 0,
+    recordOffset: BigInt(recordPosition?.offset ?? 0),
+  };
 }
 
-function fromServerStart({id, startedAtMs}: ServerStartMessage): ServerStart {
-  return {id, startedAtMs: startedAtMs === 0n ? undefined : Number(startedAtMs)};
+function fromServerStart(message: ServerStartMessage): RecordedDeparture {
+  const {id, startedAtMs, recordEra: era, recordOffset} = message;
+  return {
+    id,
+    startedAtMs: startedAtMs === 0n ? undefined : Number(startedAtMs),
+    // A sender of an older version tells no position.
+    recordPosition: recordOffset === 0n ? undefined : {era, offset: Number(recordOffset)},
+  };
 }
 
-function toRegistration(entry: ServerEntry): MessageInitShape<typeof RegistrationSchema> {
+function toRegistration(entry: RecordedEntry): MessageInitShape<typeof RegistrationSchema> {
   const {service, address, failureDomain, softwareVersion, slots, isDraining, isReclaimable} =
     entry;
   return {
@@ -264,10 +279,12 @@
   };
 }
 
-function fromRegistration({server, ...registration}: Registration): ServerEntry {
+function fromRegistration({server, ...registration}: Registration): RecordedEntry {
   const {service, address, failureDomain, softwareVersion, slots} = registration;
   return {
-    ...(server ? fromServerStart(server) : {id: '', startedAtMs: undefined}),
+    ...(server
+      ? fromServerStart(server)
+      : {id: '', startedAtMs: undefined, recordPosition: undefined}),
     service,
     address,
     failureDomain,
--- a/tests/catalog/ServerCatalog.test.ts
+++ b/tests/catalog/ServerCatalog.test.ts
@@ -120,12 +120,44 @@
     const catalog = new ServerCatalog();
     catalog.applyEntry(entry('s1', {isDraining: true}), 0);
     catalog.removeServer('s1', 10);
-    t.equal(catalog.applyRelayedEntry(entry('s1'), 20), 'same');
-    t.equal(catalog.applyRelayedEntry(entry('s1', {startedAtMs: 2}), 30), 'added');
+    const relay = (fields: Partial<ServerEntry>) => ({
+      ...entry('s1', fields),
+      recordPosition: undefined,
+    });
+    t.equal(catalog.applyRelayedEntry(relay({}), 20), 'same');
+    t.equal(catalog.applyRelayedEntry(relay({startedAtMs: 2}), 30), 'added');
     t.same(getAvailableIds(catalog), ['s1']);
     t.end();
   });
 
+  t.test('a removed server does not come back by a record from before its removal', t => {
+    const catalog = new ServerCatalog();
+    const at = (offset: number, era = 1) => ({era, offset});
+    catalog.applyEntry(entry('s1'), 0, at(5));
+    t.equal(catalog.removeServer('s1', 10, at(9)), 'removed');
+    t.equal(catalog.applyEntry(entry('s1'), 20, at(5)), 'same');
+    t.equal(catalog.applyRelayedEntry({...entry('s1'), recordPosition: at(8)}, 30), 'same');
+    t.same(getAvailableIds(catalog), []);
+    t.equal(catalog.applyEntry(entry('s1'), 40, at(10)), 'added');
+    t.equal(catalog.removeServer('s1', 50, at(9)), 'same', 'removed before it registered again');
+    t.equal(catalog.applyDeparture(entry('s1'), 'removed', 60, at(9)), 'same');
+    catalog.markExpired('s1', 70, at(9));
+    t.equal(catalog.getServer('s1')?.expiredAtMs, undefined);
+    t.equal(catalog.applyEntry(entry('s1', {startedAtMs: 7}), 80, at(9)), 'same');
+    t.equal(catalog.applyDeparture(entry('s1'), 'removed', 90, at(11)), 'removed');
+    t.equal(catalog.applyEntry(entry('s1'), 100, at(3, 2)), 'added', 'after a restoration');
+    t.end();
+  });
+
+  t.test('an expired registration is not reported as a changed one', t => {
+    const catalog = new ServerCatalog();
+    catalog.applyEntry(entry('s1', {coldMs: 900}), 0, {era: 1, offset: 5});
+    catalog.markExpired('s1', 10, {era: 1, offset: 9});
+    t.same(catalog.getRecentlyChanged(100, 20), []);
+    t.same(catalog.getColdServers(20), []);
+    t.end();
+  });
+
   t.test('catalogs with the same servers, apart from draining ones, have equal digests', t => {
     const first = new ServerCatalog();
     const second = new ServerCatalog();
--- a/tests/gateway/LogReadCoordinator.test.ts
+++ b/tests/gateway/LogReadCoordinator.test.ts
@@ -123,6 +123,24 @@
     t.end();
   });
 
+  t.test('a gateway back from a cut does not bring back a server that left meanwhile', t => {
+    const {reader, other} = createPair();
+    const at = (offset: number) => ({era: 1, offset});
+    for (const gateway of [reader, other]) gateway.read([S1], 5, 0, 1);
+    reader.catalog.servers.applyEntry(S2, 6_000, at(6));
+    reader.catalog.servers.removeServer('s2', 10_900, at(20));
+    reader.read([], 20, 10_900, 1);
+    // The other gateway reads both records at once; the removal may be a result of the outage that it has met.
+    other.catalog.servers.applyEntry(S2, 11_800, at(6));
+    other.catalog.servers.markExpired('s2', 11_800, at(20));
+    other.read([], 30, 11_800, 1);
+    reader.logReadCoordinator.apply(other.getState(11_810), 11_810);
+    t.same(reader.getAvailableIds(), ['s1']);
+    other.logReadCoordinator.apply(reader.getState(11_820), 11_820);
+    t.same(other.getAvailableIds(), ['s1']);
+    t.end();
+  });
+
   t.test('registrations are not marked as complete after a missed change', t => {
     const {reader, other} = createPair();
     for (const gateway of [reader, other]) gateway.read([S1], 5, 0);
--- a/tests/gossip/gossip.test.ts
+++ b/tests/gossip/gossip.test.ts
@@ -89,9 +89,13 @@
     position: {era: 3, offset: 77},
     ageMs: 300,
     digest: 0xfedc_ba98_7654_3210n,
-    changed: [{...createServer('s8').entry, coldMs: 1_200}],
-    draining: [{id: 's9', startedAtMs: 1_780_000_000_000}],
-    removed: [{id: 's7', startedAtMs: undefined}],
+    changed: [
+      {...createServer('s8').entry, coldMs: 1_200, recordPosition: {era: 3, offset: 2 ** 40}},
+    ],
+    draining: [
+      {id: 's9', startedAtMs: 1_780_000_000_000, recordPosition: {era: 3, offset: 2 ** 40 + 1}},
+    ],
+    removed: [{id: 's7', startedAtMs: undefined, recordPosition: undefined}],
   },
   findings: {
     crashes: [
--- a/tests/platform/StoreFeed.test.ts
+++ b/tests/platform/StoreFeed.test.ts
@@ -184,6 +184,20 @@
     await waitFor(() => getOpenIds().join() === 's2');
   });
 
+  t.test('does not tell the other gateways of a server that left while it was cut off', async t => {
+    const {store, catalog, logReadCoordinator} = await startFeed(t, ['s1']);
+    store.mode = 'silent';
+    await pause(4_500);
+    register(store, 's2');
+    removeRegistration(store, 's2');
+    store.mode = 'works';
+    const endOffset = store.getRecords(SERVERS).length;
+    await waitFor(() => logReadCoordinator.getKnownPosition('registrations').offset >= endOffset);
+    const update = logReadCoordinator.getRegistrationsUpdate(true, getNowMs());
+    t.notOk(update.changed.some(({id}) => id === 's2'));
+    t.equal(catalog.servers.getServer('s2')?.entry.id, 's2', 'kept here, since it may be running');
+  });
+
   t.test('does not read the store while another gateway relays its reads', async t => {
     const {store, catalog, members, logReadCoordinator} = await startFeed(t, ['s1']);
     const others = ['g2', 'g3', 'g4', 'g5', 'g6'].map(id => createMember(id));
