--- a/tests/platform/BackendConnections.test.ts
+++ b/tests/platform/BackendConnections.test.ts
@@ -37,18 +37,23 @@
   return startExchange(connections, port, id).result;
 }
 
-function startExchange(connections: BackendConnections, port: number, id: string): StartedExchange {
+function startExchange(
+  connections: BackendConnections,
+  port: number,
+  id: string,
+  body = Buffer.from('question'),
+): StartedExchange {
   const known = createEntry('s1');
   const server = {...known, entry: {...known.entry, address: `127.0.0.1:${port}`}};
   const heads: BackendHead[] = [];
-  let body = '';
+  let responseBody = '';
   let finish: (failure: BackendFailure | undefined) => void = () => undefined;
   const result = new Promise<ExchangeResult>(resolve => {
-    finish = failure => resolve({heads, body, failure});
+    finish = failure => resolve({heads, body: responseBody, failure});
   });
   const attempt = connections.send(
     {
-      request: {...REQUEST, id, body: Buffer.from('question'), method: 'POST'},
+      request: {...REQUEST, id, body, method: 'POST'},
       server,
       workspace: 'w',
       deadlineMs: 900,
@@ -59,7 +64,7 @@
     },
     {
       onHead: head => heads.push(head),
-      onData: chunk => (body += chunk.toString()),
+      onData: chunk => (responseBody += chunk.toString()),
       onEnd: () => finish(undefined),
       onFailure: finish,
     },
@@ -73,6 +78,10 @@
 
 /** Time after which a run cancels an attempt whose response doesn't end. */
 const CANCEL_AFTER_MS = 300;
+/** Time after which a server that was unreachable reads what the system holds for it. */
+const RESUME_AFTER_MS = 900;
+/** More than the system buffers for a connection on both sides. */
+const LARGE_BODY = Buffer.alloc(64_000_000);
 const MAX_GROWTH_BYTES = 50_000_000;
 const SIGNED = 'x-buckthorngw-replica-stamp: s\r\n';
 
@@ -321,6 +330,26 @@
     t.match(received, /question$/);
   });
 
+  t.test('what is left of a cancelled request does not reach its server later', async t => {
+    // A server that reads nothing leaves most of the body in the system's buffers, as a lost link does.
+    const ended = new Promise<string>(resolve => {
+      const accept = (socket: Socket) => {
+        socket.on('error', () => resolve('reset'));
+        // A reset that arrives together with data is reported as an end, but the socket then has no peer.
+        socket.on('end', () => resolve(socket.remoteAddress === undefined ? 'reset' : 'closed'));
+        setTimeout(() => socket.resume(), RESUME_AFTER_MS);
+      };
+      const server = createServer({pauseOnConnect: true}, accept);
+      t.teardown(() => server.close());
+      server.listen(0, '127.0.0.1', () => {
+        const connections = new BackendConnections(silentEvents, () => performance.now());
+        const {attempt} = startExchange(connections, getPort(server), 'q1', LARGE_BODY);
+        setTimeout(() => attempt.cancel(), CANCEL_AFTER_MS);
+      });
+    });
+    t.equal(await ended, 'reset');
+  });
+
   t.test('reports a request to a closed port as not sent', async t => {
     const server = await listen(() => undefined);
     const port = getPort(server);
