Pass requests on while a gateway has lost its links to the servers

A gateway now takes the silence of all servers, refused connections, or the word of another gateway as a suspicion, and asks five servers for a connection. If most don't accept it, it says so to the others, leaves the directory, and passes requests on to a gateway that reaches the servers, which checks, charges and runs them as its own: one hop, at most once, with the time left, back-pressure and cancellation. If no gateway reaches them, requests are refused at once.

--- a/src/exchange/ExchangeRun.ts
+++ b/src/exchange/ExchangeRun.ts
@@ -171,9 +171,11 @@
     const isCurrent = () => this.current === attempt && !this.isDone;
     return {
       onHead: head => {
+        this.options.services.onReceived(attempt.server, this.options.getNowMs());
         if (isCurrent()) this.handleHead(attempt, head);
       },
       onData: chunk => {
+        this.options.services.onReceived(attempt.server, this.options.getNowMs());
         if (isCurrent()) this.handleData(attempt, chunk);
       },
       onEnd: () => {
--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -28,6 +28,8 @@
   readonly tokens: number | undefined;
   /** Id of the event after which the caller wants to resume a stream; undefined for a new stream. */
   readonly lastEventId: string | undefined;
+  /** Whether another gateway passes the request on, so that this one must not pass it on again. */
+  readonly isForwarded: boolean;
 }
 
 /** Why the caller gets an error of the gateway instead of a backend server's response. */
@@ -145,6 +147,31 @@
   send(call: BackendCall, handler: BackendResponseHandler): BackendAttempt;
   /** Returns whether nothing listens at a server's address any more; false if that can't be found out. */
   hasStopped(server: KnownServer): Promise<boolean>;
+  /** Returns whether a server's address accepts a connection within a short time. */
+  canConnect(server: KnownServer): Promise<boolean>;
+  /** Closes the connections that no attempt uses. */
+  closeIdleConnections(): void;
+}
+
+/** A request that is passed on to another gateway. */
+export interface PeerCall {
+  readonly request: ServingRequest;
+  readonly peer: ForwardingPeer;
+  /** Time from now to the caller's deadline. */
+  readonly deadlineMs: number;
+}
+
+/** A gateway to which requests can be passed on. */
+export interface ForwardingPeer {
+  readonly id: string;
+  /** IP address and port for callers. */
+  readonly trafficAddress: string;
+}
+
+/** Passes requests on to other gateways, which check, run and charge them as those of a caller. */
+export interface PeerTransport {
+  /** Sends a request and reports its response to the handler; one without a signature is the other gateway's own. */
+  send(call: PeerCall, handler: BackendResponseHandler): BackendAttempt;
 }
 
 /** Handle of an attempt in progress. */
--- a/src/exchange/RunServices.ts
+++ b/src/exchange/RunServices.ts
@@ -86,6 +86,8 @@
     attempt: number,
     nowMs: number,
   ): void;
+  /** Called when a part of a response has arrived. */
+  onReceived(server: KnownServer, nowMs: number): void;
   /** Called when the head of a response has arrived. */
   onHead(server: KnownServer, head: BackendHead, nowMs: number): void;
   /** Called once per attempt: when its prompt has been prefilled, or when it ends before that. */
--- a/src/exchange/index.ts
+++ b/src/exchange/index.ts
@@ -1,4 +1,5 @@
 export {EventFramer, type FramedEvent} from './EventFramer.js';
+export {ForwardedRun, type ForwardedOutcome, type ForwardedRunOptions} from './ForwardedRun.js';
 export {ExchangeRun, type ExchangeRunOptions} from './ExchangeRun.js';
 export type {AdmittedRequest, RunOutcome} from './RunTypes.js';
 export type {
@@ -9,6 +10,9 @@
   BackendResponseHandler,
   BackendAttempt,
   BackendTransport,
+  ForwardingPeer,
+  PeerCall,
+  PeerTransport,
   HeaderFields,
   Refusal,
   RefusalKind,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -6,7 +6,12 @@
 import {PromptRates, type ServiceLoad} from '../controllers/fleetSize/index.js';
 import {FleetEvidence} from '../controllers/moves/index.js';
 import {ServerLoads} from '../controllers/placement/index.js';
-import type {BackendTransport, ResponseSink, ServingRequest} from '../exchange/index.js';
+import type {
+  BackendTransport,
+  PeerTransport,
+  ResponseSink,
+  ServingRequest,
+} from '../exchange/index.js';
 import {
   GossipSocket,
   MemberTable,
@@ -26,18 +31,21 @@
 import {PeerClock} from './PeerClock.js';
 import type {DutyCalls, DutyLog, RolloutLog} from './ports.js';
 import {LogReadCoordinator} from './LogReadCoordinator.js';
+import {RequestForwarder} from './RequestForwarder.js';
 import {RequestHandler, type OpenRequest} from './RequestHandler.js';
 import {RequestQueue} from './RequestQueue.js';
 import {RequestQuarantine} from './RequestQuarantine.js';
 import {RolloutDuty} from './RolloutDuty.js';
 import {RolloutGate} from './RolloutGate.js';
 import {ServerLimits} from './ServerLimits.js';
+import {EXAMINE_INTERVAL_MS, ServerReachability} from './ServerReachability.js';
 
 /** Constructor options of `Gateway`: its settings, clocks and adapters. */
 export interface GatewayOptions {
   readonly settings: GatewaySettings;
   readonly catalog: Catalog;
   readonly transport: BackendTransport;
+  readonly peerTransport: PeerTransport;
   readonly dutyCalls: DutyCalls;
   readonly dutyLog: DutyLog;
   readonly rolloutLog: RolloutLog;
@@ -87,6 +95,8 @@
   private readonly rolloutDuty: RolloutDuty;
   private dutyTimer: NodeJS.Timeout | undefined;
   private rolloutTimer: NodeJS.Timeout | undefined;
+  private readonly reachability: ServerReachability;
+  private reachabilityTimer: NodeJS.Timeout | undefined;
   private readonly startedAtMs: number;
   private readonly queue: RequestQueue;
   private readonly requests: RequestHandler;
@@ -132,6 +142,16 @@
       events,
       onStep: step => options.metrics.addRolloutStep(step),
     });
+    this.reachability = new ServerReachability({
+      catalog,
+      transport: options.transport,
+      events,
+      getCutOffPeerCount: nowMs =>
+        this.members.getLiveMembers(nowMs).filter(({isCutOff}) => isCutOff).length,
+      onChange: () => this.gossip.broadcast(),
+      getNowMs,
+      random,
+    });
     this.services = new GatewayRunServices({
       settings,
       catalog,
@@ -143,6 +163,7 @@
       serverLimits,
       rollouts,
       evidence: this.evidence,
+      reachability: this.reachability,
       events,
       recheck: admitted => this.requests.recheck(admitted),
       onServerLeaving: () => this.gossip.broadcast(),
@@ -176,6 +197,16 @@
       metrics: options.metrics,
       events,
       queue: this.queue,
+      forwarder: new RequestForwarder({
+        settings,
+        transport: options.peerTransport,
+        members: this.members,
+        metrics: options.metrics,
+        events,
+        getNowMs,
+        random,
+      }),
+      reachability: this.reachability,
       getConfigurationProofAgeMs: () => this.logReadCoordinator.getOperatorProofAgeMs(),
       getNowMs,
       random,
@@ -234,6 +265,7 @@
     await this.gossip.start();
     this.dutyTimer = setInterval(() => this.runDuties(), DUTY_INTERVAL_MS);
     this.rolloutTimer = setInterval(() => this.decideRollouts(), ROLLOUT_INTERVAL_MS);
+    this.reachabilityTimer = setInterval(() => this.examineLinks(), EXAMINE_INTERVAL_MS);
   }
 
   /**
@@ -274,6 +306,7 @@
   close(): void {
     clearInterval(this.dutyTimer);
     clearInterval(this.rolloutTimer);
+    clearInterval(this.reachabilityTimer);
     this.gossip.close();
   }
 
@@ -290,6 +323,7 @@
       configurationVersion: catalog.routeTable?.configuration.version ?? 0,
       configurationAgeMs: this.logReadCoordinator.getOperatorProofAgeMs(),
       registrationsAgeMs: catalog.getRegistrationsAgeMs(nowMs),
+      isCutOff: this.reachability.isCutOff,
       gatewaysHeard: this.members.getLiveMembers(nowMs).length,
       gatewaysKnown: this.members.getKnownCount(nowMs),
       backendServers: catalog.servers.getServers().length,
@@ -320,6 +354,11 @@
     );
   }
 
+  /** Returns whether another gateway was heard of lately. */
+  isLiveMember(id: string): boolean {
+    return this.members.getLiveMembers(this.options.getNowMs()).some(member => member.id === id);
+  }
+
   /** Whether the process has been asked to stop. */
   get isLeaving(): boolean {
     return this.isStopping;
@@ -334,8 +373,10 @@
     const readyMembers = [own, ...this.members.getLiveMembers(this.options.getNowMs())].filter(
       member => member.isReady && !member.isLeaving,
     );
+    const servingMembers = readyMembers.filter(({isCutOff}) => !isCutOff);
+    const members = servingMembers.length > 0 ? servingMembers : readyMembers;
     const {regionByDomain} = this.options.settings;
-    return chooseCallerAddresses(readyMembers, callerDomain, domain => regionByDomain.get(domain));
+    return chooseCallerAddresses(members, callerDomain, domain => regionByDomain.get(domain));
   }
 
   /**
@@ -364,6 +405,7 @@
       failureDomain: settings.failureDomain,
       isReady: this.isReady(),
       isLeaving: this.isStopping,
+      isCutOff: this.reachability.isCutOff,
     };
   }
 
@@ -403,6 +445,13 @@
     this.rolloutDuty.tick(this.isReady() ? this.duties.heldClaim : undefined);
   }
 
+  /** Finds out whether the backend servers are in reach, if there is a doubt. */
+  examineLinks(): void {
+    this.reachability.examine().catch((error: unknown) => {
+      this.options.events.log('links not examined', {error: String(error)});
+    });
+  }
+
   /** Claims the duties if that is due, or performs them if they are held. */
   runDuties(): void {
     this.duties.tick(this.startedAtMs).catch((error: unknown) => {
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -2,7 +2,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import {isFinalStep, type RolloutStep} from '../controllers/moves/index.js';
 import type {FactorSummary} from '../controllers/placement/index.js';
-import type {RefusalKind, RunOutcome} from '../exchange/index.js';
+import type {ForwardedOutcome, RefusalKind, RunOutcome} from '../exchange/index.js';
 import type {GossipTraffic} from '../gossip/index.js';
 
 /** Gauge values, read each time the metrics are scraped. */
@@ -11,6 +11,7 @@
   readonly configurationVersion: number;
   readonly configurationAgeMs: number;
   readonly registrationsAgeMs: number;
+  readonly isCutOff: boolean;
   readonly gatewaysHeard: number;
   readonly gatewaysKnown: number;
   readonly backendServers: number;
@@ -60,6 +61,10 @@
     'buckthorn_registrations_age_ms',
     'Time since the registrations of backend servers were last known to be complete.',
   ],
+  isCutOff: [
+    'buckthorn_cut_off',
+    'Whether this gateway has lost its links to most backend servers.',
+  ],
   gatewaysHeard: ['buckthorn_gateways_heard', 'Other gateways that are heard.'],
   gatewaysKnown: ['buckthorn_gateways_known', 'Other gateways that may be running.'],
   backendServers: ['buckthorn_backend_servers', 'Backend servers that are known.'],
@@ -88,6 +93,12 @@
     labelNames: ['route', 'workspace', 'outcome', 'refusal'],
     registers: [this.registry],
   });
+  private readonly forwarded = new Counter({
+    name: 'buckthorn_forwarded_requests_total',
+    help: 'Requests that were passed on to another gateway, by how they ended.',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
   private readonly attempts = new Counter({
     name: 'buckthorn_attempts_total',
     help: 'Tries at backend servers.',
@@ -172,6 +183,11 @@
     this.requests.inc({route: NO_VALUE, workspace: workspace ?? NO_VALUE, outcome, refusal});
   }
 
+  /** Counts a request that was passed on to another gateway. */
+  addForwarded(outcome: ForwardedOutcome['kind']): void {
+    this.forwarded.inc({outcome});
+  }
+
   /** Records how long a request has waited for a slot before it was started. */
   addQueueTime(service: string, waitedMs: number): void {
     this.queueTimes.observe({service}, waitedMs / MS_PER_SECOND);
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -45,6 +45,7 @@
 import type {RequestQuarantine} from './RequestQuarantine.js';
 import type {RolloutGate} from './RolloutGate.js';
 import type {ServerLimits} from './ServerLimits.js';
+import type {ServerReachability} from './ServerReachability.js';
 import {ServiceTargets} from './ServiceTargets.js';
 
 /** Constructor options of `GatewayRunServices`. */
@@ -59,6 +60,10 @@
   readonly serverLimits: ServerLimits;
   readonly rollouts: Pick<RolloutGate, 'getVersions' | 'isRunning'>;
   readonly evidence: FleetEvidence;
+  readonly reachability: Pick<
+    ServerReachability,
+    'addAttempt' | 'removeAttempt' | 'addSignOfLife' | 'addFailure'
+  >;
   readonly events: EventLogger;
   /** Returns why a request that was admitted isn't any more; undefined if it still is. */
   readonly recheck: (admitted: AdmittedRequest) => RefusalKind | undefined;
@@ -210,6 +215,7 @@
       this.options.promptRates.addPrompt(admitted.service, promptTokens, nowMs);
     }
     this.options.loads.addRequest(server.entry.id, promptTokens);
+    this.options.reachability.addAttempt(server, nowMs);
     this.options.serverLimits.addRequest(server, nowMs);
     if (server.coldUntilMs <= nowMs) return;
     const limit = this.getColdShare(server, this.getService(admitted.service), nowMs);
@@ -222,6 +228,10 @@
     });
   }
 
+  onReceived(server: KnownServer, nowMs: number): void {
+    this.options.reachability.addSignOfLife(server, nowMs);
+  }
+
   onHead(server: KnownServer, head: BackendHead, nowMs: number): void {
     this.applyRequestLimit(server, head, nowMs);
     this.applyPause(server, head, nowMs);
@@ -274,6 +284,7 @@
 
   onAttemptEnd(server: KnownServer, outcome: HealthOutcome, nowMs: number): void {
     this.health.addOutcome(server.entry.id, outcome, nowMs);
+    if (outcome === 'unreachable') this.options.reachability.addFailure(server, nowMs);
   }
 
   checkQuarantine(admitted: AdmittedRequest, nowMs: number): QuarantineCheck {
@@ -332,6 +343,7 @@
 
   onClosed(server: KnownServer): void {
     this.options.loads.removeRequest(server.entry.id);
+    this.options.reachability.removeAttempt(server);
   }
 
   private applyWorkFactor({entry}: KnownServer, head: BackendHead, nowMs: number): void {
--- a/src/gateway/RequestHandler.ts
+++ b/src/gateway/RequestHandler.ts
@@ -20,6 +20,8 @@
 import type {GatewayMetrics} from './GatewayMetrics.js';
 import {RecentDurations} from '../utils/index.js';
 import type {RequestQueue} from './RequestQueue.js';
+import type {RequestForwarder} from './RequestForwarder.js';
+import type {ServerReachability} from './ServerReachability.js';
 import {StartGate} from './StartGate.js';
 
 /** Constructor options of `RequestHandler`. */
@@ -34,6 +36,8 @@
   readonly metrics: GatewayMetrics;
   readonly events: EventLogger;
   readonly queue: RequestQueue;
+  readonly forwarder: RequestForwarder;
+  readonly reachability: Pick<ServerReachability, 'isCutOff' | 'reachesAny'>;
   /** Returns the time since the operators' records were last certainly complete. */
   readonly getConfigurationProofAgeMs: () => number;
   /** Returns the monotonic time in milliseconds. */
@@ -54,6 +58,8 @@
 const MAX_CONFIGURATION_AGE_SHARE = 0.95;
 /** Long enough to contain requests of a kind that is rare on its route. */
 const MIN_REMEMBERED_MS = 60_000;
+/** Least time after which callers retry if no gateway reaches the servers; such outages last for seconds. */
+const OUTAGE_RETRY_MS = 1_000;
 const REFUSED_REQUEST: OpenRequest = {abandon: () => undefined};
 
 /** Result of a request that wasn't sent to a server. */
@@ -96,7 +102,7 @@
 
   /** Number of requests in progress. */
   get openRequests(): number {
-    return this.runs.size + this.options.queue.size;
+    return this.runs.size + this.options.queue.size + this.options.forwarder.size;
   }
 
   /** Returns whether the configuration is recent enough to admit requests: keys may be revoked. */
@@ -117,6 +123,7 @@
   endOpenRequests(): void {
     this.options.queue.refuseAll();
     for (const run of [...this.runs]) run.stop();
+    this.options.forwarder.endAll();
   }
 
   /**
@@ -147,6 +154,10 @@
       return REFUSED_REQUEST;
     }
     const {route, workspace} = check;
+    if (this.options.reachability.isCutOff) {
+      const forwarded = this.serveCutOff(request, route, workspace, sink);
+      if (forwarded) return forwarded;
+    }
     const retryAfterMs = this.consumeQuota(workspace, request, nowMs);
     if (retryAfterMs !== undefined) {
       sink.refuse({kind: 'over-allotment', isNotRun: true, retryAfterMs});
@@ -156,6 +167,34 @@
     return this.run(request, route, workspace, sink);
   }
 
+  /**
+   * Passes a request on to another gateway, which charges it. If none can take it, or if it has been passed on already,
+   * it is refused at once, unless some servers are in reach; then undefined is returned, and it is to be run here.
+   */
+  private serveCutOff(
+    request: ServingRequest,
+    route: Route,
+    workspace: Workspace | undefined,
+    sink: ResponseSink,
+  ): OpenRequest | undefined {
+    const {forwarder, reachability} = this.options;
+    const homeRegions = [route.homeRegions, workspace?.homeRegions ?? []];
+    if (!request.isForwarded && forwarder.canForward({homeRegions})) {
+      const deadlineAtMs = request.receivedAtMs + getMaxWaitMs(request, route);
+      return forwarder.forward({request, homeRegions, deadlineAtMs, sink});
+    }
+    if (!request.isForwarded && reachability.reachesAny) return undefined;
+    const retryAfterMs = request.isForwarded ? RETRY_ELSEWHERE_MS : this.getOutageRetryMs();
+    sink.refuse({kind: 'no-server', isNotRun: true, retryAfterMs});
+    this.logRefusal(request, 'no-server', workspace?.name);
+    return REFUSED_REQUEST;
+  }
+
+  /** Callers come back over the same time again, as no gateway would serve them earlier. */
+  private getOutageRetryMs(): number {
+    return OUTAGE_RETRY_MS * (1 + this.options.random());
+  }
+
   private check(request: ServingRequest): RequestCheck {
     const check = checkRequest(this.options.catalog, request, {
       configurationAgeMs: this.getConfigurationAgeMs(),
--- a/src/gossip/GossipState.ts
+++ b/src/gossip/GossipState.ts
@@ -21,6 +21,8 @@
   readonly isReady: boolean;
   /** Whether it is stopping. */
   readonly isLeaving: boolean;
+  /** Whether it has lost its links to most backend servers, and passes requests on to other gateways. */
+  readonly isCutOff: boolean;
 }
 
 /** Number of requests of a workspace that started to run in a window of wall clock time. */
--- a/src/gossip/MemberTable.ts
+++ b/src/gossip/MemberTable.ts
@@ -1,6 +1,6 @@
 /** Membership of the gateways: which are live, and which may still be running. */
 import type {GatewayMember} from './GossipState.js';
-import {getMemberKey, getStatus, type MemberStatus} from './StateSummary.js';
+import {applyStatusTo, getMemberKey, getStatus, type MemberStatus} from './StateSummary.js';
 
 /** A member, with the times at which it became known and last sent a datagram. */
 export interface MemberRecord {
@@ -105,9 +105,7 @@
     const isNews = !isHeard && getStatus(record.member) !== status;
     record.lastReportedAtMs = nowMs;
     if (!isNews && !record.hasFailed) return true;
-    const member = isNews
-      ? {...record.member, isReady: status === 'ready', isLeaving: status === 'leaving'}
-      : record.member;
+    const member = isNews ? applyStatusTo(record.member, status) : record.member;
     this.setRecord({...record, hasFailed: false, member});
     return true;
   }
--- a/src/gossip/StateSummary.ts
+++ b/src/gossip/StateSummary.ts
@@ -8,7 +8,7 @@
 export interface MemberStatus {
   /** Key of the gateway's start, see `getMemberKey`. */
   readonly key: number;
-  readonly status: 'ready' | 'not-ready' | 'leaving';
+  readonly status: 'ready' | 'not-ready' | 'leaving' | 'cut-off';
 }
 
 /** Combined state of a set of gateways. */
@@ -56,9 +56,23 @@
 }
 
 /** Returns what other gateways should know of a live gateway. */
-export function getStatus({isLeaving, isReady}: GatewayMember): MemberStatus['status'] {
-  if (isLeaving) return 'leaving';
-  return isReady ? 'ready' : 'not-ready';
+export function getStatus(member: GatewayMember): MemberStatus['status'] {
+  if (member.isLeaving) return 'leaving';
+  if (!member.isReady) return 'not-ready';
+  return member.isCutOff ? 'cut-off' : 'ready';
+}
+
+/** Returns a member record with the status that another gateway reports. */
+export function applyStatusTo(
+  member: GatewayMember,
+  status: MemberStatus['status'],
+): GatewayMember {
+  return {
+    ...member,
+    isReady: status === 'ready' || status === 'cut-off',
+    isLeaving: status === 'leaving',
+    isCutOff: status === 'cut-off',
+  };
 }
 
 /**
--- a/src/gossip/gossipCodec.ts
+++ b/src/gossip/gossipCodec.ts
@@ -39,6 +39,7 @@
   ready: MemberStatusMessage.READY,
   'not-ready': MemberStatusMessage.NOT_READY,
   leaving: MemberStatusMessage.LEAVING,
+  'cut-off': MemberStatusMessage.CUT_OFF,
 };
 
 /**
@@ -220,6 +221,7 @@
 
 function fromStatus(status: MemberStatusMessage | undefined): MemberStatus['status'] {
   if (status === MemberStatusMessage.LEAVING) return 'leaving';
+  if (status === MemberStatusMessage.CUT_OFF) return 'cut-off';
   return status === MemberStatusMessage.READY ? 'ready' : 'not-ready';
 }
 
@@ -317,5 +319,6 @@
     failureDomain: member.failureDomain,
     isReady: member.isReady,
     isLeaving: member.isLeaving,
+    isCutOff: member.isCutOff,
   };
 }
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -83,6 +83,32 @@
     ],
     maxPerSecond: REQUEST_EVENTS_PER_SECOND,
   },
+  'request forwarded': {
+    level: 'info',
+    meaning:
+      'A request was passed on to another gateway, since this one has lost its links to most backend servers, and has ended.',
+    fields: ['request', 'gateway', 'outcome', 'status', 'totalMs', 'detail'],
+    maxPerSecond: REQUEST_EVENTS_PER_SECOND,
+  },
+  'servers out of reach': {
+    level: 'warn',
+    meaning:
+      'Probes show that this gateway has lost its links to most backend servers. It passes requests on to other gateways.',
+    fields: ['reached', 'unreached'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
+  'links not examined': {
+    level: 'error',
+    meaning: 'Finding out whether the backend servers are in reach failed.',
+    fields: ['error'],
+    maxPerSecond: ERRORS_PER_SECOND,
+  },
+  'servers back in reach': {
+    level: 'info',
+    meaning: 'This gateway reaches the backend servers again, and serves requests itself.',
+    fields: ['reached', 'unreached', 'cutOffMs'],
+    maxPerSecond: STATE_CHANGES_PER_SECOND,
+  },
   'request refused': {
     level: 'info',
     meaning: 'A request was refused before a backend server was chosen.',
--- a/tests/controllers/placement/serverRateShares.test.ts
+++ b/tests/controllers/placement/serverRateShares.test.ts
@@ -13,6 +13,7 @@
 import {REQUEST, ROUTE, createServer} from '../../exchange/exchangeFixtures.js';
 import {
   createQuarantine,
+  createReachability,
   createServerLimits,
   createSettings,
 } from '../../gateway/gatewayFixtures.js';
@@ -69,6 +70,7 @@
     serverLimits: createServerLimits(id),
     rollouts: new RolloutGate({catalog, events: silentEvents}),
     evidence: new FleetEvidence(),
+    reachability: createReachability(),
     recheck: () => undefined,
     onServerLeaving: () => undefined,
     getGatewayIds: () => fleet,
--- a/tests/exchange/exchangeFixtures.ts
+++ b/tests/exchange/exchangeFixtures.ts
@@ -97,6 +97,7 @@
   promptParts: [],
   tokens: undefined,
   lastEventId: undefined,
+  isForwarded: false,
 };
 
 /** Runs one request at a fixed time of 0 ms and records what the caller and the servers receive. */
@@ -175,6 +176,8 @@
           };
         },
         hasStopped: async () => false,
+        canConnect: async () => true,
+        closeIdleConnections: () => undefined,
       },
       services: this.createServices(serverIds),
       getNowMs: () => 0,
@@ -207,6 +210,7 @@
     return {
       checkQuarantine: () => ({kind: 'run'}),
       onAnswered: () => undefined,
+      onReceived: () => undefined,
       onMeasured: (_admitted, measurement) => this.measurements.push(measurement),
       recheck: () => this.recheckRefusal,
       choose: (_admitted, attemptedServerIds) => {
--- a/tests/gateway/GatewayMetrics.test.ts
+++ b/tests/gateway/GatewayMetrics.test.ts
@@ -14,6 +14,7 @@
     configurationVersion: 0,
     configurationAgeMs: 0,
     registrationsAgeMs: 0,
+    isCutOff: false,
     gatewaysHeard: 0,
     gatewaysKnown: 0,
     backendServers: 0,
--- a/tests/gateway/RequestHandler.test.ts
+++ b/tests/gateway/RequestHandler.test.ts
@@ -1,10 +1,13 @@
-/** Tests of `RequestHandler`: which requests a stopping gateway accepts. */
+/** Tests of `RequestHandler`: requests of a gateway that is stopping, or cut off from the servers. */
 import t from 'tap';
-import {Catalog, type RouteKind} from '../../src/catalog/index.js';
-import type {BackendResponseHandler, Refusal} from '../../src/exchange/index.js';
+import {Catalog, type RouteKind, type Workspace} from '../../src/catalog/index.js';
+import {QuotaLedger} from '../../src/controllers/quotas/index.js';
+import type {BackendResponseHandler, Refusal, ServingRequest} from '../../src/exchange/index.js';
 import {GatewayMetrics} from '../../src/gateway/index.js';
 import {RequestHandler, type RequestHandlerOptions} from '../../src/gateway/RequestHandler.js';
+import type {Forwarding, RequestForwarder} from '../../src/gateway/RequestForwarder.js';
 import {RequestQueue} from '../../src/gateway/RequestQueue.js';
+import {MemberTable} from '../../src/gossip/index.js';
 import {silentEvents} from '../../src/logging/index.js';
 import {REQUEST, ROUTE, RunHarness, SUCCESS} from '../exchange/exchangeFixtures.js';
 
@@ -20,14 +23,19 @@
   readonly refusals: Refusal[] = [];
   readonly handler: RequestHandler;
   private readonly attempts: BackendResponseHandler[] = [];
+  readonly links = {isCutOff: false, reachesAny: true};
+  /** Requests that were passed on. */
+  readonly forwarded: ServingRequest[] = [];
+  hasPeers = true;
+  readonly ledger = new QuotaLedger({startsFull: true, toleratedShare: 0});
 
-  constructor(kind: RouteKind) {
+  constructor(kind: RouteKind, workspaces: readonly Workspace[] = []) {
     const catalog = new Catalog();
     catalog.applyConfiguration({
       version: 1,
-      routes: [{...ROUTE, kind, isPublic: true, timeoutMs: TIMEOUT_MS}],
+      routes: [{...ROUTE, kind, isPublic: workspaces.length === 0, timeoutMs: TIMEOUT_MS}],
       services: new Map(),
-      workspaces: [],
+      workspaces,
       limits: {maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
     });
     catalog.markRegistrationsCurrent(0);
@@ -41,8 +49,22 @@
           return {cancel: ignore, pause: ignore, resume: ignore, reportStall: () => false};
         },
         hasStopped: async () => false,
+        canConnect: async () => true,
+        closeIdleConnections: () => undefined,
       },
       services: new RunHarness({}, []).createServices(['s1']),
+      members: new MemberTable('g1', {unresponsiveAfterMs: 900, removedAfterMs: 8_000}),
+      quotaLedger: this.ledger,
+      reachability: this.links,
+      forwarder: {
+        size: 0,
+        canForward: () => this.hasPeers,
+        forward: ({request}: Forwarding) => {
+          this.forwarded.push(request);
+          return {abandon: ignore};
+        },
+        endAll: ignore,
+      } as unknown as RequestForwarder,
       metrics,
       queue: new RequestQueue({
         isWaitingEnabled: () => false,
@@ -77,9 +99,9 @@
   }
 
   /** Sends a request that a server doesn't answer. */
-  send(deadlineMs = TIMEOUT_MS): void {
+  send(deadlineMs = TIMEOUT_MS, fields: Partial<ServingRequest> = {}): void {
     this.handler.accept(
-      {...REQUEST, deadlineMs, receivedAtMs: this.nowMs},
+      {...REQUEST, deadlineMs, receivedAtMs: this.nowMs, ...fields},
       {
         start: ignore,
         write: ignore,
@@ -137,3 +159,68 @@
     t.match(harness.refusals, [{kind: 'stopping', isNotRun: false}]);
   });
 });
+
+const WORKSPACE: Workspace = {
+  name: 'w',
+  keys: ['k'],
+  priority: undefined,
+  homeRegions: [],
+  quota: {unit: 'requests', ratePerSecond: 0.001, burst: 1, defaultTokens: 1},
+};
+
+function createCutOff(workspaces: readonly Workspace[] = []): HandlerHarness {
+  const harness = new HandlerHarness('at-most-once', workspaces);
+  Object.assign(harness.links, {isCutOff: true, reachesAny: false});
+  return harness;
+}
+
+t.test('a gateway that is cut off from the servers', async t => {
+  t.test('passes requests on, and leaves their charge to the other gateway', async t => {
+    const harness = createCutOff([WORKSPACE]);
+    for (let request = 0; request < 5; request += 1) harness.send(TIMEOUT_MS, {key: 'k'});
+    t.equal(harness.forwarded.length, 5);
+    t.same(harness.refusals, []);
+    harness.links.isCutOff = false;
+    harness.send(TIMEOUT_MS, {key: 'k'});
+    t.equal(harness.sentCount, 1, 'the quota has not been used up');
+  });
+
+  t.test('passes no request on whose key is unknown here', async t => {
+    const harness = createCutOff([WORKSPACE]);
+    harness.send(TIMEOUT_MS, {key: 'revoked'});
+    t.equal(harness.forwarded.length, 0);
+    t.match(harness.refusals, [{kind: 'no-key'}]);
+  });
+
+  t.test('passes no request on that another gateway has passed on', async t => {
+    const harness = createCutOff();
+    harness.links.reachesAny = true;
+    harness.send(TIMEOUT_MS, {isForwarded: true});
+    t.equal(harness.forwarded.length + harness.sentCount, 0);
+    t.match(harness.refusals, [{kind: 'no-server', isNotRun: true, retryAfterMs: 100}]);
+  });
+
+  t.test('refuses requests at once if no gateway reaches the servers', async t => {
+    const harness = createCutOff();
+    harness.hasPeers = false;
+    harness.send();
+    t.equal(harness.sentCount, 0);
+    t.match(harness.refusals, [{kind: 'no-server', isNotRun: true, retryAfterMs: 1_000}]);
+  });
+
+  t.test('still tries a server if no other gateway can, but some server was reached', async t => {
+    const harness = createCutOff();
+    harness.hasPeers = false;
+    harness.links.reachesAny = true;
+    harness.send();
+    t.equal(harness.sentCount, 1);
+    harness.handler.endOpenRequests();
+  });
+
+  t.test('serves a request that another gateway passes on if it reaches the servers', async t => {
+    const harness = new HandlerHarness('at-most-once');
+    harness.send(TIMEOUT_MS, {isForwarded: true});
+    t.equal(harness.sentCount, 1);
+    harness.handler.endOpenRequests();
+  });
+});
--- a/tests/gateway/RequestQueue.test.ts
+++ b/tests/gateway/RequestQueue.test.ts
@@ -10,6 +10,7 @@
 import {RequestQueue} from '../../src/gateway/RequestQueue.js';
 import {silentEvents} from '../../src/logging/index.js';
 import {REQUEST, ROUTE, RunHarness, SUCCESS} from '../exchange/exchangeFixtures.js';
+import {createForwarder} from './gatewayFixtures.js';
 
 const SLOTS = 4;
 const BURST = 100;
@@ -78,6 +79,8 @@
           return {cancel: ignore, pause: ignore, resume: ignore, reportStall: () => false};
         },
         hasStopped: async () => false,
+        canConnect: async () => true,
+        closeIdleConnections: () => undefined,
       },
       services: new RunHarness({}, []).createServices(['s1']),
       members: this.members,
@@ -85,6 +88,8 @@
       metrics: this.metrics,
       events: silentEvents,
       queue: this.queue,
+      reachability: {isCutOff: false, reachesAny: true},
+      forwarder: createForwarder(),
       getConfigurationProofAgeMs: () => 0,
       getNowMs,
       random: () => 0,
--- a/tests/gateway/gatewayFixtures.ts
+++ b/tests/gateway/gatewayFixtures.ts
@@ -1,11 +1,19 @@
 /** Builders of settings, members and gossip states for gateway tests. */
 import {NO_FINDINGS} from '../../src/controllers/quarantine/index.js';
+import {Catalog} from '../../src/catalog/index.js';
+import {RequestForwarder} from '../../src/gateway/RequestForwarder.js';
+import {ServerReachability} from '../../src/gateway/ServerReachability.js';
 import {ServerLimits} from '../../src/gateway/ServerLimits.js';
 import {RequestQuarantine} from '../../src/gateway/RequestQuarantine.js';
 import {silentEvents} from '../../src/logging/index.js';
 import type {GatewaySettings} from '../../src/gateway/index.js';
 import type {LogPosition, RelayedRead} from '../../src/controllers/reading/index.js';
-import type {GatewayMember, GossipState, RegistrationsUpdate} from '../../src/gossip/index.js';
+import {
+  MemberTable,
+  type GatewayMember,
+  type GossipState,
+  type RegistrationsUpdate,
+} from '../../src/gossip/index.js';
 
 /**
  * Returns settings of a gateway.
@@ -53,6 +61,7 @@
     failureDomain: id,
     isReady: true,
     isLeaving: false,
+    isCutOff: false,
     ...fields,
   };
 }
@@ -115,6 +124,36 @@
   });
 }
 
+/** Returns what passes requests on, of a gateway that is alone. */
+export function createForwarder(): RequestForwarder {
+  return new RequestForwarder({
+    settings: createSettings(),
+    transport: {
+      send: () => {
+        throw new Error('there is no other gateway');
+      },
+    },
+    members: new MemberTable('g1', {unresponsiveAfterMs: 900, removedAfterMs: 8_000}),
+    metrics: {addForwarded: () => undefined},
+    events: silentEvents,
+    getNowMs: () => 0,
+    random: () => 0,
+  });
+}
+
+/** Returns what watches the links of a gateway that has no servers. */
+export function createReachability(): ServerReachability {
+  return new ServerReachability({
+    catalog: new Catalog(),
+    transport: {canConnect: async () => true, closeIdleConnections: () => undefined},
+    events: silentEvents,
+    getCutOffPeerCount: () => 0,
+    onChange: () => undefined,
+    getNowMs: () => 0,
+    random: () => 0,
+  });
+}
+
 /**
  * Returns the servers' limits of a gateway that is alone.
  * @param ownId - Id of the gateway.
--- a/tests/gateway/gossipFleet.test.ts
+++ b/tests/gateway/gossipFleet.test.ts
@@ -23,6 +23,14 @@
 /** Bound of the small deployments for a leaving server, less the interval at which registrations are read. */
 const DEPARTURE_BOUND_MS = 1_300;
 
+/**
+ * Bound for requests at a gateway that is cut off, which it passes on to others, less the time in which it finds out: by
+ * then it must not choose others that are cut off too.
+ */
+const CUT_OFF_BOUND_MS = 2_300;
+/** Two choices are made for each request, and fewer than 1 in 50 requests may fail. */
+const MAX_OUTDATED_SHARE = 0.14;
+
 function createFleet(gatewayCount: number, seed = 1): GossipFleet {
   const options = {gatewayCount, failureDomains: 5, serverCount: 10, seed, lossShare: LOSS_SHARE};
   const fleet = new GossipFleet(options);
@@ -46,6 +54,45 @@
   return [...new Set(loads)];
 }
 
+/** Returns the share of the gateways' views of others that are cut off in which these reach the servers. */
+function getOutdatedShare(fleet: GossipFleet, cutOffIds: ReadonlySet<string>): number {
+  const views = fleet.gateways.flatMap(({members}) =>
+    members.getLiveMembers(fleet.nowMs).filter(({id}) => cutOffIds.has(id)),
+  );
+  return views.filter(({isCutOff}) => !isCutOff).length / views.length;
+}
+
+function testCutOff(gatewayCount: number): void {
+  t.test(`${gatewayCount} gateways: those that are cut off are known to all in time`, t => {
+    const fleet = createFleet(gatewayCount);
+    const setCutOff = (gateways: readonly GossipGateway[], isCutOff: boolean) => {
+      for (const gateway of gateways) {
+        gateway.member = {...gateway.member, isCutOff};
+        gateway.gossip.broadcast();
+      }
+      fleet.run(CUT_OFF_BOUND_MS);
+    };
+    for (const isCut of [
+      (index: number) => index % 5 < 3,
+      (index: number) => index % 5 === 0,
+      () => true,
+    ]) {
+      const cut = fleet.gateways.filter((_, index) => isCut(index));
+      setCutOff(cut, true);
+      const share = getOutdatedShare(fleet, new Set(cut.map(({member}) => member.id)));
+      t.ok(share < MAX_OUTDATED_SHARE, `${share} of the views are outdated`);
+      setCutOff(cut, false);
+      const stillCutOff = fleet.gateways.flatMap(({members}) =>
+        members.getLiveMembers(fleet.nowMs).filter(({isCutOff}) => isCutOff),
+      );
+      t.equal(stillCutOff.length, 0, 'and that they are back');
+    }
+    t.end();
+  });
+}
+
+for (const gatewayCount of [7, 70, 300]) testCutOff(gatewayCount);
+
 t.test('gossip', t => {
   const doTest = (gatewayCount: number) => {
     t.test(`${gatewayCount} gateways`, t => {
--- a/tests/gateway/retrySlack.test.ts
+++ b/tests/gateway/retrySlack.test.ts
@@ -9,7 +9,12 @@
 import {GatewayRunServices} from '../../src/gateway/GatewayRunServices.js';
 import {RolloutGate} from '../../src/gateway/RolloutGate.js';
 import {silentEvents} from '../../src/logging/index.js';
-import {createQuarantine, createServerLimits, createSettings} from './gatewayFixtures.js';
+import {
+  createQuarantine,
+  createReachability,
+  createServerLimits,
+  createSettings,
+} from './gatewayFixtures.js';
 
 const GATEWAYS = 30;
 const RETRY_SLACK = 200;
@@ -33,6 +38,7 @@
       serverLimits: createServerLimits(id),
       rollouts: new RolloutGate({catalog: new Catalog(), events: silentEvents}),
       evidence: new FleetEvidence(),
+      reachability: createReachability(),
       recheck: () => undefined,
       onServerLeaving: () => undefined,
       getGatewayIds: nowMs => (nowMs < DISCOVERY_MS ? [id] : fleet),
--- a/tests/gossip/gossip.test.ts
+++ b/tests/gossip/gossip.test.ts
@@ -19,6 +19,7 @@
     failureDomain: 'a',
     isReady: true,
     isLeaving: false,
+    isCutOff: false,
     ...fields,
   };
 }
--- a/tests/support/GossipFleet.ts
+++ b/tests/support/GossipFleet.ts
@@ -74,7 +74,7 @@
   readonly rollouts = new RolloutGate({catalog: this.catalog, events: silentEvents});
   readonly evidence = new FleetEvidence();
   readonly gossip: GatewayGossip;
-  readonly member: GatewayMember;
+  member: GatewayMember;
   nextBroadcastAtMs: number;
   isRunning = true;
   sentBytes = 0;
@@ -202,6 +202,7 @@
       failureDomain: `domain-${domain}`,
       isReady: true,
       isLeaving: false,
+      isCutOff: false,
     };
     const seeds = Array.from({length: SEED_COUNT}, (_, seed) => getAddress(seed, 7_600));
     const phaseMs = Math.floor((this.random() * BROADCAST_INTERVAL_MS) / STEP_MS) * STEP_MS;
--- a/tests/support/ServingFleet.ts
+++ b/tests/support/ServingFleet.ts
@@ -6,6 +6,7 @@
 import type {
   BackendAttempt,
   BackendCall,
+  PeerCall,
   BackendHead,
   BackendResponseHandler,
   Refusal,
@@ -15,6 +16,7 @@
   Gateway,
   GatewayMetrics,
   type DutyLog,
+  type OpenRequest,
   type RolloutLog,
   type RolloutVerdict,
 } from '../../src/gateway/index.js';
@@ -54,6 +56,7 @@
   readonly request: ServingRequest;
   readonly sentAtMs: number;
   outcome: 'open' | 'answered' | 'aborted' | Refusal;
+  status?: number;
 }
 
 /** An attempt that a server has received. */
@@ -71,6 +74,8 @@
 const PREFILL_MS = 150;
 const RESPONSE_MS = 1_000;
 const BROADCAST_INTERVAL_MS = 250;
+const EXAMINE_INTERVAL_MS = 50;
+const PROBE_TIMEOUT_MS = 300;
 const WALL_START_MS = 1_780_000_000_000;
 /** Time until a crashed server is back, and until its registration is removed. */
 const RESTART_MS = 3_000;
@@ -179,6 +184,8 @@
 /** One start of a gateway. */
 export class SimulatedGateway {
   readonly id: string;
+  /** Address for callers. */
+  readonly address: string;
   readonly catalog = new Catalog();
   readonly gateway: Gateway;
   readonly phaseMs: number;
@@ -187,6 +194,7 @@
 
   constructor(index: number, incarnation: number, phaseMs: number, fleet: ServingFleet) {
     this.id = `edge-${index}`;
+    this.address = this.id;
     this.phaseMs = phaseMs;
     const getNowMs = () => fleet.nowMs;
     const [ip] = getAddress(index).split(':');
@@ -196,6 +204,7 @@
         id: this.id,
         incarnation: WALL_START_MS + incarnation,
         ip,
+        trafficAddress: this.address,
         gossipPort: 7_600,
         failureDomain: `domain-${index % fleet.options.failureDomains}`,
         gossipSeeds: [0, 1, 2].map(getAddress),
@@ -204,7 +213,10 @@
       transport: {
         send: (call, handler) => fleet.send(this.id, call, handler),
         hasStopped: async ({entry}) => fleet.servers.get(entry.id)?.isUp !== true,
+        canConnect: ({entry}) => fleet.probe(this.id, entry.id),
+        closeIdleConnections: ignore,
       },
+      peerTransport: {send: (call, handler) => fleet.forward(call, handler)},
       dutyCalls: {reportUsage: async () => 'done', orderServers: async () => 'done'},
       dutyLog: fleet.store,
       rolloutLog: fleet.store,
@@ -240,6 +252,8 @@
   readonly crashesAtMs: number[] = [];
   readonly store: SimulatedStore;
   /** Changes what a server does with an attempt; by default it answers. */
+  /** Gateways whose links to all servers are lost, and what connections do then. */
+  readonly cutGatewayIds = new Map<string, 'silent' | 'refused'>();
   behave: (server: SimulatedServer, behaviour: ServerBehaviour) => ServerBehaviour = (
     _server,
     behaviour,
@@ -248,6 +262,7 @@
   private readonly scheduled = new Map<number, (() => void)[]>();
   private inFlight: {readonly bytes: Uint8Array; readonly address: string}[] = [];
   private requestCount = 0;
+  private readonly openRequests: OpenRequest[] = [];
 
   constructor(options: ServingFleetOptions) {
     this.options = options;
@@ -294,8 +309,8 @@
     };
     const result: CallerResult = {request, sentAtMs: this.nowMs, outcome: 'open'};
     this.results.push(result);
-    gateway.gateway.accept(request, {
-      start: () => undefined,
+    const open = gateway.gateway.accept(request, {
+      start: status => (result.status = status),
       write: () => undefined,
       isFull: false,
       onceDrained: () => undefined,
@@ -303,9 +318,15 @@
       abortResponse: () => (result.outcome = 'aborted'),
       refuse: refusal => (result.outcome = refusal),
     });
+    this.openRequests.push(open);
     return result;
   }
 
+  /** The callers of all open requests disconnect, so that no timer of a run is left. */
+  abandonAll(): void {
+    for (const open of this.openRequests.splice(0)) open.abandon();
+  }
+
   /**
    * Advances the time.
    * @param durationMs - Time to simulate.
@@ -320,6 +341,7 @@
       this.runScheduled();
       for (const gateway of this.gateways) {
         if (!gateway.isRunning) continue;
+        if (this.nowMs % EXAMINE_INTERVAL_MS === 0) gateway.gateway.examineLinks();
         if (this.nowMs % BROADCAST_INTERVAL_MS !== gateway.phaseMs) continue;
         this.markCurrent(gateway);
         gateway.gateway.broadcastState();
@@ -354,12 +376,14 @@
 
   /** Receives an attempt of a gateway. */
   send(gatewayId: string, call: BackendCall, handler: BackendResponseHandler): BackendAttempt {
-    const server = this.servers.get(call.server.entry.id);
+    const cut = this.cutGatewayIds.get(gatewayId);
+    const server = cut ? undefined : this.servers.get(call.server.entry.id);
     const attempt: RunningAttempt = {call, handler, isDone: false};
     const cancel = () => {
       attempt.isDone = true;
       server?.running.delete(attempt);
     };
+    if (cut === 'silent') return {cancel, pause: ignore, resume: ignore, reportStall: () => false};
     if (!server?.isUp) {
       this.schedule(STEP_MS, () => {
         if (!attempt.isDone) {
@@ -374,10 +398,64 @@
       prefillMs: this.options.prefillMs ?? PREFILL_MS,
       head: server.head,
     });
-    this.schedule(behaviour.prefillMs, () => this.beginResponse(server, attempt, behaviour));
+    this.schedule(behaviour.prefillMs, () =>
+      this.beginResponse(server, gatewayId, attempt, behaviour),
+    );
     return {cancel, pause: ignore, resume: ignore, reportStall: () => false};
   }
 
+  /** Opens a connection of a gateway to a server, and closes it. */
+  probe(gatewayId: string, serverId: string): Promise<boolean> {
+    const cut = this.cutGatewayIds.get(gatewayId);
+    const isReached = cut === undefined && this.servers.get(serverId)?.isUp === true;
+    const delayMs = cut === 'silent' ? PROBE_TIMEOUT_MS : STEP_MS;
+    return new Promise(resolve => this.schedule(delayMs, () => resolve(isReached)));
+  }
+
+  /** Passes a request of one gateway on to another one. */
+  forward({request, peer, deadlineMs}: PeerCall, handler: BackendResponseHandler): BackendAttempt {
+    const gateway = this.gateways.find(({id}) => id === peer.id && this.isRunning(id));
+    const attempt = {isDone: false};
+    const report = (action: () => void) => {
+      if (!attempt.isDone) action();
+    };
+    const cancel = () => (attempt.isDone = true);
+    if (!gateway) {
+      const failure = {kind: 'unreachable', isSent: false, message: 'ECONNREFUSED'} as const;
+      this.schedule(STEP_MS, () => report(() => handler.onFailure(failure)));
+      return {cancel, pause: ignore, resume: ignore, reportStall: () => false};
+    }
+    const forwarded = {...request, isForwarded: true, deadlineMs, receivedAtMs: this.nowMs};
+    const open = gateway.gateway.accept(forwarded, {
+      start: (status, headers) => report(() => handler.onHead({...SUCCESS, status, headers})),
+      write: chunk => report(() => handler.onData(chunk)),
+      isFull: false,
+      onceDrained: ignore,
+      end: () => report(() => handler.onEnd()),
+      abortResponse: () =>
+        report(() => handler.onFailure({kind: 'broken', isSent: true, message: 'closed'})),
+      refuse: ({isNotRun}) =>
+        report(() => {
+          const status = isNotRun ? 503 : 502;
+          handler.onHead({...SUCCESS, status, headers: {}, isSigned: false});
+          handler.onEnd();
+        }),
+    });
+    return {
+      cancel: () => {
+        attempt.isDone = true;
+        open.abandon();
+      },
+      pause: ignore,
+      resume: ignore,
+      reportStall: () => false,
+    };
+  }
+
+  private isRunning(gatewayId: string): boolean {
+    return this.gateways.some(({id, isRunning}) => id === gatewayId && isRunning);
+  }
+
   /** Queues an encoded datagram, which arrives in the next step unless it is lost. */
   transmit(bytes: Uint8Array, addresses: readonly string[]): void {
     for (const address of addresses) {
@@ -387,10 +465,11 @@
 
   private beginResponse(
     server: SimulatedServer,
+    gatewayId: string,
     attempt: RunningAttempt,
     {head}: ServerBehaviour,
   ): void {
-    if (attempt.isDone) return;
+    if (attempt.isDone || this.cutGatewayIds.has(gatewayId)) return;
     const {request} = attempt.call;
     if (request.promptParts.some(({id}) => id === DEADLY_PART)) {
       this.crashesAtMs.push(this.nowMs);
@@ -399,7 +478,7 @@
     attempt.handler.onHead(head);
     attempt.handler.onData(Buffer.from('id: 1\ndata: x\n\n'));
     this.schedule(this.options.responseMs ?? RESPONSE_MS, () => {
-      if (attempt.isDone) return;
+      if (attempt.isDone || this.cutGatewayIds.has(gatewayId)) return;
       attempt.isDone = true;
       server.running.delete(attempt);
       attempt.handler.onEnd();
