Spare brittle servers refusals for lack of room

Servers may say that they are brittle: one that has to refuse more than so many requests a second for want of room falls over.

Servers that don't say that they are brittle are served as before.

--- a/src/controllers/placement/ServerLoads.ts
+++ b/src/controllers/placement/ServerLoads.ts
@@ -92,6 +92,11 @@
     return {openRequests, pendingPromptTokens};
   }
 
+  /** Returns the open requests of this gateway at a server. */
+  getOwnOpenRequests(serverId: string): number {
+    return this.ownLoads.get(serverId)?.openRequests ?? 0;
+  }
+
   /** Returns the load of this gateway alone, by the key of the server's id. */
   getOwnLoadsByKey(): ReadonlyMap<number, ServerLoad> {
     return new Map([...this.ownLoads].map(([serverId, load]) => [this.getKey(serverId), load]));
--- a/src/controllers/placement/index.ts
+++ b/src/controllers/placement/index.ts
@@ -1,6 +1,7 @@
 export {ServerRateLimiter, type RateShare} from './ServerRateLimiter.js';
 export {ServerRateShares} from './ServerRateShares.js';
 export {NamedLimits, type NamedLimit} from './NamedLimits.js';
+export {BrittleServers, type BrittleServerLoad} from './BrittleServers.js';
 export {ServerHealth, type HealthOutcome} from './ServerHealth.js';
 export {ServerPauses} from './ServerPauses.js';
 export {
--- a/src/exchange/ExchangeTypes.ts
+++ b/src/exchange/ExchangeTypes.ts
@@ -129,6 +129,8 @@
   readonly coldMs: number | undefined;
   /** Requests per second that the server takes from all gateways together; undefined if it names no limit. */
   readonly requestLimit: number | undefined;
+  /** Refusals per second for lack of room above which the server crashes; undefined if it doesn't say that it does. */
+  readonly refusalsPerSecond?: number;
   /** Load of the server when it sent the head; undefined if it reports none that can be read. */
   readonly load?: ReportedLoad;
 }
--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -1,7 +1,14 @@
 /** Connects request runs to placement, retry budgets, server health and usage counts. */
-import {getServerStartKey, type Catalog, type KnownServer, type Service} from '../catalog/index.js';
+import {
+  getServerStartKey,
+  type Catalog,
+  type KnownServer,
+  type ServerEntry,
+  type Service,
+} from '../catalog/index.js';
 import type {UsageLedger} from '../controllers/duties/index.js';
 import {
+  BrittleServers,
   ServerRateLimiter,
   ServerRateShares,
   ServerHealth,
@@ -109,6 +116,9 @@
   private readonly options: GatewayRunServicesOptions;
   private readonly health = new ServerHealth();
   private readonly pauses = new ServerPauses();
+  private readonly brittleServers = new BrittleServers();
+  /** Which gateways have one slot more than others at a brittle server. */
+  private readonly slotShares: ServerRateShares;
   private readonly speeds: ServerSpeeds;
   private readonly targets = new ServiceTargets();
   private readonly coldLimiter = new ServerRateLimiter(USED_COLD_FRACTION);
@@ -123,6 +133,7 @@
       serverId => options.catalog.servers.getServer(serverId) !== undefined,
     );
     this.coldShares = new ServerRateShares(options.settings.id, MIN_COLD_SHARE_PER_SECOND);
+    this.slotShares = new ServerRateShares(options.settings.id, 1);
   }
 
   /** Returns whether servers of a service report work factors. */
@@ -171,7 +182,7 @@
         servers,
         getLoad: serverId => loads.getLoad(serverId, nowMs),
         getFailureRate: serverId => this.health.getFailureRate(serverId, nowMs),
-        getPauseMs: ({entry}) => this.pauses.getRemainingMs(entry, nowMs),
+        getPauseMs: server => this.getPauseMs(server, nowMs),
         isInBackoff: serverId => this.health.isInBackoff(serverId, nowMs),
         hasColdCapacity: server => this.hasColdCapacity(server, service, nowMs),
         hasLimitCapacity: server => this.options.serverLimits.hasCapacity(server, nowMs),
@@ -235,6 +246,7 @@
   onHead(server: KnownServer, head: BackendHead, nowMs: number): void {
     this.applyRequestLimit(server, head, nowMs);
     this.applyPause(server, head, nowMs);
+    this.applyBrittleness(server, head, nowMs);
     this.applyLeaving(server, head, nowMs);
     this.applyWorkFactor(server, head, nowMs);
     if (head.isMisdirected) this.options.catalog.servers.removeServer(server.entry.id, nowMs);
@@ -369,6 +381,38 @@
     this.options.events.log('server paused', {server, service, pauseMs: Math.round(pauseMs)});
   }
 
+  private applyBrittleness({entry}: KnownServer, head: BackendHead, nowMs: number): void {
+    if (head.isMisdirected || (!head.isSigned && !head.isNotRun)) return;
+    const {refusalsPerSecond} = head;
+    const before = this.brittleServers.getRefusalsPerSecond(entry, nowMs);
+    this.brittleServers.applyResponse(entry, refusalsPerSecond, head.isNotRun, nowMs);
+    if ((before === undefined) === (refusalsPerSecond === undefined)) return;
+    const {id: server, service} = entry;
+    this.options.events.log('brittle server', {server, service, refusalsPerSecond});
+  }
+
+  /** Returns the time for which a server wants nothing of this gateway, or is likely to refuse it and crash. */
+  private getPauseMs({entry}: KnownServer, nowMs: number): number {
+    const pauseMs = this.pauses.getRemainingMs(entry, nowMs);
+    if (this.brittleServers.getRefusalsPerSecond(entry, nowMs) === undefined) return pauseMs;
+    const {loads} = this.options;
+    const load = {
+      openRequests: loads.getLoad(entry.id, nowMs).openRequests,
+      ownRequests: loads.getOwnOpenRequests(entry.id),
+      ownSlots: this.getOwnSlots(entry, nowMs),
+    };
+    return Math.max(pauseMs, this.brittleServers.getPauseMs(entry, load, nowMs));
+  }
+
+  /** Returns this gateway's part of a server's slots; the parts of all gateways are whole numbers and add up. */
+  private getOwnSlots({id, slots}: ServerEntry, nowMs: number): number {
+    const gatewayIds = this.options.getGatewayIds(nowMs);
+    const remainder = slots % gatewayIds.length;
+    const hasOneMore =
+      remainder > 0 && this.slotShares.getLimit(id, remainder, gatewayIds) !== undefined;
+    return Math.floor(slots / gatewayIds.length) + (hasOneMore ? 1 : 0);
+  }
+
   private applyLeaving({entry}: KnownServer, {isLeaving}: BackendHead, nowMs: number): void {
     if (!isLeaving) return;
     const {catalog, events, onServerLeaving} = this.options;
--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -207,6 +207,13 @@
     fields: ['service', 'targetVersion'],
     maxPerSecond: STATE_CHANGES_PER_SECOND,
   },
+  'brittle server': {
+    level: 'info',
+    meaning:
+      'A backend server says that it crashes if it has to refuse more requests per second, or no longer says so.',
+    fields: ['server', 'service', 'refusalsPerSecond'],
+    maxPerSecond: HINTS_PER_SECOND,
+  },
   'server paused': {
     level: 'info',
     meaning: 'A backend server refused a request and wants none from this gateway for some time.',
