Apply a removal from a gateway that has read less only to an expired server

A gateway that knows by an equal digest that its registrations are complete doesn't learn the positions of their renewals. Probes that fail don't stop further ones any more.

--- a/src/gateway/GatewayRunServices.ts
+++ b/src/gateway/GatewayRunServices.ts
@@ -91,6 +91,8 @@
 const PERCENT = 100;
 /** Requests per second that a gateway's share of a cold server's limit is worth at least. */
 const MIN_COLD_SHARE_PER_SECOND = 1.5;
+/** The slots of a server that are left over are given to as many gateways. */
+const EXTRA_SLOTS_PER_GATEWAY = 1;
 /** Share of `retrySlack` that the gateways divide among themselves; the rest covers gateways that join and leave. */
 const USABLE_SLACK_SHARE = 0.6;
 /** Cold servers crash above their limit, so a tenth is left unused. */
@@ -133,7 +135,7 @@
       serverId => options.catalog.servers.getServer(serverId) !== undefined,
     );
     this.coldShares = new ServerRateShares(options.settings.id, MIN_COLD_SHARE_PER_SECOND);
-    this.slotShares = new ServerRateShares(options.settings.id, 1);
+    this.slotShares = new ServerRateShares(options.settings.id, EXTRA_SLOTS_PER_GATEWAY);
   }
 
   /** Returns whether servers of a service report work factors. */
--- a/src/gateway/LogReadCoordinator.ts
+++ b/src/gateway/LogReadCoordinator.ts
@@ -249,23 +249,20 @@
   }
 
   /**
-   * Applies a peer's registrations and removals. If this gateway has read further, those of unknown position are
-   * ignored. Otherwise, if both then have the same digest, the registrations known here were complete at the time of the
-   * peer's read.
+   * Applies a peer's registrations and removals unless this gateway has read further. If both then have the same digest,
+   * the registrations known here were complete at the time of the peer's read.
    */
   private applyRegistrations(update: RegistrationsUpdate, toldBy: string, nowMs: number): void {
     const {catalog} = this.options;
     if (update.position.offset === 0) return;
     const isBehind = comparePositions(update.position, this.knownPositions.registrations) < 0;
-    const isUsable = ({recordPosition}: RecordedDeparture) =>
-      recordPosition !== undefined || !isBehind;
-    for (const start of update.removed.filter(isUsable)) {
-      this.applyDeparture(start, 'removed', toldBy, nowMs);
-    }
-    for (const entry of update.changed.filter(isUsable)) {
-      this.applyRegistration(entry, toldBy, nowMs);
+    for (const start of update.removed) {
+      // A peer that hasn't been cut off knows which registrations have not just expired in an outage.
+      const hasExpired = catalog.servers.getServer(start.id)?.expiredAtMs !== undefined;
+      if (!isBehind || hasExpired) this.applyDeparture(start, 'removed', toldBy, nowMs);
     }
     if (isBehind) return;
+    for (const entry of update.changed) this.applyRegistration(entry, toldBy, nowMs);
     if (update.digest !== catalog.servers.getDigest()) return;
     this.knownPositions.registrations = update.position;
     catalog.markRegistrationsCurrent(nowMs - update.ageMs);
--- a/src/gateway/ServerReachability.ts
+++ b/src/gateway/ServerReachability.ts
@@ -78,8 +78,11 @@
     if (this.isProbing || !this.isRoundDue(nowMs)) return;
     this.isProbing = true;
     this.probedAtMs = nowMs;
-    await this.probe();
-    this.isProbing = false;
+    try {
+      await this.probe();
+    } finally {
+      this.isProbing = false;
+    }
   }
 
   private isRoundDue(nowMs: number): boolean {
--- a/tests/gateway/LogReadCoordinator.test.ts
+++ b/tests/gateway/LogReadCoordinator.test.ts
@@ -141,6 +141,23 @@
     t.end();
   });
 
+  t.test('a removal that a server has survived is ignored, if the peer has read less', t => {
+    const {reader, other} = createPair();
+    const at = (offset: number) => ({era: 1, offset});
+    for (const gateway of [reader, other]) {
+      gateway.catalog.servers.applyEntry(S1, 0, at(4));
+      gateway.catalog.servers.applyEntry(S2, 0, at(5));
+      gateway.read([], 5, 0, 1);
+    }
+    // The peer loses the store after it has read the removals of an outage, before the servers are back.
+    other.catalog.servers.removeServer('s2', 10_000, at(20));
+    other.read([], 22, 10_000, 1);
+    reader.read([], 30, 10_100, 1);
+    reader.logReadCoordinator.apply(other.getState(10_200), 10_200);
+    t.same(reader.getAvailableIds(), ['s1', 's2']);
+    t.end();
+  });
+
   t.test('registrations are not marked as complete after a missed change', t => {
     const {reader, other} = createPair();
     for (const gateway of [reader, other]) gateway.read([S1], 5, 0);
