Log fewer lines of forwarded requests and link changes

The events that were added with forwarding raised the number of lines that a gateway may log in a second above 2,000, the bound of EventLog.test.ts.

--- a/src/logging/gatewayEvents.ts
+++ b/src/logging/gatewayEvents.ts
@@ -16,6 +16,10 @@
 
 /** Rate limit of events that are logged for each request. */
 const REQUEST_EVENTS_PER_SECOND = 300;
+/** Callers of a gateway that is cut off are few after a second. */
+const FORWARDED_EVENTS_PER_SECOND = 100;
+/** Links that are probed three times a second can't change more often. */
+const LINK_CHANGES_PER_SECOND = 3;
 /** Rate limit of events that are caused by changes of the deployment. */
 const STATE_CHANGES_PER_SECOND = 50;
 /** Rate limit of events that occur once in the life of a process. */
@@ -88,14 +92,14 @@
     meaning:
       'A request was passed on to another gateway, since this one has lost its links to most backend servers, and has ended.',
     fields: ['request', 'gateway', 'outcome', 'status', 'totalMs', 'detail'],
-    maxPerSecond: REQUEST_EVENTS_PER_SECOND,
+    maxPerSecond: FORWARDED_EVENTS_PER_SECOND,
   },
   'servers out of reach': {
     level: 'warn',
     meaning:
       'Probes show that this gateway has lost its links to most backend servers. It passes requests on to other gateways.',
     fields: ['reached', 'unreached'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: LINK_CHANGES_PER_SECOND,
   },
   'links not examined': {
     level: 'error',
@@ -107,7 +111,7 @@
     level: 'info',
     meaning: 'This gateway reaches the backend servers again, and serves requests itself.',
     fields: ['reached', 'unreached', 'cutOffMs'],
-    maxPerSecond: STATE_CHANGES_PER_SECOND,
+    maxPerSecond: LINK_CHANGES_PER_SECOND,
   },
   'request refused': {
     level: 'info',
