--- a/review/common-2/cloud.mjs
+++ b/review/common-2/cloud.mjs
@@ -3,7 +3,9 @@
 
 /** Counts the calls; every call with a fencing token that isn't too low is accepted. */
 export class CloudStandIn {
-  constructor() {
+  /** @param record - Called with each call. */
+  constructor(record) {
+    this.record = record;
     this.calls = [];
     this.highest = new Map();
     this.server = createServer((request, response) => {
@@ -29,7 +31,8 @@
     const isFenced = token < (this.highest.get(subject) ?? -1);
     if (!isFenced) this.highest.set(subject, token);
     const holder = request.headers['x-buckthorngw-duty-holder'];
-    this.calls.push({atMs: Date.now(), path: request.url, holder, token, isFenced, body});
+    this.calls.push({atMs: Date.now(), path: request.url, subject, holder, token, isFenced, body});
+    this.record('duty call', {path: request.url, holder, token, subject, answer: isFenced ? 409 : 200});
     response.writeHead(isFenced ? 409 : 200, {'content-length': '0'});
     response.end();
   }
--- a/review/common-2/deployment.mjs
+++ b/review/common-2/deployment.mjs
@@ -123,10 +123,11 @@
    * @param gateways - Number of gateways.
    * @param replicas - Options of each plain replica, with its `service`.
    * @param configuration - Called with the host name; returns the operator's configuration.
+   * @param duties - Duties of the settings; both if undefined.
    * @param getSeeds - Called with the index of a gateway, the addresses of all gateways and some without a machine;
    *     returns its seeds. The first three gateways if undefined.
    */
-  constructor({folder, gateways, replicas, configuration, bounds = {}, getSeeds = undefined}) {
+  constructor({folder, gateways, replicas, configuration, bounds = {}, duties = undefined, getSeeds = undefined}) {
     this.folder = folder;
     this.record = new Record(folder);
     this.temporary = mkdtempSync(join(tmpdir(), 'review-'));
@@ -134,10 +135,11 @@
     this.replicaOptions = replicas;
     this.configuration = configuration;
     this.bounds = bounds;
+    this.duties = duties ?? ['metering', 'autoscale'];
     this.getSeeds = getSeeds ?? ((index, addresses) => addresses.slice(0, 3));
     this.host = HOST;
     this.store = new StoreStandIn();
-    this.cloud = new CloudStandIn();
+    this.cloud = new CloudStandIn((event, fields) => this.record.write(event, fields));
     this.replicas = [];
     this.gateways = [];
     this.agents = [];
@@ -153,7 +155,7 @@
     await this.cloud.listen(platformIp, port + 1);
     this.store.put('keyed.op', 'config', this.configuration(this.host));
     for (const [index, options] of this.replicaOptions.entries()) {
-      const {service, coldMs, startsLate, ...rest} = options;
+      const {service, version, coldMs, startsLate, ...rest} = options;
       const replica = new ReplicaStandIn({
         id: `i-${index + 1}`,
         record: (event, fields) => this.record.write(event, fields),
@@ -161,7 +163,7 @@
       });
       await replica.listen(replicaIps[index], port);
       this.replicas.push(replica);
-      replica.register = () => this.register(replica, service, coldMs);
+      replica.register = () => this.register(replica, service, {version, coldMs});
       if (!startsLate) replica.register();
     }
     this.goneAddresses = [97, 98, 99].map(host => `${net}.${host}:${port + 4}`);
@@ -172,7 +174,7 @@
     await this.waitUntilReady();
   }
 
-  register(replica, service, coldMs = 0) {
+  register(replica, service, {version = 'v1', coldMs = 0} = {}) {
     const bornMs = Date.now();
     replica.coldUntilMs = bornMs + coldMs;
     const put = () =>
@@ -180,7 +182,7 @@
         service,
         addr: replica.address,
         zone: 'zone-a',
-        version: 'v1',
+        version,
         slots: 32,
         state: 'ready',
         cold_left_ms: Math.max(0, replica.coldUntilMs - Date.now()),
@@ -234,7 +236,7 @@
         ...this.bounds,
       },
       provider: {addr: `${platformIp}:${port}`, form: 'log'},
-      cloud: {addr: `${platformIp}:${port + 1}`, duties: ['metering', 'autoscale']},
+      cloud: {addr: `${platformIp}:${port + 1}`, duties: this.duties},
     };
     return new GatewayProcess({node, settings, folder: this.temporary, record: this.record});
   }
--- a/review/common-2/replica.mjs
+++ b/review/common-2/replica.mjs
@@ -3,7 +3,7 @@
 
 /**
  * One start of a replica. `decideAnswer` may change the answer of a request: `refuse` rejects it without a run, `workMs`
- * changes its duration, and `raw` replaces the bytes of its answer.
+ * changes its duration, `status` and `headers` those of its answer, and `raw` replaces the bytes of its answer.
  */
 export class ReplicaStandIn {
   constructor({id, record, workMs, decideAnswer = () => undefined}) {
@@ -78,7 +78,7 @@
       }
       const text = `result of ${requestId} by ${this.id}`;
       this.record('answered by replica', {replica: this.id, request: requestId});
-      response.writeHead(200, {
+      response.writeHead(special?.status ?? 200, {
         'content-type': 'text/plain',
         'content-length': String(text.length),
         'x-buckthorngw-attempt-id': requestId,
