review: two cases give way, and a raised header limit takes the place of one

Cause: the two cases (a cold replica, and orders after a refusal) came from gateways with stale seeds, which review/2 shows.

--- a/review/common-2/deployment.mjs
+++ b/review/common-2/deployment.mjs
@@ -9,7 +9,7 @@
 import {ReplicaStandIn} from './replica.mjs';
 import {StoreStandIn} from './store.mjs';
 
-export const ROOT = resolve(fileURLToPath(import.meta.url), "../../..");
+export const ROOT = resolve(fileURLToPath(import.meta.url), '../../..');
 const HEARTBEAT_MS = 1_200;
 const RESTART_DELAY_MS = 500;
 const READY_TIMEOUT_MS = 20_000;
@@ -123,11 +123,8 @@
    * @param gateways - Number of gateways.
    * @param replicas - Options of each plain replica, with its `service`.
    * @param configuration - Called with the host name; returns the operator's configuration.
-   * @param duties - Duties of the settings; both if undefined.
-   * @param getSeeds - Called with the index of a gateway, the addresses of all gateways and some without a machine;
-   *     returns its seeds. The first three gateways if undefined.
    */
-  constructor({folder, gateways, replicas, configuration, bounds = {}, duties = undefined, getSeeds = undefined}) {
+  constructor({folder, gateways, replicas, configuration, bounds = {}}) {
     this.folder = folder;
     this.record = new Record(folder);
     this.temporary = mkdtempSync(join(tmpdir(), 'review-'));
@@ -135,8 +132,6 @@
     this.replicaOptions = replicas;
     this.configuration = configuration;
     this.bounds = bounds;
-    this.duties = duties ?? ['metering', 'autoscale'];
-    this.getSeeds = getSeeds ?? ((index, addresses) => addresses.slice(0, 3));
     this.host = HOST;
     this.store = new StoreStandIn();
     this.cloud = new CloudStandIn((event, fields) => this.record.write(event, fields));
@@ -155,7 +150,7 @@
     await this.cloud.listen(platformIp, port + 1);
     this.store.put('keyed.op', 'config', this.configuration(this.host));
     for (const [index, options] of this.replicaOptions.entries()) {
-      const {service, version, coldMs, startsLate, ...rest} = options;
+      const {service, ...rest} = options;
       const replica = new ReplicaStandIn({
         id: `i-${index + 1}`,
         record: (event, fields) => this.record.write(event, fields),
@@ -163,10 +158,8 @@
       });
       await replica.listen(replicaIps[index], port);
       this.replicas.push(replica);
-      replica.register = () => this.register(replica, service, {version, coldMs});
-      if (!startsLate) replica.register();
+      this.register(replica, service);
     }
-    this.goneAddresses = [97, 98, 99].map(host => `${net}.${host}:${port + 4}`);
     for (const [index, ip] of gatewayIps.entries()) {
       this.gateways.push(this.createGateway(index, ip, gatewayIps, platformIp, port));
     }
@@ -174,18 +167,17 @@
     await this.waitUntilReady();
   }
 
-  register(replica, service, {version = 'v1', coldMs = 0} = {}) {
+  register(replica, service) {
     const bornMs = Date.now();
-    replica.coldUntilMs = bornMs + coldMs;
     const put = () =>
       this.store.put('keyed.servers', replica.id, {
         service,
         addr: replica.address,
         zone: 'zone-a',
-        version,
+        version: 'v1',
         slots: 32,
         state: 'ready',
-        cold_left_ms: Math.max(0, replica.coldUntilMs - Date.now()),
+        cold_left_ms: 0,
         call_seq: 0,
         born: bornMs,
       });
@@ -211,11 +203,7 @@
         directory: `${ip}:${port + 5}`,
       },
       port_range: [port + 6, port + 7],
-      seeds: this.getSeeds(
-        index,
-        gatewayIps.map(seedIp => `${seedIp}:${port + 4}`),
-        this.goneAddresses,
-      ),
+      seeds: gatewayIps.slice(0, 3).map(seedIp => `${seedIp}:${port + 4}`),
       limits: {cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4_100},
       bounds: {
         drain_ms: 2_000,
@@ -236,7 +224,7 @@
         ...this.bounds,
       },
       provider: {addr: `${platformIp}:${port}`, form: 'log'},
-      cloud: {addr: `${platformIp}:${port + 1}`, duties: this.duties},
+      cloud: {addr: `${platformIp}:${port + 1}`, duties: ['metering', 'autoscale']},
     };
     return new GatewayProcess({node, settings, folder: this.temporary, record: this.record});
   }
@@ -267,7 +255,7 @@
   send({gateway, agent, id, method = 'POST', path, headers = {}, body = '', deadlineMs}) {
     const [ip, port] = gateway.settings.listen.front.split(':');
     const sentAtMs = Date.now();
-    this.record.write('sent', {request: id, to: gateway.node, path, ...headers});
+    this.record.write('sent', {request: id, to: gateway.node, path, headers: Object.keys(headers)});
     return new Promise(resolveSend => {
       const finish = result => {
         const tookMs = Date.now() - sentAtMs;
--- a/review/common-2/replica.mjs
+++ b/review/common-2/replica.mjs
@@ -6,23 +6,18 @@
  * changes its duration, `status` and `headers` those of its answer, and `raw` replaces the bytes of its answer.
  */
 export class ReplicaStandIn {
-  constructor({id, record, workMs, decideAnswer = () => undefined}) {
+  constructor({id, record, workMs, maxHeaderBytes = 65_536, decideAnswer = () => undefined}) {
     this.id = id;
     this.record = record;
     this.workMs = workMs;
     this.decideAnswer = decideAnswer;
     this.runs = [];
-    this.server = createServer((request, response) => {
+    this.server = createServer({maxHeaderSize: maxHeaderBytes}, (request, response) => {
       const chunks = [];
       request.on('data', chunk => chunks.push(chunk));
       request.on('end', () => this.serve(request, Buffer.concat(chunks), response));
     });
     this.server.keepAliveTimeout = 20_000;
-    this.sockets = new Set();
-    this.server.on('connection', socket => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
-    });
   }
 
   async listen(ip, port) {
@@ -35,14 +30,6 @@
     this.server.close();
   }
 
-  /** Ends like a process that crashes: every channel is reset, and nothing listens any more. */
-  crash() {
-    this.record('replica crashed', {replica: this.id});
-    clearInterval(this.heartbeat);
-    this.server.close();
-    for (const socket of this.sockets) socket.resetAndDestroy();
-  }
-
   serve(request, body, response) {
     const requestId = request.headers['x-buckthorngw-attempt-id'];
     if (requestId === undefined) {
